--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+BUILD ?= build
+PACKAGES = g++ cmake ninja-build clang-format clang-tidy python3 \
+    librestinio-dev libasio-dev libfmt-dev libhttp-parser-dev \
+    libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc \
+    libabsl-dev libboost-dev libcxxopts-dev libeasyloggingpp-dev \
+    nlohmann-json3-dev libcurl4-openssl-dev libssl-dev libxxhash-dev \
+    libgtest-dev libgmock-dev libbenchmark-dev
+
+.PHONY: all install build test demo bench format lint sanitize clean
+
+all: build
+
+# Installs what Debian has not installed yet.
+install:
+	tools/install.sh $(PACKAGES)
+
+$(BUILD)/build.ninja: CMakeLists.txt
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=Release
+
+build: install $(BUILD)/build.ninja
+	ninja -C $(BUILD)
+
+test: build lint
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+demo: build
+	python3 tools/demo.py --build $(BUILD)
+
+bench: build
+	tools/bench.sh $(BUILD)
+
+format:
+	tools/sources.sh | xargs clang-format -i
+
+lint:
+	tools/lint.sh
+
+sanitize: install
+	cmake -S . -B $(BUILD)-sanitize -G Ninja -DCMAKE_BUILD_TYPE=Debug \
+	    -DPOMELOHINGE_SANITIZE=ON
+	ninja -C $(BUILD)-sanitize
+	ctest --test-dir $(BUILD)-sanitize --output-on-failure -j 4
+
+clean:
+	rm -rf $(BUILD) $(BUILD)-sanitize
--- /dev/null
+++ b/core/chart_text.cpp
@@ -0,0 +1,171 @@
+#include "core/chart_text.hpp"
+
+#include "core/object_reader.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <set>
+
+namespace pomelohinge {
+namespace {
+
+constexpr std::int64_t maximum_timeout_ms = 24LL * 60 * 60 * 1000;
+
+/// Builds the text form of a chart from the parsed document.
+class chart_parser
+{
+public:
+    chart_parser(json_document const& document, findings& found)
+        : document_(document), found_(found)
+    {
+    }
+
+    chart_text parse()
+    {
+        chart_text built;
+        object_reader reader(document_, "", found_);
+        reader.text("chart", built.name);
+        built.initial = read_name(reader, "", "initial");
+        reader.accept("states");
+        reader.accept("about");
+        reader.finish();
+        auto const states = document_.value.find("states");
+        if (states == document_.value.end() || !states->is_object()) {
+            found_.add(document_.place_of("/states"), "/states",
+                "an object of states is expected");
+            return built;
+        }
+        for (auto const& it : states->items())
+            built.states.push_back(parse_state(it.key()));
+        return built;
+    }
+
+private:
+    chart_name read_name(object_reader& reader, std::string const& pointer,
+        std::string const& field, presence need = presence::required)
+    {
+        chart_name name;
+        reader.text(field, name.text, need);
+        name.place = document_.place_of(pointer + "/" + field);
+        return name;
+    }
+
+    chart_state_text parse_state(std::string const& key)
+    {
+        auto const pointer = "/states/" + escape_pointer_token(key);
+        chart_state_text built;
+        built.name = {key, document_.place_of(pointer)};
+        object_reader reader(document_, pointer, found_);
+        reader.flag("final", built.is_final, presence::optional);
+        reader.accept("timeout");
+        reader.accept("on");
+        reader.finish();
+        if (reader.has("timeout"))
+            parse_timeout(pointer + "/timeout", built);
+        if (reader.has("on"))
+            parse_rows(pointer + "/on", built);
+        if (built.is_final && (!built.rows.empty() || built.timeout_event))
+            reader.add("final", "a final state has neither rows nor timeout");
+        return built;
+    }
+
+    void parse_timeout(std::string const& pointer, chart_state_text& state)
+    {
+        std::int64_t after_ms = 0;
+        object_reader reader(document_, pointer, found_);
+        reader.integer("after_ms", after_ms, 1, maximum_timeout_ms);
+        state.timeout_after = std::chrono::milliseconds(after_ms);
+        state.timeout_event = read_name(reader, pointer, "event");
+        reader.finish();
+    }
+
+    void parse_rows(std::string const& pointer, chart_state_text& state)
+    {
+        auto const& rows =
+            document_.value.at(nlohmann::json::json_pointer(pointer));
+        if (!rows.is_object())
+            return found_.add(document_.place_of(pointer), pointer,
+                "an object of rows is expected");
+        for (auto const& it : rows.items()) {
+            auto const at = pointer + "/" + escape_pointer_token(it.key());
+            if (!it.value().is_array()) {
+                state.rows.push_back(parse_row(it.key(), at));
+                continue;
+            }
+            for (std::size_t n = 0; n < it.value().size(); ++n)
+                state.rows.push_back(
+                    parse_row(it.key(), fmt::format("{}/{}", at, n)));
+        }
+    }
+
+    chart_row_text parse_row(
+        std::string const& event, std::string const& pointer)
+    {
+        chart_row_text built;
+        built.event = {event, document_.place_of(pointer)};
+        object_reader reader(document_, pointer, found_);
+        built.target = read_name(reader, pointer, "to");
+        if (reader.has("guard"))
+            built.guard = read_name(reader, pointer, "guard");
+        std::vector<std::string> actions;
+        reader.texts("do", actions, presence::optional);
+        reader.finish();
+        for (std::size_t n = 0; n < actions.size(); ++n)
+            built.actions.push_back({actions[n],
+                document_.place_of(fmt::format("{}/do/{}", pointer, n))});
+        return built;
+    }
+
+    json_document const& document_;
+    findings& found_;
+};
+
+} // namespace
+
+bool chart_text::has_state(std::string_view state) const
+{
+    return std::any_of(states.begin(), states.end(),
+        [&](auto const& it) { return it.name.text == state; });
+}
+
+bool chart_text::uses_event(std::string_view event) const
+{
+    return std::any_of(states.begin(), states.end(), [&](auto const& state) {
+        return std::any_of(state.rows.begin(), state.rows.end(),
+            [&](auto const& it) { return it.event.text == event; });
+    });
+}
+
+std::vector<chart_name> chart_text::unreachable_states() const
+{
+    std::set<std::string> reached{initial.text};
+    bool grown = true;
+    while (grown) {
+        grown = false;
+        for (auto const& state : states) {
+            if (!reached.contains(state.name.text))
+                continue;
+            for (auto const& it : state.rows)
+                grown |= reached.insert(it.target.text).second;
+        }
+    }
+    std::vector<chart_name> missing;
+    for (auto const& it : states)
+        if (!reached.contains(it.name.text))
+            missing.push_back(it.name);
+    return missing;
+}
+
+std::optional<chart_text> parse_chart(std::string_view text, findings& found)
+{
+    auto const before = found.items().size();
+    auto const document = parse_json_text(text, found);
+    if (!document)
+        return std::nullopt;
+    auto built = chart_parser(*document, found).parse();
+    if (found.items().size() != before)
+        return std::nullopt;
+    return built;
+}
+
+} // namespace pomelohinge
--- /dev/null
+++ b/core/findings.cpp
@@ -0,0 +1,39 @@
+#include "core/findings.hpp"
+
+#include <fmt/format.h>
+
+namespace pomelohinge {
+
+void findings::add(text_place place, std::string path, std::string message)
+{
+    items_.push_back({place, std::move(path), std::move(message)});
+}
+
+void findings::append(findings const& other)
+{
+    items_.insert(items_.end(), other.items_.begin(), other.items_.end());
+}
+
+std::string findings::to_text() const
+{
+    std::string text;
+    for (auto const& it : items_) {
+        text += source_;
+        if (it.place.line != 0)
+            text += fmt::format(":{}:{}", it.place.line, it.place.column);
+        text += ": ";
+        if (!it.path.empty())
+            text += it.path + ": ";
+        text += it.message + "\n";
+    }
+    return text;
+}
+
+absl::Status findings::to_status() const
+{
+    if (items_.empty())
+        return absl::OkStatus();
+    return absl::InvalidArgumentError(to_text());
+}
+
+} // namespace pomelohinge
--- /dev/null
+++ b/core/json_text.cpp
@@ -0,0 +1,267 @@
+#include "core/json_text.hpp"
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/str_replace.h>
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace pomelohinge {
+namespace {
+
+/// Walks a text in step with the events of the SAX parser and gives the
+/// place where each token starts. The parser has accepted the tokens before
+/// they are asked for, so the walk needs no checks of its own.
+class token_places
+{
+public:
+    explicit token_places(std::string_view text) : text_(text) {}
+
+    /// The place of the next token; advances behind it.
+    text_place next()
+    {
+        skip_separators();
+        auto const place = current();
+        skip_token();
+        return place;
+    }
+
+    /// The place of the byte at `offset`, which may lie anywhere.
+    text_place at(std::size_t offset) const
+    {
+        auto const head = text_.substr(0, offset);
+        auto const line = std::count(head.begin(), head.end(), '\n');
+        auto const start = head.rfind('\n');
+        auto const column =
+            start == std::string_view::npos ? offset : offset - start - 1;
+        return {static_cast<std::size_t>(line) + 1, column + 1};
+    }
+
+private:
+    text_place current() const { return {line_, offset_ - line_start_ + 1}; }
+
+    char peek(std::size_t ahead = 0) const
+    {
+        return offset_ + ahead < text_.size() ? text_[offset_ + ahead] : '\0';
+    }
+
+    void advance()
+    {
+        if (peek() == '\n') {
+            ++line_;
+            line_start_ = offset_ + 1;
+        }
+        ++offset_;
+    }
+
+    void skip_comment()
+    {
+        bool const block = peek(1) == '*';
+        while (offset_ < text_.size()) {
+            if (!block && peek() == '\n')
+                return;
+            if (block && peek() == '*' && peek(1) == '/') {
+                offset_ += 2;
+                return;
+            }
+            advance();
+        }
+    }
+
+    void skip_separators()
+    {
+        while (offset_ < text_.size()) {
+            if (peek() == '/')
+                skip_comment();
+            else if (std::string_view(" \t\r\n,:").find(peek()) !=
+                std::string_view::npos)
+                advance();
+            else
+                return;
+        }
+    }
+
+    void skip_string()
+    {
+        advance();
+        while (offset_ < text_.size() && peek() != '"') {
+            if (peek() == '\\')
+                advance();
+            advance();
+        }
+        advance();
+    }
+
+    void skip_token()
+    {
+        if (peek() == '"')
+            return skip_string();
+        if (std::string_view("{}[]").find(peek()) != std::string_view::npos)
+            return advance();
+        while (offset_ < text_.size() &&
+            std::string_view(" \t\r\n,:{}[]/").find(peek()) ==
+                std::string_view::npos)
+            advance();
+    }
+
+    std::string_view text_;
+    std::size_t offset_ = 0;
+    std::size_t line_ = 1;
+    std::size_t line_start_ = 0;
+};
+
+/// Receives the parser's events and builds the document.
+class document_builder : public nlohmann::json_sax<nlohmann::json>
+{
+public:
+    document_builder(std::string_view text, findings& found)
+        : places_(text), found_(found)
+    {
+    }
+
+    bool null() override { return scalar(nullptr); }
+    bool boolean(bool value) override { return scalar(value); }
+    bool number_integer(number_integer_t value) override
+    {
+        return scalar(value);
+    }
+    bool number_unsigned(number_unsigned_t value) override
+    {
+        return scalar(value);
+    }
+    bool number_float(number_float_t value, string_t const&) override
+    {
+        return scalar(value);
+    }
+    bool string(string_t& value) override { return scalar(std::move(value)); }
+    bool binary(binary_t&) override { return false; }
+    bool start_object(std::size_t) override
+    {
+        return open(nlohmann::json::object());
+    }
+    bool start_array(std::size_t) override
+    {
+        return open(nlohmann::json::array());
+    }
+    bool end_object() override { return close(); }
+    bool end_array() override { return close(); }
+
+    bool key(string_t& value) override
+    {
+        auto const place = places_.next();
+        auto& it = open_.back();
+        it.key = std::move(value);
+        if (it.value->contains(it.key))
+            found_.add(place, child_pointer(), "duplicate key");
+        return true;
+    }
+
+    bool parse_error(std::size_t offset, std::string const&,
+        nlohmann::json::exception const& error) override
+    {
+        std::string_view message = error.what();
+        auto const start = message.find("syntax error");
+        if (start != std::string_view::npos)
+            message.remove_prefix(start);
+        found_.add(
+            places_.at(offset > 0 ? offset - 1 : 0), "", std::string(message));
+        return false;
+    }
+
+    json_document take() { return std::move(document_); }
+
+private:
+    struct container
+    {
+        nlohmann::json* value;
+        std::string pointer;
+        std::string key;
+    };
+
+    std::string child_pointer() const
+    {
+        if (open_.empty())
+            return "";
+        auto const& it = open_.back();
+        if (it.value->is_array())
+            return fmt::format("{}/{}", it.pointer, it.value->size());
+        return it.pointer + "/" + escape_pointer_token(it.key);
+    }
+
+    nlohmann::json* place_value(nlohmann::json value)
+    {
+        document_.places.emplace(child_pointer(), places_.next());
+        if (open_.empty()) {
+            document_.value = std::move(value);
+            return &document_.value;
+        }
+        auto& parent = *open_.back().value;
+        if (parent.is_array()) {
+            parent.push_back(std::move(value));
+            return &parent.back();
+        }
+        return &(parent[open_.back().key] = std::move(value));
+    }
+
+    bool scalar(nlohmann::json value)
+    {
+        place_value(std::move(value));
+        return true;
+    }
+
+    bool open(nlohmann::json value)
+    {
+        auto pointer = child_pointer();
+        auto* const placed = place_value(std::move(value));
+        open_.push_back({placed, std::move(pointer), {}});
+        return true;
+    }
+
+    bool close()
+    {
+        places_.next();
+        open_.pop_back();
+        return true;
+    }
+
+    token_places places_;
+    findings& found_;
+    json_document document_;
+    std::vector<container> open_;
+};
+
+} // namespace
+
+text_place json_document::place_of(std::string_view pointer) const
+{
+    while (true) {
+        auto const it = places.find(pointer);
+        if (it != places.end())
+            return it->second;
+        auto const cut = pointer.rfind('/');
+        if (cut == std::string_view::npos)
+            return {};
+        pointer = pointer.substr(0, cut);
+    }
+}
+
+std::optional<json_document> parse_json_text(
+    std::string_view text, findings& found)
+{
+    constexpr bool strict = true;
+    constexpr bool ignore_comments = true;
+    auto const before = found.items().size();
+    document_builder builder(text, found);
+    auto const parsed =
+        nlohmann::json::sax_parse(text.begin(), text.end(), &builder,
+            nlohmann::json::input_format_t::json, strict, ignore_comments);
+    if (!parsed || found.items().size() != before)
+        return std::nullopt;
+    return builder.take();
+}
+
+std::string escape_pointer_token(std::string_view key)
+{
+    return absl::StrReplaceAll(to_absl(key), {{"~", "~0"}, {"/", "~1"}});
+}
+
+} // namespace pomelohinge
