--- /dev/null
+++ b/charts/chart_list.cpp
@@ -0,0 +1,60 @@
+#include "charts/chart_list.hpp"
+
+#include <fstream>
+#include <sstream>
+
+namespace pomelohinge {
+namespace {
+
+/// The text of one chart, from the folder or the binary.
+std::optional<std::string> read_chart(
+    std::string const& folder, std::string_view name, findings& found)
+{
+    if (folder.empty()) {
+        for (auto const& it : embedded_charts())
+            if (it.name == name)
+                return std::string(it.text);
+        found.add({}, "", "the binary carries no such chart");
+        return std::nullopt;
+    }
+    std::ifstream file(folder + "/" + std::string(name) + ".jsonc");
+    if (!file) {
+        found.add({}, "", "the file cannot be read");
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+template <ChartDefinition Definition>
+std::optional<chart<Definition>> load_chart(
+    std::string const& folder, std::string_view name, findings& found)
+{
+    findings mine(std::string(name) + ".jsonc");
+    std::optional<chart<Definition>> bound;
+    if (auto const text = read_chart(folder, name, mine))
+        if (auto const parsed = parse_chart(*text, mine))
+            bound = chart<Definition>::bind(*parsed, mine);
+    for (auto const& it : mine.items())
+        found.add(it.place, std::string(name) + ".jsonc" + it.path, it.message);
+    return bound;
+}
+
+} // namespace
+
+std::optional<chart_list> load_charts(
+    std::string const& folder, findings& found)
+{
+    auto target = load_chart<target_chart>(folder, "target", found);
+    auto vm = load_chart<vm_chart>(folder, "vm", found);
+    auto configuration =
+        load_chart<configuration_chart>(folder, "configuration", found);
+    auto request = load_chart<request_chart>(folder, "request", found);
+    if (!target || !vm || !configuration || !request)
+        return std::nullopt;
+    return chart_list{std::move(*target), std::move(*vm),
+        std::move(*configuration), std::move(*request)};
+}
+
+} // namespace pomelohinge
--- /dev/null
+++ b/config/merge.cpp
@@ -0,0 +1,22 @@
+#include "config/merge.hpp"
+
+namespace pomelohinge {
+
+merged_changes merge_configuration(configuration const& base,
+    configuration const& wanted, configuration const& current)
+{
+    merged_changes merged;
+    for (auto& it : difference(base, wanted)) {
+        auto const before = base.find_any(it.kind, it.name);
+        auto const now = current.find_any(it.kind, it.name);
+        if (now == it.object)
+            continue;
+        if (now == before)
+            merged.changes.push_back(std::move(it));
+        else
+            merged.conflicts.push_back({it.kind, it.name});
+    }
+    return merged;
+}
+
+} // namespace pomelohinge
--- /dev/null
+++ b/config/object_codec.cpp
@@ -0,0 +1,272 @@
+#include "config/object_codec.hpp"
+
+#include "core/text_map.hpp"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
+
+namespace pomelohinge {
+namespace {
+
+constexpr std::size_t maximum_name_length = 63;
+constexpr std::int64_t maximum_slots = 10'000;
+constexpr double maximum_rate_per_second = 1e6;
+constexpr std::int64_t maximum_burst = 1'000'000;
+constexpr std::int64_t maximum_deadline_ms = 10LL * 60 * 1000;
+
+template <class Tag>
+void read_id(object_reader& reader, std::string_view field,
+    identifier<Tag>& out, presence need = presence::required)
+{
+    std::string text;
+    reader.text(field, text, need);
+    if (!reader.has(field))
+        return;
+    if (!is_object_name(text))
+        return reader.add(field, "\"" + text + "\" is not a name");
+    out = identifier<Tag>(std::move(text));
+}
+
+void read_fields(object_reader& reader, service_object& object)
+{
+    reader.flag(
+        "echoes_request_id", object.echoes_request_id, presence::optional);
+}
+
+void read_fields(object_reader& reader, data_centre_object& object)
+{
+    reader.name("state", object.state, presence::optional);
+    reader.text("region", object.region, presence::optional);
+}
+
+void read_fields(object_reader& reader, target_object& object)
+{
+    read_id(reader, "service", object.service);
+    read_id(reader, "data_centre", object.data_centre);
+    reader.text("address", object.address);
+    if (reader.has("address") && !is_ip_endpoint(object.address))
+        reader.add("address", "an IP:PORT is expected");
+    reader.integer("slots", object.slots, 1, maximum_slots);
+    reader.name("wish", object.wish, presence::optional);
+}
+
+void read_fields(object_reader& reader, floor_object& object)
+{
+    reader.integer("percent", object.percent, 0, 100);
+}
+
+void read_methods(object_reader& reader, route_object& object)
+{
+    std::vector<std::string> names;
+    reader.texts("methods", names);
+    for (auto const& it : names) {
+        if (auto const method = from_name<http_method>(it))
+            object.methods.push_back(*method);
+        else
+            reader.add("methods", "\"" + it + "\" is not a known method");
+    }
+    if (reader.has("methods") && names.empty())
+        reader.add("methods", "at least one method is expected");
+}
+
+void read_fields(object_reader& reader, route_object& object)
+{
+    read_id(reader, "service", object.service);
+    reader.text("path_prefix", object.path_prefix, presence::optional);
+    if (!object.path_prefix.starts_with('/'))
+        reader.add("path_prefix", "a path starts with \"/\"");
+    read_methods(reader, object);
+    reader.name("access", object.access, presence::optional);
+    reader.name("repeat", object.repeat, presence::optional);
+    std::int64_t deadline_ms = object.deadline.count();
+    reader.integer(
+        "deadline_ms", deadline_ms, 1, maximum_deadline_ms, presence::optional);
+    object.deadline = std::chrono::milliseconds(deadline_ms);
+}
+
+void read_fields(object_reader& reader, correction_object& object)
+{
+    read_id(reader, "service", object.service);
+}
+
+void read_fields(object_reader& reader, organisation_object& object)
+{
+    reader.text("title", object.title, presence::optional);
+}
+
+void read_fields(object_reader& reader, rate_object& object)
+{
+    constexpr double lowest_rate_per_second = 0.001;
+    reader.number("requests_per_second", object.requests_per_second,
+        lowest_rate_per_second, maximum_rate_per_second);
+    reader.integer("burst", object.burst, 1, maximum_burst);
+}
+
+void read_fields(object_reader& reader, key_object& object)
+{
+    read_id(reader, "organisation", object.organisation);
+    std::string text;
+    reader.text("sha256", text);
+    if (!reader.has("sha256"))
+        return;
+    if (auto const hash = key_hash_from_hex(text))
+        object.hash = *hash;
+    else
+        reader.add("sha256", "64 hexadecimal digits are expected");
+}
+
+void write_fields(nlohmann::ordered_json& body, service_object const& object)
+{
+    if (object.echoes_request_id != service_object{}.echoes_request_id)
+        body["echoes_request_id"] = object.echoes_request_id;
+}
+
+void write_fields(
+    nlohmann::ordered_json& body, data_centre_object const& object)
+{
+    if (!object.region.empty())
+        body["region"] = object.region;
+    body["state"] = to_name(object.state);
+}
+
+void write_fields(nlohmann::ordered_json& body, target_object const& object)
+{
+    body["service"] = object.service.text();
+    body["data_centre"] = object.data_centre.text();
+    body["address"] = object.address;
+    body["slots"] = object.slots;
+    if (object.wish != target_wish::serving)
+        body["wish"] = to_name(object.wish);
+}
+
+void write_fields(nlohmann::ordered_json& body, floor_object const& object)
+{
+    body["percent"] = object.percent;
+}
+
+void write_fields(nlohmann::ordered_json& body, route_object const& object)
+{
+    body["service"] = object.service.text();
+    body["path_prefix"] = object.path_prefix;
+    auto methods = nlohmann::ordered_json::array();
+    for (auto const it : object.methods)
+        methods.push_back(to_name(it));
+    body["methods"] = std::move(methods);
+    if (object.access != route_access::keyed)
+        body["access"] = to_name(object.access);
+    if (object.repeat != idempotency::by_method)
+        body["repeat"] = to_name(object.repeat);
+    if (object.deadline != route_object{}.deadline)
+        body["deadline_ms"] = object.deadline.count();
+}
+
+void write_fields(nlohmann::ordered_json& body, correction_object const& object)
+{
+    body["service"] = object.service.text();
+}
+
+void write_fields(
+    nlohmann::ordered_json& body, organisation_object const& object)
+{
+    if (!object.title.empty())
+        body["title"] = object.title;
+}
+
+void write_fields(nlohmann::ordered_json& body, rate_object const& object)
+{
+    body["requests_per_second"] = object.requests_per_second;
+    body["burst"] = object.burst;
+}
+
+void write_fields(nlohmann::ordered_json& body, key_object const& object)
+{
+    body["organisation"] = object.organisation.text();
+    body["sha256"] = to_hex(object.hash);
+}
+
+template <std::size_t N = 0>
+any_object make_object(object_kind kind)
+{
+    if (index_of(kind) == N)
+        return any_object(std::in_place_index<N>);
+    if constexpr (N + 1 < enum_count<object_kind>)
+        return make_object<N + 1>(kind);
+    else
+        return any_object{};
+}
+
+} // namespace
+
+std::optional<any_object> decode_object(object_kind kind,
+    json_document const& document, std::string const& pointer, findings& found)
+{
+    auto const before = found.items().size();
+    auto object = make_object(kind);
+    object_reader reader(document, pointer, found);
+    if (!reader.valid())
+        return std::nullopt;
+    std::visit([&](auto& it) { read_fields(reader, it); }, object);
+    reader.finish();
+    if (found.items().size() != before)
+        return std::nullopt;
+    return object;
+}
+
+nlohmann::ordered_json encode_object(any_object const& object)
+{
+    auto body = nlohmann::ordered_json::object();
+    std::visit([&](auto const& it) { write_fields(body, it); }, object);
+    return body;
+}
+
+std::string to_hex(key_hash const& hash)
+{
+    return absl::BytesToHexString(absl::string_view(
+        reinterpret_cast<char const*>(hash.data()), hash.size()));
+}
+
+std::optional<key_hash> key_hash_from_hex(std::string_view text)
+{
+    key_hash hash{};
+    if (text.size() != 2 * hash.size() ||
+        !std::all_of(text.begin(), text.end(), absl::ascii_isxdigit))
+        return std::nullopt;
+    auto const bytes = absl::HexStringToBytes(to_absl(text));
+    std::copy(bytes.begin(), bytes.end(), hash.begin());
+    return hash;
+}
+
+bool is_object_name(std::string_view text)
+{
+    if (text.empty() || text.size() > maximum_name_length)
+        return false;
+    auto const plain = [](unsigned char it) {
+        return absl::ascii_islower(it) || absl::ascii_isdigit(it);
+    };
+    return plain(text.front()) &&
+        std::all_of(text.begin(), text.end(), [&](unsigned char it) {
+            return plain(it) || it == '-' || it == '_';
+        });
+}
+
+bool is_ip_endpoint(std::string_view text)
+{
+    std::pair<absl::string_view, absl::string_view> const halves =
+        absl::StrSplit(to_absl(text), absl::MaxSplits(':', 1));
+    int port = 0;
+    if (!absl::SimpleAtoi(halves.second, &port) || port < 1 || port > 65535)
+        return false;
+    std::vector<absl::string_view> const parts =
+        absl::StrSplit(halves.first, '.');
+    return parts.size() == 4 &&
+        std::all_of(parts.begin(), parts.end(), [](absl::string_view it) {
+            int value = 0;
+            return it.size() <= 3 && absl::SimpleAtoi(it, &value) &&
+                value >= 0 && value <= 255;
+        });
+}
+
+} // namespace pomelohinge
