Add the decisions: ownership, limits, dispatch, health and control

Change: everything under servers/ takes plain values and time and returns plain values. Targets, organisations' rates and floors have one owner by rendezvous hashing; an owner acts only within a freshness lease and a new one waits for the former.

--- /dev/null
+++ b/servers/ownership/ownership.hpp
@@ -0,0 +1,130 @@
+#ifndef POMELOHINGE_SERVERS_OWNERSHIP_OWNERSHIP_HPP
+#define POMELOHINGE_SERVERS_OWNERSHIP_OWNERSHIP_HPP
+
+#include "core/clock.hpp"
+#include "servers/ownership/rendezvous.hpp"
+
+#include <deque>
+#include <memory>
+#include <set>
+#include <string_view>
+
+namespace pomelohinge {
+
+/// How long a VM acts as owner after its last proof that its view is
+/// current.
+inline constexpr duration freshness_lease = std::chrono::seconds(3);
+
+/// Added to the lease before a new owner acts; covers clock drift between
+/// VMs and the time between a check and its act.
+inline constexpr duration takeover_margin = std::chrono::milliseconds(500);
+
+/// How long former views are remembered to tell since when a key is owned.
+inline constexpr duration ownership_memory = std::chrono::seconds(60);
+
+/// A key as it is ranked.
+struct owned_key
+{
+    owned_kind kind;
+    std::string_view name;
+    /// The data centre to rank in, or null for the whole fleet.
+    data_centre_id const* within = nullptr;
+    /// Ranks that share the ownership.
+    std::size_t shares = 1;
+};
+
+/// Which keys this VM owns, and from when on it may act for each. A former
+/// owner that has not said that it stopped may act until its lease ends, so
+/// a new owner waits for that. Copies are cheap and immutable on traffic
+/// threads; only the control thread adopts views.
+class ownership
+{
+public:
+    explicit ownership(vm_id self) : self_(std::move(self)) {}
+
+    /// Goes on with `view`, learned at `now`. Former owners that the view
+    /// shows as leaving stopped before they wrote it. Before the first view
+    /// anybody may have owned anything, so all keys wait for a full lease.
+    void adopt(fleet_view const& view, time_point now);
+
+    /// Notes that `former` stopped acting for all that it lost up to now.
+    void release(vm_id const& former);
+
+    /// Looks whether enough VMs of each former view have read the store
+    /// since it was left. Until then a former owner may rest on a majority
+    /// that does not know of the change, and gained keys wait; from then on
+    /// its lease runs out. `read_age_of(count)` is the age within which that
+    /// many VMs have read the store.
+    /// Returns whether a waiting time was set.
+    template <class ReadAgeOf>
+    bool confirm(ReadAgeOf&& read_age_of, time_point now)
+    {
+        bool confirmed = false;
+        for (auto& it : former_) {
+            if (it.safe_at != unconfirmed)
+                continue;
+            auto const age = read_age_of(it.needed_reads);
+            if (age == duration::max() || now - age < it.left_at)
+                continue;
+            it.safe_at = now + freshness_lease + takeover_margin;
+            confirmed = true;
+        }
+        return confirmed;
+    }
+
+    /// Forgets former views that matter no more.
+    void expire(time_point now);
+
+    /// The owners of `key`, best first; empty if no VM serves.
+    std::vector<vm_record const*> owners(owned_key const& key) const;
+
+    /// Whether this VM is among the owners.
+    bool is_owner(owned_key const& key) const;
+
+    /// Whether this VM is an owner and no former owner can still act. The
+    /// freshness lease is checked apart, next to the act.
+    bool may_act(owned_key const& key, time_point now) const;
+
+    /// Since when this VM has been an owner that may act, as far back as is
+    /// remembered. Only for keys for which it may act.
+    time_point owned_since(owned_key const& key, time_point now) const;
+
+    vm_id const& self() const { return self_; }
+    /// Whether some gained keys may still have to wait.
+    bool waiting(time_point now) const;
+    /// Null before the first view.
+    rendezvous const* current() const { return current_.get(); }
+
+private:
+    static constexpr time_point unconfirmed = time_point::max();
+
+    /// A view that was left, and when the leases held under it have ended.
+    struct former_view
+    {
+        /// Null for the time before the first view.
+        std::shared_ptr<rendezvous const> ranks;
+        time_point left_at;
+        /// VMs that must have read the store since: half of the view's, not
+        /// counting those that have joined after it.
+        std::size_t needed_reads = 0;
+        time_point safe_at = unconfirmed;
+        /// VMs that stopped acting for what they lost.
+        std::set<vm_id> released;
+    };
+
+    bool was_owner(former_view const& former, owned_key const& key) const;
+
+    /// Whether the owners of `key` under `former` that are no longer owners
+    /// have all stopped.
+    bool has_stopped(former_view const& former, owned_key const& key) const;
+
+    vm_id self_;
+    fleet_view view_;
+    /// Views are immutable and shared with the traffic threads' copies.
+    std::shared_ptr<rendezvous const> current_;
+    std::deque<former_view> former_;
+};
+
+} // namespace pomelohinge
+
+#endif
--- /dev/null
+++ b/servers/requests/refusal.hpp
@@ -0,0 +1,87 @@
+#ifndef POMELOHINGE_SERVERS_REQUESTS_REFUSAL_HPP
+#define POMELOHINGE_SERVERS_REQUESTS_REFUSAL_HPP
+
+#include "core/name_table.hpp"
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace pomelohinge {
+
+/// What the system knows of a request that it does not answer.
+enum class outcome {
+    /// No upstream has run the request, nor will.
+    not_run,
+    /// An upstream may have run the request.
+    unknown,
+};
+
+template <>
+inline constexpr auto name_table<outcome> = make_name_table<outcome>({
+    {outcome::not_run, "not_run"},
+    {outcome::unknown, "unknown"},
+});
+static_assert(is_ordered<outcome>());
+
+/// Why a request is refused.
+enum class refusal_kind {
+    malformed,
+    key_missing,
+    key_unknown,
+    unknown_service,
+    no_route,
+    method_not_allowed,
+    body_too_large,
+    deadline_passed,
+    rate_exceeded,
+    overloaded,
+    no_upstream,
+    held_back,
+    repeat_running,
+    repeat_unknown,
+    repeat_differs,
+    upstream_failed,
+    answer_too_large,
+    not_ready,
+    stopping,
+};
+
+template <>
+inline constexpr auto name_table<refusal_kind> = make_name_table<refusal_kind>({
+    {refusal_kind::malformed, "malformed"},
+    {refusal_kind::key_missing, "key_missing"},
+    {refusal_kind::key_unknown, "key_unknown"},
+    {refusal_kind::unknown_service, "unknown_service"},
+    {refusal_kind::no_route, "no_route"},
+    {refusal_kind::method_not_allowed, "method_not_allowed"},
+    {refusal_kind::body_too_large, "body_too_large"},
+    {refusal_kind::deadline_passed, "deadline_passed"},
+    {refusal_kind::rate_exceeded, "rate_exceeded"},
+    {refusal_kind::overloaded, "overloaded"},
+    {refusal_kind::no_upstream, "no_upstream"},
+    {refusal_kind::held_back, "held_back"},
+    {refusal_kind::repeat_running, "repeat_running"},
+    {refusal_kind::repeat_unknown, "repeat_unknown"},
+    {refusal_kind::repeat_differs, "repeat_differs"},
+    {refusal_kind::upstream_failed, "upstream_failed"},
+    {refusal_kind::answer_too_large, "answer_too_large"},
+    {refusal_kind::not_ready, "not_ready"},
+    {refusal_kind::stopping, "stopping"},
+});
+static_assert(is_ordered<refusal_kind>());
+
+/// A refusal by the system.
+struct refusal
+{
+    refusal_kind kind = refusal_kind::malformed;
+    outcome result = outcome::not_run;
+    /// For people; never holds a key.
+    std::string detail;
+    /// When another try may succeed.
+    std::optional<std::chrono::milliseconds> retry_after;
+};
+
+} // namespace pomelohinge
+
+#endif
--- /dev/null
+++ b/servers/routing/router.hpp
@@ -0,0 +1,64 @@
+#ifndef POMELOHINGE_SERVERS_ROUTING_ROUTER_HPP
+#define POMELOHINGE_SERVERS_ROUTING_ROUTER_HPP
+
+#include "config/configuration.hpp"
+#include "core/text_map.hpp"
+#include "servers/requests/refusal.hpp"
+#include "servers/requests/request.hpp"
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace pomelohinge {
+
+/// Either the admitted request or the reason against it.
+using admission = std::variant<admitted_request, refusal>;
+
+/// Decides who a request is for and which service it goes to: key, name
+/// correction and route. Built from one configuration and immutable.
+class router
+{
+public:
+    explicit router(configuration const& from);
+
+    /// Decides on one request. The key is checked first, so that a caller
+    /// without one learns nothing of services, except on open routes.
+    admission admit(request_head const& head) const;
+
+    /// The organisation of a key, or null.
+    organisation_id const* organisation_of(key_hash const& key) const;
+
+    /// Whether the key of `organisation` that a waiting request came with is
+    /// still in force.
+    bool key_in_force(
+        key_hash const& key, organisation_id const& organisation) const;
+
+    /// Known service names nearest to `name`, best first, three at most.
+    std::vector<std::string> closest_services(std::string_view name) const;
+
+private:
+    struct route_entry
+    {
+        route_id id;
+        route_object route;
+    };
+
+    route_entry const* find_route(std::string_view service,
+        std::string_view path, http_method method, refusal_kind& reason) const;
+    refusal refuse_service(std::string_view name) const;
+
+    configuration configuration_;
+    /// Routes by service, longest prefix first.
+    text_map<std::vector<route_entry>> routes_;
+    absl::flat_hash_map<key_hash, organisation_id> keys_;
+};
+
+/// Edits that turn `left` into `right`: insertions, deletions, replacements
+/// and swaps of neighbours.
+std::size_t edit_distance(std::string_view left, std::string_view right);
+
+} // namespace pomelohinge
+
+#endif
--- /dev/null
+++ b/servers/selection/service_latency.hpp
@@ -0,0 +1,46 @@
+#ifndef POMELOHINGE_SERVERS_SELECTION_SERVICE_LATENCY_HPP
+#define POMELOHINGE_SERVERS_SELECTION_SERVICE_LATENCY_HPP
+
+#include "core/clock.hpp"
+#include "core/identifiers.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+namespace pomelohinge {
+
+/// What an entry VM has seen of a service over all its targets. It travels
+/// with requests, so that a target's owner can compare its target with the
+/// others without asking anybody.
+struct service_baseline
+{
+    /// Median latency of answers; zero until enough were seen.
+    duration median{};
+    /// Share of attempts that went wrong, 0 to 1.
+    double failures = 0;
+};
+
+/// Keeps baselines by service; lives on a traffic thread.
+class service_latencies
+{
+public:
+    /// Adds one attempt.
+    void add(service_id const& service, duration latency, bool failed);
+
+    service_baseline baseline(service_id const& service) const;
+
+private:
+    struct tracked
+    {
+        /// Estimate of the median by steps up and down (frugal streaming,
+        /// Ma, Muthukrishnan and Sandler, 2013), in nanoseconds.
+        double median = 0;
+        double failures = 0;
+        std::size_t attempts = 0;
+    };
+
+    absl::flat_hash_map<service_id, tracked> services_;
+};
+
+} // namespace pomelohinge
+
+#endif
