Add drivers and the daemon: one path from caller to upstream

Change: RESTinio front with hang-up detection and readable refusals for what cannot be parsed, gRPC between VMs, libcurl on Asio towards upstreams and the object service, the control thread and traffic threads, the command line.

--- /dev/null
+++ b/drivers/front/http_forms.cpp
@@ -0,0 +1,185 @@
+#include "drivers/front/http_forms.hpp"
+
+#include "drivers/http/header_names.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <openssl/sha.h>
+
+namespace pomelohinge {
+namespace {
+
+constexpr std::size_t longest_request_id = 128;
+constexpr std::size_t longest_repeat_key = 255;
+constexpr std::string_view bearer = "Bearer ";
+
+struct status_row
+{
+    refusal_kind kind;
+    int status;
+    std::string_view title;
+};
+
+constexpr std::array<status_row, enum_count<refusal_kind>> statuses{{
+    {refusal_kind::malformed, 400, "The request is malformed"},
+    {refusal_kind::key_missing, 401, "A key is needed"},
+    {refusal_kind::key_unknown, 401, "The key is not in force"},
+    {refusal_kind::unknown_service, 404, "There is no such service"},
+    {refusal_kind::no_route, 404, "There is no such route"},
+    {refusal_kind::method_not_allowed, 405, "The method is not allowed"},
+    {refusal_kind::body_too_large, 413, "The body is too large"},
+    {refusal_kind::deadline_passed, 504, "The deadline has passed"},
+    {refusal_kind::rate_exceeded, 429, "The rate is exceeded"},
+    {refusal_kind::overloaded, 503, "The upstreams are at their limit"},
+    {refusal_kind::no_upstream, 503, "There is no upstream"},
+    {refusal_kind::held_back, 503, "The request is held back"},
+    {refusal_kind::repeat_running, 409, "The request is running"},
+    {refusal_kind::repeat_unknown, 409, "The request may have run"},
+    {refusal_kind::repeat_differs, 422, "The key was used otherwise"},
+    {refusal_kind::upstream_failed, 502, "The upstream failed"},
+    {refusal_kind::answer_too_large, 502, "The answer is too large"},
+    {refusal_kind::not_ready, 503, "The system is not ready"},
+    {refusal_kind::stopping, 503, "The VM is stopping"},
+}};
+
+refusal malformed(std::string detail)
+{
+    return {refusal_kind::malformed, outcome::not_run, std::move(detail), {}};
+}
+
+bool is_visible(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(),
+        [](unsigned char it) { return it > ' ' && it < 0x7f; });
+}
+
+/// Reads one header after the other.
+class header_parser
+{
+public:
+    /// Returns what is wrong with the header, if anything.
+    std::optional<refusal> take(header_field const& field)
+    {
+        if (is_same_header(field.name, header::authorization))
+            return take_key(field.value);
+        if (is_same_header(field.name, header::request_id))
+            return take_text(field, parsed.request_id, longest_request_id);
+        if (is_same_header(field.name, header::idempotency_key)) {
+            auto wrong =
+                take_text(field, parsed.repeat_key, longest_repeat_key);
+            if (!wrong)
+                parsed.passed.push_back(field);
+            return wrong;
+        }
+        if (is_same_header(field.name, header::deadline))
+            return take_deadline(field.value);
+        if (!is_hop_by_hop(field.name) && !is_ours(field.name))
+            parsed.passed.push_back(field);
+        return std::nullopt;
+    }
+
+    parsed_headers parsed;
+
+private:
+    static bool is_ours(std::string_view name)
+    {
+        return is_same_header(name, header::organisation) ||
+            is_same_header(name, header::outcome) ||
+            is_same_header(name, "Host");
+    }
+
+    std::optional<refusal> take_key(std::string_view value)
+    {
+        if (std::exchange(key_seen_, true))
+            return malformed("\"Authorization\" occurs twice");
+        if (!value.starts_with(bearer) || value.size() == bearer.size())
+            return malformed(
+                "\"Authorization\" is not of the form \"Bearer KEY\"");
+        parsed.key = hash_key(value.substr(bearer.size()));
+        return std::nullopt;
+    }
+
+    std::optional<refusal> take_text(
+        header_field const& field, std::string& out, std::size_t longest)
+    {
+        if (!out.empty())
+            return malformed("\"" + field.name + "\" occurs twice");
+        if (field.value.empty() || field.value.size() > longest ||
+            !is_visible(field.value))
+            return malformed("\"" + field.name + "\" has no valid value");
+        out = field.value;
+        return std::nullopt;
+    }
+
+    std::optional<refusal> take_deadline(std::string_view value)
+    {
+        if (parsed.deadline)
+            return malformed("\"Pomelohinge-Deadline-Ms\" occurs twice");
+        std::int64_t number = 0;
+        auto const end = value.data() + value.size();
+        auto const read = std::from_chars(value.data(), end, number);
+        if (read.ec != std::errc() || read.ptr != end)
+            return malformed(
+                "\"Pomelohinge-Deadline-Ms\" is not a whole number");
+        parsed.deadline = std::chrono::milliseconds(number);
+        return std::nullopt;
+    }
+
+    bool key_seen_ = false;
+};
+
+} // namespace
+
+int status_of(refusal_kind kind)
+{
+    return statuses[index_of(kind)].status;
+}
+
+std::string problem_body(refusal const& refused)
+{
+    auto const& row = statuses[index_of(refused.kind)];
+    return nlohmann::ordered_json{
+        {"type", "urn:pomelohinge:" + std::string(to_name(refused.kind))},
+        {"title", row.title}, {"status", row.status},
+        {"detail", refused.detail}, {"outcome", to_name(refused.result)}}
+        .dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+std::string entries_body(entry_answer const& answer)
+{
+    return nlohmann::ordered_json{
+        {"addresses", answer.addresses}, {"ttl_seconds", answer.ttl.count()}}
+        .dump();
+}
+
+key_hash hash_key(std::string_view key)
+{
+    key_hash hash{};
+    static_assert(hash.size() == SHA256_DIGEST_LENGTH);
+    SHA256(reinterpret_cast<unsigned char const*>(key.data()), key.size(),
+        hash.data());
+    return hash;
+}
+
+std::variant<parsed_headers, refusal> parse_headers(
+    std::vector<header_field> const& headers)
+{
+    header_parser parser;
+    for (auto const& it : headers)
+        if (auto wrong = parser.take(it))
+            return std::move(*wrong);
+    return std::move(parser.parsed);
+}
+
+bool is_hop_by_hop(std::string_view name)
+{
+    constexpr std::array<std::string_view, 11> names{"Connection", "Keep-Alive",
+        "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "TE",
+        "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"};
+    return std::any_of(names.begin(), names.end(),
+        [&](std::string_view it) { return is_same_header(it, name); });
+}
+
+} // namespace pomelohinge
--- /dev/null
+++ b/drivers/http/curl_loop.cpp
@@ -0,0 +1,444 @@
+#include "drivers/http/curl_loop.hpp"
+
+#include "drivers/http/header_names.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <algorithm>
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <curl/curl.h>
+#include <map>
+
+namespace pomelohinge {
+namespace {
+
+/// Kept connections in all, and how long one may be idle before it is not
+/// used again: middle boxes forget flows without telling.
+constexpr long most_kept_connections = 512;
+constexpr long longest_idle_seconds = 20;
+
+/// TCP keep-alive of connections in use.
+constexpr long keep_alive_idle_seconds = 5;
+constexpr long keep_alive_interval_seconds = 1;
+
+struct easy_deleter
+{
+    void operator()(CURL* it) const { curl_easy_cleanup(it); }
+};
+using easy_handle = std::unique_ptr<CURL, easy_deleter>;
+
+struct list_deleter
+{
+    void operator()(curl_slist* it) const { curl_slist_free_all(it); }
+};
+using header_list = std::unique_ptr<curl_slist, list_deleter>;
+
+void initialise_curl()
+{
+    static bool const done = curl_global_init(CURL_GLOBAL_ALL) == CURLE_OK;
+    (void)done;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    auto const first = text.find_first_not_of(" \t\r\n");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+} // namespace
+
+std::string_view find_header(
+    std::vector<header_field> const& headers, std::string_view name)
+{
+    auto const it = std::find_if(
+        headers.begin(), headers.end(), [&](header_field const& field) {
+            return is_same_header(field.name, name);
+        });
+    return it == headers.end() ? std::string_view() : it->value;
+}
+
+class curl_loop::detail
+{
+public:
+    explicit detail(asio::io_context& context)
+        : context_(context), timer_(context), multi_(curl_multi_init())
+    {
+        initialise_curl();
+        curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &on_socket);
+        curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &on_timer);
+        curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, most_kept_connections);
+    }
+
+    ~detail()
+    {
+        for (auto& [id, it] : transfers_)
+            curl_multi_remove_handle(multi_, it->easy.get());
+        transfers_.clear();
+        curl_multi_cleanup(multi_);
+    }
+
+    std::uint64_t start(http_call call, callback on_end)
+    {
+        auto const id = ++last_id_;
+        auto it = std::make_unique<transfer>(context_);
+        it->id = id;
+        it->call = std::move(call);
+        it->on_end = std::move(on_end);
+        it->ends_at = std::chrono::steady_clock::now() + it->call.timeout;
+        auto& placed = *transfers_.emplace(id, std::move(it)).first->second;
+        begin(placed);
+        return id;
+    }
+
+    void cancel(std::uint64_t id)
+    {
+        auto const it = transfers_.find(id);
+        if (it == transfers_.end())
+            return;
+        curl_multi_remove_handle(multi_, it->second->easy.get());
+        finish(id, http_end::cancelled);
+    }
+
+    std::size_t running() const { return transfers_.size(); }
+
+private:
+    /// One call under way.
+    struct transfer
+    {
+        explicit transfer(asio::io_context& context) : patience(context) {}
+
+        std::uint64_t id = 0;
+        http_call call;
+        callback on_end;
+        time_point ends_at;
+        easy_handle easy;
+        header_list headers;
+        http_result result;
+        bool too_large = false;
+        asio::steady_timer patience;
+    };
+
+    /// What is waited for on one of libcurl's sockets.
+    struct watched_socket
+    {
+        watched_socket(asio::io_context& context, curl_socket_t fd)
+            : descriptor(context, fd)
+        {
+        }
+
+        asio::posix::stream_descriptor descriptor;
+        int wanted = 0;
+        bool reading = false;
+        bool writing = false;
+    };
+
+    void begin(transfer& it)
+    {
+        it.easy.reset(curl_easy_init());
+        it.result = {};
+        set_options(it);
+        set_body(it);
+        curl_multi_add_handle(multi_, it.easy.get());
+        watch_patience(it);
+    }
+
+    void set_options(transfer& it)
+    {
+        auto* const easy = it.easy.get();
+        auto const& call = it.call;
+        auto const left = it.ends_at - std::chrono::steady_clock::now();
+        curl_easy_setopt(easy, CURLOPT_PRIVATE, &it);
+        curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+        curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+        curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+        curl_easy_setopt(easy, CURLOPT_PROXY, "");
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+            static_cast<long>(CURL_HTTP_VERSION_1_1));
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+            std::max<long>(1, static_cast<long>(to_milliseconds(left))));
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+            std::max<long>(
+                1, static_cast<long>(to_milliseconds(call.connect_timeout))));
+        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+        curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, keep_alive_idle_seconds);
+        curl_easy_setopt(
+            easy, CURLOPT_TCP_KEEPINTVL, keep_alive_interval_seconds);
+        curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, longest_idle_seconds);
+        curl_easy_setopt(
+            easy, CURLOPT_FRESH_CONNECT, call.fresh_connection ? 1L : 0L);
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &on_body);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &it);
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &on_header);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &it);
+    }
+
+    void set_body(transfer& it)
+    {
+        auto* const easy = it.easy.get();
+        auto const& call = it.call;
+        curl_slist* list = nullptr;
+        for (auto const& field : call.headers)
+            list = curl_slist_append(
+                list, (field.name + ": " + field.value).c_str());
+        // Without these, libcurl adds headers of its own.
+        list = curl_slist_append(list, "Expect:");
+        bool const typed = !find_header(call.headers, "Content-Type").empty();
+        if (!typed)
+            list = curl_slist_append(list, "Content-Type:");
+        it.headers.reset(list);
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
+        bool const has_body = !call.body.empty() || call.method == "POST" ||
+            call.method == "PUT" || call.method == "PATCH";
+        if (has_body) {
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                static_cast<curl_off_t>(call.body.size()));
+        }
+        if (call.method == "HEAD")
+            curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+        else
+            curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    }
+
+    /// Begins again on a new connection if a kept one stays silent.
+    void watch_patience(transfer& it)
+    {
+        if (it.call.kept_connection_patience <= duration::zero() ||
+            it.call.fresh_connection)
+            return;
+        it.patience.expires_after(it.call.kept_connection_patience);
+        it.patience.async_wait([this, id = it.id](asio::error_code ec) {
+            auto const found = transfers_.find(id);
+            if (ec || found == transfers_.end())
+                return;
+            auto& slow = *found->second;
+            long connects = 0;
+            curl_easy_getinfo(
+                slow.easy.get(), CURLINFO_NUM_CONNECTS, &connects);
+            bool const silent = connects == 0 && slow.result.status == 0;
+            if (!silent)
+                return;
+            curl_multi_remove_handle(multi_, slow.easy.get());
+            slow.call.fresh_connection = true;
+            begin(slow);
+        });
+    }
+
+    void finish(std::uint64_t id, http_end end)
+    {
+        auto const it = transfers_.find(id);
+        auto ended = std::move(it->second);
+        transfers_.erase(it);
+        ended->result.end = end;
+        asio::post(context_,
+            [on_end = std::move(ended->on_end),
+                result = std::move(ended->result)]() mutable {
+                on_end(std::move(result));
+            });
+    }
+
+    static http_end end_of(transfer const& it, CURLcode code)
+    {
+        if (code == CURLE_OK)
+            return is_whole(it) ? http_end::answered : http_end::lost;
+        if (it.too_large)
+            return http_end::too_large;
+        long sent = 0;
+        curl_easy_getinfo(it.easy.get(), CURLINFO_REQUEST_SIZE, &sent);
+        if (sent == 0)
+            return http_end::not_sent;
+        return code == CURLE_OPERATION_TIMEDOUT ? http_end::timed_out
+                                                : http_end::lost;
+    }
+
+    /// An answer whose end is only told by the end of its connection cannot
+    /// be known to be whole.
+    static bool is_whole(transfer const& it)
+    {
+        auto const& result = it.result;
+        bool const empty = it.call.method == "HEAD" || result.status == 204 ||
+            result.status == 304;
+        return empty ||
+            !find_header(result.headers, "Content-Length").empty() ||
+            !find_header(result.headers, "Transfer-Encoding").empty();
+    }
+
+    void collect_ended()
+    {
+        int left = 0;
+        while (auto* const message = curl_multi_info_read(multi_, &left)) {
+            if (message->msg != CURLMSG_DONE)
+                continue;
+            auto* const easy = message->easy_handle;
+            auto const code = message->data.result;
+            transfer* it = nullptr;
+            curl_easy_getinfo(easy, CURLINFO_PRIVATE, &it);
+            auto const end = end_of(*it, code);
+            curl_multi_remove_handle(multi_, easy);
+            finish(it->id, end);
+        }
+    }
+
+    void act(curl_socket_t fd, int events)
+    {
+        int running = 0;
+        curl_multi_socket_action(multi_, fd, events, &running);
+        collect_ended();
+    }
+
+    void wait_readable(curl_socket_t fd, std::shared_ptr<watched_socket> it)
+    {
+        if (it->reading || !(it->wanted & CURL_POLL_IN))
+            return;
+        it->reading = true;
+        it->descriptor.async_wait(asio::posix::stream_descriptor::wait_read,
+            [this, fd, it](asio::error_code ec) {
+                it->reading = false;
+                if (ec || !is_watched(fd, it))
+                    return;
+                act(fd, CURL_CSELECT_IN);
+                if (is_watched(fd, it))
+                    wait_readable(fd, it);
+            });
+    }
+
+    void wait_writable(curl_socket_t fd, std::shared_ptr<watched_socket> it)
+    {
+        if (it->writing || !(it->wanted & CURL_POLL_OUT))
+            return;
+        it->writing = true;
+        it->descriptor.async_wait(asio::posix::stream_descriptor::wait_write,
+            [this, fd, it](asio::error_code ec) {
+                it->writing = false;
+                if (ec || !is_watched(fd, it))
+                    return;
+                act(fd, CURL_CSELECT_OUT);
+                if (is_watched(fd, it))
+                    wait_writable(fd, it);
+            });
+    }
+
+    bool is_watched(
+        curl_socket_t fd, std::shared_ptr<watched_socket> const& it) const
+    {
+        auto const found = sockets_.find(fd);
+        return found != sockets_.end() && found->second == it;
+    }
+
+    void watch(curl_socket_t fd, int what)
+    {
+        auto& it = sockets_[fd];
+        if (it == nullptr)
+            it = std::make_shared<watched_socket>(context_, fd);
+        it->wanted = what;
+        wait_readable(fd, it);
+        wait_writable(fd, it);
+    }
+
+    void unwatch(curl_socket_t fd)
+    {
+        auto const it = sockets_.find(fd);
+        if (it == sockets_.end())
+            return;
+        // The socket is libcurl's to close.
+        it->second->descriptor.release();
+        sockets_.erase(it);
+    }
+
+    static int on_socket(CURL*, curl_socket_t fd, int what, void* self, void*)
+    {
+        if (what == CURL_POLL_REMOVE)
+            static_cast<detail*>(self)->unwatch(fd);
+        else
+            static_cast<detail*>(self)->watch(fd, what);
+        return 0;
+    }
+
+    static int on_timer(CURLM*, long timeout_ms, void* self)
+    {
+        auto& loop = *static_cast<detail*>(self);
+        if (timeout_ms < 0) {
+            loop.timer_.cancel();
+            return 0;
+        }
+        loop.timer_.expires_after(std::chrono::milliseconds(timeout_ms));
+        loop.timer_.async_wait([&loop](asio::error_code ec) {
+            if (!ec)
+                loop.act(CURL_SOCKET_TIMEOUT, 0);
+        });
+        return 0;
+    }
+
+    static std::size_t on_header(
+        char* data, std::size_t size, std::size_t count, void* user)
+    {
+        auto& result = static_cast<transfer*>(user)->result;
+        std::string_view const line(data, size * count);
+        if (line.starts_with("HTTP/")) {
+            // A head after an interim answer begins anew.
+            auto const space = line.find(' ');
+            result.status = space == std::string_view::npos
+                ? 0
+                : std::atoi(std::string(line.substr(space + 1, 3)).c_str());
+            result.headers.clear();
+            return size * count;
+        }
+        auto const colon = line.find(':');
+        if (colon != std::string_view::npos)
+            result.headers.push_back({std::string(line.substr(0, colon)),
+                std::string(trimmed(line.substr(colon + 1)))});
+        return size * count;
+    }
+
+    static std::size_t on_body(
+        char* data, std::size_t size, std::size_t count, void* user)
+    {
+        auto& it = *static_cast<transfer*>(user);
+        auto const bytes = size * count;
+        if (it.result.body.size() + bytes > it.call.most_answer_bytes) {
+            it.too_large = true;
+            return 0;
+        }
+        it.result.body.append(data, bytes);
+        return bytes;
+    }
+
+    asio::io_context& context_;
+    asio::steady_timer timer_;
+    CURLM* multi_;
+    std::uint64_t last_id_ = 0;
+    absl::flat_hash_map<std::uint64_t, std::unique_ptr<transfer>> transfers_;
+    /// Shared with the waits that are under way on them.
+    std::map<curl_socket_t, std::shared_ptr<watched_socket>> sockets_;
+};
+
+curl_loop::curl_loop(asio::io_context& context)
+    : detail_(std::make_unique<detail>(context))
+{
+}
+
+curl_loop::~curl_loop() = default;
+
+std::uint64_t curl_loop::start(http_call call, callback on_end)
+{
+    return detail_->start(std::move(call), std::move(on_end));
+}
+
+void curl_loop::cancel(std::uint64_t id)
+{
+    detail_->cancel(id);
+}
+
+std::size_t curl_loop::running() const
+{
+    return detail_->running();
+}
+
+} // namespace pomelohinge
--- /dev/null
+++ b/drivers/platform/http_object_store.cpp
@@ -0,0 +1,156 @@
+#include "drivers/platform/http_object_store.hpp"
+
+#include "core/log.hpp"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace pomelohinge {
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
+
+constexpr duration call_timeout = std::chrono::seconds(2);
+
+/// Added to the time that a watch waits at the service.
+constexpr duration watch_allowance = std::chrono::seconds(1);
+
+constexpr std::string_view version_header = "Object-Version";
+constexpr std::string_view expected_header = "Object-Expected-Version";
+
+std::uint64_t number_of(std::string_view text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+store_status status_of(http_result const& result)
+{
+    if (result.end != http_end::answered)
+        return store_status::unavailable;
+    if (result.status == status_conflict)
+        return store_status::conflict;
+    return result.status == status_ok ? store_status::done
+                                      : store_status::unavailable;
+}
+
+watch_reply parse_watch(http_result const& result)
+{
+    watch_reply reply;
+    if (status_of(result) != store_status::done)
+        return reply;
+    auto const body = nlohmann::json::parse(result.body, nullptr, false);
+    if (!body.is_object() || !body.contains("revision") ||
+        !body.contains("changed"))
+        return reply;
+    reply.status = store_status::done;
+    reply.revision = body.at("revision").get<std::uint64_t>();
+    for (auto const& it : body.at("changed"))
+        reply.changed.push_back({it.at("name").get<std::string>(),
+            it.at("version").get<std::uint64_t>(), {}});
+    return reply;
+}
+
+} // namespace
+
+std::string http_object_store::url_of(std::string const& name) const
+{
+    return "http://" + address_ + "/objects/" + name;
+}
+
+void http_object_store::get(
+    std::string const& name, std::function<void(get_reply)> done)
+{
+    http_call call;
+    call.url = url_of(name);
+    call.timeout = call_timeout;
+    http_.start(
+        std::move(call), [name, done = std::move(done)](http_result result) {
+            get_reply reply;
+            reply.status = status_of(result);
+            reply.object.name = name;
+            bool const absent = result.end == http_end::answered &&
+                result.status == status_not_found;
+            if (absent)
+                reply.status = store_status::done;
+            if (reply.status == store_status::done && !absent) {
+                reply.object.version =
+                    number_of(find_header(result.headers, version_header));
+                reply.object.value = std::move(result.body);
+            }
+            done(std::move(reply));
+        });
+}
+
+void http_object_store::put(std::string const& name, std::string value,
+    std::uint64_t expected, std::function<void(put_reply)> done)
+{
+    http_call call;
+    call.method = "PUT";
+    call.url = url_of(name);
+    call.headers.push_back(
+        {std::string(expected_header), std::to_string(expected)});
+    call.body = value;
+    call.timeout = call_timeout;
+    call.fresh_connection = true;
+    http_.start(std::move(call),
+        [this, name, value = std::move(value), expected,
+            done = std::move(done)](http_result const& result) {
+            auto const status = status_of(result);
+            if (result.end == http_end::not_sent)
+                return done({store_status::unavailable, 0});
+            if (status == store_status::unavailable)
+                return read_back(name, value, expected, done);
+            done({status, expected + 1});
+        });
+}
+
+void http_object_store::read_back(std::string const& name,
+    std::string const& value, std::uint64_t expected,
+    std::function<void(put_reply)> done)
+{
+    log(log_event::store_write_uncertain, {{"object", name}});
+    get(name, [value, expected, done = std::move(done)](get_reply reply) {
+        if (reply.status != store_status::done)
+            return done({store_status::unavailable, 0});
+        if (reply.object.value == value)
+            return done({store_status::done, reply.object.version});
+        if (reply.object.version != expected)
+            return done({store_status::conflict, reply.object.version});
+        done({store_status::unavailable, 0});
+    });
+}
+
+void http_object_store::remove(std::string const& name, std::uint64_t expected,
+    std::function<void(put_reply)> done)
+{
+    http_call call;
+    call.method = "DELETE";
+    call.url = url_of(name);
+    call.headers.push_back(
+        {std::string(expected_header), std::to_string(expected)});
+    call.timeout = call_timeout;
+    http_.start(
+        std::move(call), [done = std::move(done)](http_result const& result) {
+            done({status_of(result), 0});
+        });
+}
+
+void http_object_store::watch(std::string const& prefix, std::uint64_t since,
+    duration wait, std::function<void(watch_reply)> done)
+{
+    http_call call;
+    call.url = "http://" + address_ + "/watch/" + prefix +
+        "?since=" + std::to_string(since) +
+        "&wait_ms=" + std::to_string(to_milliseconds(wait));
+    call.timeout = wait + watch_allowance;
+    http_.start(
+        std::move(call), [done = std::move(done)](http_result const& result) {
+            done(parse_watch(result));
+        });
+}
+
+} // namespace pomelohinge
--- /dev/null
+++ b/main/cli/blocking_platform.cpp
@@ -0,0 +1,75 @@
+#include "main/cli/blocking_platform.hpp"
+
+#include <fmt/format.h>
+
+namespace pomelohinge {
+
+configuration stored_configuration::at_version(std::uint64_t at) const
+{
+    configuration built;
+    for (auto const& it : journal)
+        if (it.version <= at)
+            built = built.with(it.changes);
+    return built;
+}
+
+void blocking_platform::run()
+{
+    context_.restart();
+    context_.run();
+}
+
+absl::StatusOr<stored_configuration> blocking_platform::read()
+{
+    store_changes changes;
+    platform_.changes_after(0, duration::zero(),
+        [&](store_changes reply) { changes = std::move(reply); });
+    run();
+    if (changes.status != store_status::done)
+        return absl::UnavailableError("the platform does not answer");
+    stored_configuration stored;
+    for (auto& it : changes.changes) {
+        auto* const entry = std::get_if<journal_entry>(&it);
+        if (entry == nullptr)
+            continue;
+        if (entry->version != stored.version + 1)
+            return absl::DataLossError(
+                fmt::format("the journal has no entry {}", stored.version + 1));
+        stored.version = entry->version;
+        stored.current = stored.current.with(entry->changes);
+        stored.journal.push_back(std::move(*entry));
+    }
+    return stored;
+}
+
+absl::Status blocking_platform::append(journal_entry const& entry)
+{
+    auto status = store_status::unavailable;
+    platform_.append(entry, [&](store_status reply) { status = reply; });
+    run();
+    switch (status) {
+    case store_status::done:
+        return absl::OkStatus();
+    case store_status::conflict:
+        return absl::AbortedError("another operator was first");
+    case store_status::unavailable:
+        break;
+    }
+    return absl::UnavailableError(
+        "the platform does not answer; nothing is known to be written");
+}
+
+absl::StatusOr<std::string> blocking_platform::get(std::string const& url)
+{
+    http_result result;
+    http_call call;
+    call.url = url;
+    http_.start(
+        std::move(call), [&](http_result reply) { result = std::move(reply); });
+    run();
+    if (result.end != http_end::answered)
+        return absl::UnavailableError(url + " does not answer");
+    return std::move(result.body);
+}
+
+} // namespace pomelohinge
--- /dev/null
+++ b/main/cli/commands.cpp
@@ -0,0 +1,271 @@
+#include "main/cli/commands.hpp"
+
+#include "config/merge.hpp"
+#include "config/object_codec.hpp"
+#include "drivers/front/http_forms.hpp"
+#include "main/cli/blocking_platform.hpp"
+#include "main/text_file.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <iostream>
+#include <random>
+
+namespace pomelohinge {
+namespace {
+
+/// Attempts to append while other operators are first.
+constexpr int append_attempts = 8;
+
+command_exit fail(absl::Status const& status)
+{
+    std::cerr << status.message() << "\n";
+    return absl::IsUnavailable(status) ? command_exit::unavailable
+                                       : command_exit::failed;
+}
+
+command_exit refuse(std::string const& text)
+{
+    std::cerr << text << (text.ends_with('\n') ? "" : "\n");
+    return command_exit::refused;
+}
+
+std::string make_write_id()
+{
+    std::random_device random;
+    return fmt::format("{:08x}{:08x}", random(), random());
+}
+
+/// What a command wants to change, worked out anew against each version.
+struct planned_change
+{
+    std::vector<configuration_change> changes;
+    /// Why the change cannot be made; empty if it can.
+    std::string refusal;
+    command_exit exit = command_exit::done;
+};
+
+std::string describe(std::vector<merge_conflict> const& conflicts)
+{
+    std::string text = "changed by others since the reviewed version:\n";
+    for (auto const& it : conflicts)
+        text += fmt::format("  {}/{}\n", to_name(it.kind), it.name);
+    return text;
+}
+
+/// Appends what `plan` works out, again if another operator was first.
+template <class Plan>
+command_exit change_configuration(command_line const& line, Plan&& plan)
+{
+    blocking_platform platform(line.platform);
+    for (int it = 0; it < append_attempts; ++it) {
+        auto const stored = platform.read();
+        if (!stored.ok())
+            return fail(stored.status());
+        planned_change const planned = plan(*stored);
+        if (!planned.refusal.empty()) {
+            std::cerr << planned.refusal;
+            return planned.exit;
+        }
+        if (planned.changes.empty()) {
+            std::cout << fmt::format(
+                "version {}: nothing to change\n", stored->version);
+            return command_exit::done;
+        }
+        findings found("configuration");
+        check_configuration(stored->current.with(planned.changes), found);
+        if (!found.empty())
+            return refuse(found.to_text());
+        journal_entry const entry{stored->version + 1, make_write_id(),
+            line.operator_name, planned.changes};
+        auto const status = platform.append(entry);
+        if (status.ok()) {
+            std::cout << describe_changes(stored->current, planned.changes);
+            std::cout << fmt::format("version {} accepted\n", entry.version);
+            return command_exit::done;
+        }
+        if (!absl::IsAborted(status))
+            return fail(status);
+    }
+    std::cerr << "other operators were first too often\n";
+    return command_exit::conflict;
+}
+
+std::optional<configuration> read_wanted(findings& found)
+{
+    auto const text = read_text_file(found.source(), found);
+    return text ? parse_configuration(*text, found) : std::nullopt;
+}
+
+std::string first_argument(command_line const& line)
+{
+    return line.arguments.empty() ? "-" : line.arguments.front();
+}
+
+/// Without the version of the review, nothing can be known to have been
+/// left out on purpose: only additions and changes are made.
+void keep_unmentioned(std::vector<configuration_change>& changes)
+{
+    std::erase_if(changes, [](auto const& it) { return !it.object; });
+}
+
+planned_change plan_text(command_line const& line, configuration const& wanted,
+    stored_configuration const& stored)
+{
+    planned_change planned;
+    if (!line.against) {
+        planned.changes = difference(stored.current, wanted);
+        keep_unmentioned(planned.changes);
+        return planned;
+    }
+    auto merged = merge_configuration(
+        stored.at_version(*line.against), wanted, stored.current);
+    if (!merged.conflicts.empty()) {
+        planned.refusal = describe(merged.conflicts);
+        planned.exit = command_exit::conflict;
+    }
+    planned.changes = std::move(merged.changes);
+    return planned;
+}
+
+command_exit run_check(command_line const& line)
+{
+    findings found(first_argument(line));
+    if (!read_wanted(found))
+        return refuse(found.to_text());
+    std::cout << "no findings\n";
+    return command_exit::done;
+}
+
+command_exit run_apply(command_line const& line)
+{
+    findings found(first_argument(line));
+    auto const wanted = read_wanted(found);
+    if (!wanted)
+        return refuse(found.to_text());
+    return change_configuration(line, [&](stored_configuration const& it) {
+        return plan_text(line, *wanted, it);
+    });
+}
+
+command_exit run_diff(command_line const& line)
+{
+    findings found(first_argument(line));
+    auto const wanted = read_wanted(found);
+    if (!wanted)
+        return refuse(found.to_text());
+    blocking_platform platform(line.platform);
+    auto const stored = platform.read();
+    if (!stored.ok())
+        return fail(stored.status());
+    auto const planned = plan_text(line, *wanted, *stored);
+    std::cout << fmt::format("# against version {}\n", stored->version)
+              << describe_changes(stored->current, planned.changes)
+              << planned.refusal;
+    return planned.exit;
+}
+
+command_exit run_show(command_line const& line)
+{
+    blocking_platform platform(line.platform);
+    auto const stored = platform.read();
+    if (!stored.ok())
+        return fail(stored.status());
+    std::cout << fmt::format("// version {}\n", stored->version)
+              << print_configuration(stored->current);
+    return command_exit::done;
+}
+
+command_exit run_correct(command_line const& line)
+{
+    if (line.arguments.size() != 2)
+        return refuse("usage: pomelohinge correct MISSPELLED SERVICE");
+    configuration_change const change{object_kind::correction,
+        line.arguments[0],
+        any_object(correction_object{service_id(line.arguments[1])})};
+    if (!is_object_name(change.name))
+        return refuse("\"" + change.name + "\" is not a name");
+    return change_configuration(line, [&](stored_configuration const& it) {
+        planned_change planned;
+        if (it.current.find_any(change.kind, change.name) != change.object)
+            planned.changes.push_back(change);
+        return planned;
+    });
+}
+
+command_exit set_data_centre(command_line const& line, data_centre_state state)
+{
+    if (line.arguments.size() != 1)
+        return refuse("usage: pomelohinge drain|undrain DATA_CENTRE");
+    auto const& name = line.arguments.front();
+    return change_configuration(line, [&](stored_configuration const& it) {
+        planned_change planned;
+        auto const* const held = it.current.find<data_centre_object>(name);
+        if (held == nullptr) {
+            planned.refusal = "there is no data centre \"" + name + "\"\n";
+            planned.exit = command_exit::refused;
+            return planned;
+        }
+        auto changed = *held;
+        changed.state = state;
+        if (!(changed == *held))
+            planned.changes.push_back(
+                {object_kind::data_centre, name, any_object(changed)});
+        return planned;
+    });
+}
+
+command_exit run_key_hash()
+{
+    std::string key;
+    std::getline(std::cin, key);
+    if (key.empty())
+        return refuse("the key is read from standard input");
+    std::cout << to_hex(hash_key(key)) << "\n";
+    return command_exit::done;
+}
+
+command_exit run_status(command_line const& line)
+{
+    if (line.arguments.empty())
+        return refuse("usage: pomelohinge status OPERATORS_ADDRESS …");
+    blocking_platform platform(line.platform);
+    auto worst = command_exit::done;
+    for (auto const& it : line.arguments) {
+        auto const page = platform.get("http://" + it + "/status");
+        if (page.ok())
+            std::cout << *page << "\n";
+        else
+            worst = fail(page.status());
+    }
+    return worst;
+}
+
+} // namespace
+
+command_exit run_command(command_line const& line)
+{
+    switch (line.what) {
+    case command::apply:
+        return run_apply(line);
+    case command::check:
+        return run_check(line);
+    case command::correct:
+        return run_correct(line);
+    case command::diff:
+        return run_diff(line);
+    case command::drain:
+        return set_data_centre(line, data_centre_state::out);
+    case command::key_hash:
+        return run_key_hash();
+    case command::show:
+        return run_show(line);
+    case command::status:
+        return run_status(line);
+    case command::undrain:
+        return set_data_centre(line, data_centre_state::serving);
+    }
+    return command_exit::failed;
+}
+
+} // namespace pomelohinge
