--- /dev/null
+++ b/stand_ins/platform.cpp
@@ -0,0 +1,224 @@
+#include "stand_ins/platform_state.hpp"
+
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <list>
+#include <nlohmann/json.hpp>
+#include <restinio/all.hpp>
+
+/// A stand-in for the platform's object service: get, conditional put and
+/// delete, watches with revisions, and faults on command. docs/PLATFORM.md
+/// describes the calls.
+namespace pomelohinge::stand_ins {
+namespace {
+
+using server_traits = restinio::default_single_thread_traits_t;
+using request_handle = restinio::request_handle_t;
+
+constexpr auto slow_answer = std::chrono::milliseconds(1500);
+constexpr auto handling_limit = std::chrono::seconds(60);
+
+class platform_server
+{
+public:
+    platform_server(asio::io_context& context) : context_(context) {}
+
+    restinio::request_handling_status_t handle(request_handle request)
+    {
+        ++calls_;
+        std::string const path(request->header().path());
+        if (path == "/fault")
+            return set_fault(*request);
+        if (path == "/calls")
+            return answer(*request, 200, std::to_string(calls_));
+        if (fault_ == platform_fault::absent)
+            return answer(*request, 503, "absent");
+        if (fault_ == platform_fault::slow) {
+            later(slow_answer, [this, request, path] { serve(request, path); });
+            return restinio::request_accepted();
+        }
+        serve(std::move(request), path);
+        return restinio::request_accepted();
+    }
+
+private:
+    struct waiting_watch
+    {
+        request_handle request;
+        std::string prefix;
+        std::uint64_t since;
+        std::unique_ptr<asio::steady_timer> timer;
+    };
+
+    restinio::request_handling_status_t answer(restinio::request_t& request,
+        int status, std::string body, std::uint64_t version = 0)
+    {
+        auto response = request.create_response(restinio::http_status_line_t(
+            restinio::http_status_code_t(static_cast<std::uint16_t>(status)),
+            "Status"));
+        response.append_header("Object-Version", std::to_string(version));
+        return response.set_body(std::move(body)).done();
+    }
+
+    template <class Work>
+    void later(std::chrono::milliseconds wait, Work work)
+    {
+        auto const timer = std::make_shared<asio::steady_timer>(context_, wait);
+        timer->async_wait([timer, work](asio::error_code) { work(); });
+    }
+
+    restinio::request_handling_status_t set_fault(restinio::request_t& request)
+    {
+        auto const fault = from_name<platform_fault>(request.body());
+        if (!fault)
+            return answer(request, 400, "unknown fault");
+        fault_ = *fault;
+        wake_watches();
+        return answer(request, 200, "ok");
+    }
+
+    void serve(request_handle request, std::string const& path)
+    {
+        constexpr std::string_view objects = "/objects/";
+        constexpr std::string_view watches = "/watch/";
+        if (path.starts_with(objects))
+            serve_object(*request, path.substr(objects.size()));
+        else if (path.starts_with(watches))
+            serve_watch(std::move(request), path.substr(watches.size()));
+        else
+            answer(*request, 404, "no such path");
+    }
+
+    static std::uint64_t expected_version(restinio::request_t const& request)
+    {
+        return std::stoull(
+            request.header().get_field_or("Object-Expected-Version", "0"));
+    }
+
+    void serve_object(restinio::request_t& request, std::string const& name)
+    {
+        auto const method = request.header().method();
+        if (method == restinio::http_method_get()) {
+            auto const* const it = state_.find(name);
+            if (it == nullptr)
+                answer(request, 404, "no such object");
+            else
+                answer(request, 200, it->value, it->version);
+            return;
+        }
+        auto const expected = expected_version(request);
+        std::optional<std::uint64_t> version;
+        if (method == restinio::http_method_put())
+            version = state_.put(name, request.body(), expected);
+        else if (state_.remove(name, expected))
+            version = 0;
+        if (version)
+            wake_watches();
+        // The answer is lost by closing the connection without one.
+        if (fault_ == platform_fault::lossy && version)
+            return lose_answer(request);
+        answer(request, version ? 200 : 409, version ? "ok" : "conflict",
+            version.value_or(0));
+    }
+
+    void lose_answer(restinio::request_t& request)
+    {
+        // The caller's own timeout ends the call; the connection is closed
+        // when the request is let go at the handling limit.
+        held_.push_back(request.shared_from_this());
+    }
+
+    void serve_watch(request_handle request, std::string const& prefix)
+    {
+        auto const query = restinio::parse_query(request->header().query());
+        auto const since = restinio::cast_to<std::uint64_t>(query["since"]);
+        auto const wait = restinio::cast_to<std::uint64_t>(query["wait_ms"]);
+        bool const news = state_.revision() > since;
+        if ((news && fault_ != platform_fault::stale) || wait == 0) {
+            answer_watch(*request, prefix, since);
+            return;
+        }
+        auto const it =
+            watches_.insert(watches_.end(), {request, prefix, since, {}});
+        it->timer = std::make_unique<asio::steady_timer>(
+            context_, std::chrono::milliseconds(wait));
+        it->timer->async_wait([this, it](asio::error_code ec) {
+            if (ec)
+                return;
+            answer_watch(*it->request, it->prefix, it->since);
+            watches_.erase(it);
+        });
+    }
+
+    void answer_watch(restinio::request_t& request, std::string const& prefix,
+        std::uint64_t since)
+    {
+        auto changed = nlohmann::json::array();
+        bool const stale = fault_ == platform_fault::stale && since > 0;
+        if (!stale)
+            for (auto const& name : state_.changed(prefix, since))
+                changed.push_back(
+                    {{"name", name}, {"version", state_.find(name)->version}});
+        answer(request, 200,
+            nlohmann::json{{"revision", stale ? since : state_.revision()},
+                {"changed", std::move(changed)}}
+                .dump());
+    }
+
+    void wake_watches()
+    {
+        if (fault_ == platform_fault::stale)
+            return;
+        for (auto& it : std::exchange(watches_, {})) {
+            it.timer->cancel();
+            if (fault_ == platform_fault::absent)
+                answer(*it.request, 503, "absent");
+            else
+                answer_watch(*it.request, it.prefix, it.since);
+        }
+    }
+
+    asio::io_context& context_;
+    platform_state state_;
+    platform_fault fault_ = platform_fault::none;
+    std::uint64_t calls_ = 0;
+    std::list<waiting_watch> watches_;
+    std::vector<restinio::request_handle_t> held_;
+};
+
+int run(std::string const& address)
+{
+    auto const colon = address.rfind(':');
+    asio::io_context context(1);
+    platform_server handler(context);
+    restinio::server_settings_t<server_traits> settings;
+    settings.address(address.substr(0, colon))
+        .port(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))))
+        .handle_request_timeout(handling_limit)
+        .request_handler([&](request_handle request) {
+            return handler.handle(std::move(request));
+        });
+    restinio::http_server_t<server_traits> server(
+        restinio::external_io_context(context), std::move(settings));
+    server.open_sync();
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](asio::error_code, int) { context.stop(); });
+    context.run();
+    return 0;
+}
+
+} // namespace
+} // namespace pomelohinge::stand_ins
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options(
+        "stand_in_platform", "Stand-in for the platform's object service");
+    options.add_options()("address", "Where to listen",
+        cxxopts::value<std::string>()->default_value("127.0.0.1:9000"),
+        "IP:PORT");
+    auto const parsed = options.parse(argc, argv);
+    return pomelohinge::stand_ins::run(parsed["address"].as<std::string>());
+}
