--- /dev/null
+++ b/stand_ins/caller_report.cpp
@@ -0,0 +1,126 @@
+#include "stand_ins/caller_report.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <numeric>
+
+namespace pomelohinge::stand_ins {
+namespace {
+
+nlohmann::ordered_json quantiles(std::vector<double> values)
+{
+    nlohmann::ordered_json row = nlohmann::ordered_json::object();
+    if (values.empty())
+        return row;
+    std::sort(values.begin(), values.end());
+    auto const at = [&](double share) {
+        auto const n = static_cast<std::size_t>(
+            share * static_cast<double>(values.size() - 1));
+        return values[n];
+    };
+    row["p50"] = at(0.5);
+    row["p90"] = at(0.9);
+    row["p99"] = at(0.99);
+    row["p999"] = at(0.999);
+    row["max"] = values.back();
+    return row;
+}
+
+} // namespace
+
+void caller_report::tally::add(caller_sample const& sample)
+{
+    ++ends[index_of(sample.end)];
+    if (!sample.refusal.empty())
+        ++refusals[sample.refusal];
+    if (sample.end != caller_end::answered)
+        return;
+    total_ms.push_back(sample.total_ms);
+    added_ms.push_back(sample.added_ms);
+}
+
+std::uint64_t caller_report::tally::requests() const
+{
+    return std::accumulate(ends.begin(), ends.end(), std::uint64_t{0});
+}
+
+double caller_report::tally::success() const
+{
+    auto const n = requests();
+    return n == 0 ? 1
+                  : static_cast<double>(ends[index_of(caller_end::answered)]) /
+            static_cast<double>(n);
+}
+
+nlohmann::ordered_json caller_report::tally::to_json() const
+{
+    nlohmann::ordered_json row{
+        {"requests", requests()}, {"success", success()}};
+    for (auto const& it : name_table<caller_end>)
+        row[std::string(it.name)] = ends[index_of(it.value)];
+    row["refusals"] = refusals;
+    row["total_ms"] = quantiles(total_ms);
+    row["added_ms"] = quantiles(added_ms);
+    return row;
+}
+
+void caller_report::add(
+    std::string const& organisation, caller_sample const& sample)
+{
+    all_.add(sample);
+    organisations_[organisation].add(sample);
+    seconds_[sample.second].add(sample);
+}
+
+void caller_report::compare(std::map<std::string, std::uint64_t> const& runs)
+{
+    for (auto const& [id, n] : runs) {
+        runs_ += n;
+        doubled_ += n > 1 ? 1 : 0;
+        auto const it = payments_.find(id);
+        bool const untrue = it != payments_.end() &&
+            it->second == caller_end::refused_not_run && n > 0;
+        untrue_ += untrue ? 1 : 0;
+    }
+}
+
+bool caller_report::is_clean() const
+{
+    return doubled_ == 0 && untrue_ == 0 &&
+        all_.ends[index_of(caller_end::wrong)] == 0;
+}
+
+std::string caller_report::progress(std::size_t second) const
+{
+    auto const it = seconds_.find(second);
+    if (it == seconds_.end())
+        return fmt::format("second {}: nothing ended", second);
+    auto text =
+        fmt::format("second {}: {} requests", second, it->second.requests());
+    for (auto const& name : name_table<caller_end>)
+        if (auto const n = it->second.ends[index_of(name.value)]; n > 0)
+            text += fmt::format(", {} {}", n, name.name);
+    return text;
+}
+
+nlohmann::ordered_json caller_report::to_json() const
+{
+    auto organisations = nlohmann::ordered_json::object();
+    double worst = 1;
+    for (auto const& [name, it] : organisations_) {
+        organisations[name] = it.to_json();
+        worst = std::min(worst, it.success());
+    }
+    auto seconds = nlohmann::ordered_json::array();
+    for (auto const& [second, it] : seconds_)
+        seconds.push_back({{"second", second}, {"requests", it.requests()},
+            {"answered", it.ends[index_of(caller_end::answered)]},
+            {"success", it.success()}});
+    return {{"all", all_.to_json()}, {"worst_success", worst},
+        {"payments", payments_.size()}, {"payment_runs", runs_},
+        {"payments_doubled", doubled_}, {"not_run_untrue", untrue_},
+        {"organisations", std::move(organisations)},
+        {"seconds", std::move(seconds)}};
+}
+
+} // namespace pomelohinge::stand_ins
