--- a/drivers/peers/codec.cpp
+++ b/drivers/peers/codec.cpp
@@ -353,6 +353,7 @@
     epochs_to_wire(from.epochs, *to.mutable_epochs());
     to.set_view_digest(from.view_digest);
     to.set_read_age_us(age_to_wire(from.read_age));
+    to.set_stamp(from.stamp);
     return to;
 }
 
@@ -364,12 +365,14 @@
     to.epochs = epochs_from_wire(from.epochs());
     to.view_digest = from.view_digest();
     to.read_age = age_from_wire(from.read_age_us());
+    to.stamp = from.stamp();
     return to;
 }
 
 wire::SyncReply to_wire(sync_reply const& from)
 {
     wire::SyncReply to;
+    to.set_stamp(from.stamp);
     to.set_ready(from.ready);
     to.set_configuration_version(from.configuration_version);
     for (auto const& it : from.entries)
@@ -387,6 +390,7 @@
 {
     sync_reply to;
     to.reached = true;
+    to.stamp = from.stamp();
     to.ready = from.ready();
     to.configuration_version = from.configuration_version();
     take_entries(from, to);
@@ -404,6 +408,7 @@
     wire::ReleaseNotice to;
     to.set_from(from.from.text());
     to.set_id(from.id);
+    to.set_what(position(from.what));
     epochs_to_wire(from.epochs, *to.mutable_epochs());
     for (auto const& it : from.shares) {
         auto& share = *to.add_shares();
@@ -420,6 +425,7 @@
     release_notice to;
     to.from = vm_id(from.from());
     to.id = from.id();
+    to.what = at_position(from.what(), released_keys::all_but_targets);
     to.epochs = epochs_from_wire(from.epochs());
     for (auto const& it : from.shares())
         to.shares.push_back({organisation_id(it.organisation()), it.tokens()});
--- a/main/control_thread.cpp
+++ b/main/control_thread.cpp
@@ -122,8 +122,8 @@
     });
 }
 
-void control_thread::publish(
-    policy_pointer const& next, hand_over_callback done)
+void control_thread::publish(policy_pointer const& next,
+    hand_over_callback done, std::function<void()> lost_are_idle)
 {
     struct collected
     {
@@ -132,11 +132,18 @@
         hand_over_callback done;
     };
     old_policies_.emplace_back(now(), next);
+    auto const busy = std::make_shared<std::size_t>(traffic_.size());
     auto const all = std::make_shared<collected>(
         collected{traffic_.size(), {}, std::move(done)});
     for (auto const& it : traffic_)
-        it->post([this, all, next, &thread = *it] {
+        it->post([this, all, next, busy, lost_are_idle, &thread = *it] {
             auto released = thread.set_policy(next);
+            thread.targets().when_lost_are_idle([this, busy, lost_are_idle] {
+                post([busy, lost_are_idle] {
+                    if (--*busy == 0)
+                        lost_are_idle();
+                });
+            });
             post([all, released = std::move(released)] {
                 auto& [missing, taken, done] = *all;
                 taken.shares.insert(taken.shares.end(), released.shares.begin(),
--- a/main/control_thread.hpp
+++ b/main/control_thread.hpp
@@ -53,7 +53,8 @@
         std::function<void(floor_reply)> done);
     void ask_reach(vm_record const& vm, reach_question const& question,
         std::function<void(reach_verdict)> done);
-    void publish(policy_pointer const& next, hand_over_callback done);
+    void publish(policy_pointer const& next, hand_over_callback done,
+        std::function<void()> lost_are_idle);
     void take_over(organisation_hand_over taken);
     void set_limit(target_id const& target, std::size_t limit);
     void set_lease_end(time_point end);
--- a/servers/control/control_environment.hpp
+++ b/servers/control/control_environment.hpp
@@ -67,9 +67,10 @@
     environment.send_release(vm, release);
     environment.send_floor(vm, floor, std::function<void(floor_reply)>());
     environment.ask_reach(vm, reach, std::function<void(reach_verdict)>());
-    /// Hands a policy to all traffic threads; the callback comes once all
-    /// act by it.
-    environment.publish(policy, hand_over_callback());
+    /// Hands a policy to all traffic threads. The first callback comes once
+    /// all act by it, the second once no request runs any more at a target
+    /// that the policy took away.
+    environment.publish(policy, hand_over_callback(), std::function<void()>());
     environment.take_over(std::move(taken));
     environment.set_limit(target, std::size_t{});
     environment.set_lease_end(time_point{});
--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -7,6 +7,7 @@
 #include "servers/control/control_environment.hpp"
 #include "servers/control/target_control.hpp"
 #include "servers/membership/configuration_follower.hpp"
+#include "servers/membership/reply_stamps.hpp"
 #include "servers/membership/vm_monitor.hpp"
 #include "servers/ownership/freshness.hpp"
 
@@ -61,7 +62,8 @@
         timer_service& timers)
         : environment_(environment), timers_(timers), self_(std::move(self)),
           seeds_(std::move(seeds)), configuration_(rules.configuration),
-          owners_(self_.vm), monitor_(rules.vm), targets_(rules, environment)
+          owners_(self_.vm), monitor_(rules.vm), targets_(rules, environment),
+          stamps_(self_.incarnation)
     {
         // The environment may hold this object and is complete only here.
         static_assert(ControlEnvironment<Environment>);
@@ -115,6 +117,7 @@
         note_vm(question, now);
         sync_reply reply;
         reply.reached = true;
+        reply.stamp = stamps_.make(now);
         reply.ready = configuration_.ready();
         reply.configuration_version = configuration_.version();
         auto const asked = question.configuration_version;
@@ -139,7 +142,7 @@
         view_epochs epochs;
         for (auto const& it : notice.epochs)
             epochs.emplace(it.data_centre, it.epoch);
-        owners_.release(notice.from, epochs);
+        owners_.release(notice.from, epochs, notice.what, environment_.now());
         publish();
         environment_.take_over({notice.shares, notice.records});
     }
@@ -495,8 +498,11 @@
     void sync_with(std::string const& address, bool is_heartbeat)
     {
         auto const now = environment_.now();
-        environment_.send_sync(address, make_question(now),
-            [this, now, is_heartbeat](sync_reply reply) {
+        auto question = make_question(now);
+        question.stamp = last_stamps_[address];
+        environment_.send_sync(address, question,
+            [this, now, address, is_heartbeat](sync_reply reply) {
+                last_stamps_[address] = reply.stamp;
                 sync_answered(std::move(reply), now, is_heartbeat);
             });
     }
@@ -535,7 +541,7 @@
             if (failed_syncs_ > 0 && environment_.random() % 8 == 0)
                 failed_syncs_ = 0;
         }
-        bool const changed = take_reply(reply);
+        bool const changed = take_reply(reply, asked_at);
         if (reply.read_age != duration::max() && is_current(reply))
             confirm_read(asked_at - reply.read_age);
         if (changed || (reply.ready && !policy_->ready))
@@ -548,7 +554,9 @@
         return configuration_.version() >= reply.configuration_version;
     }
 
-    bool take_reply(sync_reply& reply)
+    /// Ages in a reply count from when it was asked for, since it may have
+    /// lain in a queue.
+    bool take_reply(sync_reply& reply, time_point asked_at)
     {
         auto const now = environment_.now();
         bool changed = false;
@@ -563,7 +571,7 @@
             configuration_.confirmed_current(now);
         for (auto const& it : reply.summaries)
             if (!(is_watcher() && it.data_centre == self_.data_centre))
-                evidence_.put(it.data_centre, it.summary, it.age, now);
+                evidence_.put(it.data_centre, it.summary, asked_at - it.age);
         return changed;
     }
 
@@ -587,8 +595,11 @@
         if (question.from.data_centre != self_.data_centre)
             return;
         monitor_.heard(question.from.vm, question.from.incarnation, now);
-        book_.heard(
-            question.from.vm, question.view_digest, question.read_age, now);
+        // What was said may have lain in a queue for long; it was said
+        // after the reply whose stamp it brings back.
+        if (auto const said_after = stamps_.find(question.stamp))
+            book_.heard(question.from.vm, question.view_digest,
+                question.read_age, *said_after);
     }
 
     bool monitors(time_point now) const
@@ -664,8 +675,8 @@
         if (!counts)
             return;
         book_.heard(self_.vm, view_.digest(), read_age(now), now);
-        evidence_.put(self_.data_centre, book_.summarise(view_.digest(), now),
-            duration::zero(), now);
+        evidence_.put(
+            self_.data_centre, book_.summarise(view_.digest(), now), now);
     }
 
     // The whole.
@@ -724,13 +735,15 @@
             ++sequence_});
         policy_ = next;
         auto joined = std::exchange(joined_, {});
-        environment_.publish(next,
+        environment_.publish(
+            next,
             [this, joined = std::move(joined), epochs = known_epochs()](
                 organisation_hand_over taken) {
                 if (phase_ == control_phase::leaving)
                     released_ = true;
                 hand_over(joined, epochs, std::move(taken));
-            });
+            },
+            [this, epochs = known_epochs()] { release_targets(epochs); });
     }
 
     std::shared_ptr<configuration_index const> current_index()
@@ -749,10 +762,24 @@
         return next;
     }
 
+    bool is_shown_as_leaving() const
+    {
+        auto const* const record = view_.find(self_.vm);
+        return record == nullptr || record->standing == vm_standing::leaving;
+    }
+
     /// Tells VMs that joined, and new owners, what this VM gave up.
     void hand_over(std::vector<vm_record> const& joined,
         std::vector<view_epoch> const& epochs, organisation_hand_over taken)
     {
+        // Until the view shows that this VM leaves, it is an owner itself.
+        given_up_.shares.insert(
+            given_up_.shares.end(), taken.shares.begin(), taken.shares.end());
+        given_up_.records.insert(given_up_.records.end(), taken.records.begin(),
+            taken.records.end());
+        if (phase_ == control_phase::leaving && !is_shown_as_leaving())
+            return;
+        taken = std::exchange(given_up_, {});
         std::map<vm_id, release_notice> notices;
         for (auto const& it : joined)
             notices[it.vm];
@@ -772,6 +799,24 @@
         }
     }
 
+    /// Tells the VMs of this data centre that no request runs any more at a
+    /// target that this VM has lost.
+    void release_targets(std::vector<view_epoch> const& epochs)
+    {
+        if (epochs == released_targets_)
+            return;
+        released_targets_ = epochs;
+        release_notice notice;
+        notice.from = self_.vm;
+        notice.epochs = epochs;
+        notice.what = released_keys::targets;
+        for (auto const& it : own_view().vms) {
+            notice.id = environment_.random();
+            if (it.vm != self_.vm)
+                environment_.send_release(it, notice);
+        }
+    }
+
     /// Who gets the tokens of a share that this VM gave up: the last owner
     /// in rank, which is the one that came in for it.
     vm_record const* next_holder(organisation_id const& organisation) const
@@ -799,11 +844,15 @@
     evidence_book book_;
     fleet_evidence evidence_;
     target_control<Environment> targets_;
+    reply_stamps stamps_;
 
     policy_pointer policy_;
     std::uint64_t sequence_ = 0;
     bool released_ = false;
     std::vector<vm_record> joined_;
+    /// What was given up and is not handed over yet.
+    organisation_hand_over given_up_;
+    std::vector<view_epoch> released_targets_;
     /// Notices are rare, at most one for each VM that leaves or loses keys.
     std::set<std::uint64_t> taken_notices_;
 
@@ -815,6 +864,7 @@
     time_point next_write_{};
 
     std::size_t failed_syncs_ = 0;
+    std::map<std::string, std::uint64_t> last_stamps_;
     time_point last_sync_{};
     time_point last_heartbeat_{};
     time_point last_exchange_{};
--- a/servers/dispatch/target_owner.hpp
+++ b/servers/dispatch/target_owner.hpp
@@ -7,6 +7,7 @@
 #include "servers/requests/policy.hpp"
 
 #include <absl/container/flat_hash_map.h>
+#include <algorithm>
 #include <functional>
 #include <map>
 
@@ -128,6 +129,15 @@
             carry_out(target, step);
         }
         drop_unused();
+        tell_idle();
+    }
+
+    /// Calls `idle` once no request runs at a target that this VM does not
+    /// own under the policy in force.
+    void when_lost_are_idle(std::function<void()> idle)
+    {
+        await_idle_.push_back(std::move(idle));
+        tell_idle();
     }
 
     /// Requests that run or wait.
@@ -273,6 +283,27 @@
         carry_out(target, step);
     }
 
+    bool lost_are_idle() const
+    {
+        auto const& owners = environment_.current_policy()->owners;
+        return std::all_of(
+            dispatchers_.begin(), dispatchers_.end(), [&](auto const& it) {
+                auto const* const object = find_target(it.first);
+                bool const owned = object != nullptr &&
+                    !environment_.current_policy()->leaving &&
+                    owners.is_owner(target_key(it.first, *object));
+                return owned || it.second.running() == 0;
+            });
+    }
+
+    void tell_idle()
+    {
+        if (await_idle_.empty() || !lost_are_idle())
+            return;
+        for (auto const& it : std::exchange(await_idle_, {}))
+            it();
+    }
+
     /// Forgets dispatchers of targets that are gone and idle.
     void drop_unused()
     {
@@ -287,6 +318,7 @@
     /// Node based, since callbacks may add targets while one is in use.
     std::map<target_id, target_dispatcher> dispatchers_;
     order_map orders_;
+    std::vector<std::function<void()>> await_idle_;
 };
 
 } // namespace pomelohinge
--- a/servers/limits/organisation_owner.hpp
+++ b/servers/limits/organisation_owner.hpp
@@ -103,6 +103,8 @@
                 question.record.organisation, question.record.repeat_key);
             return reply({record_outcome::accepted, {}});
         }
+        if (environment_.current_policy() == nullptr)
+            return reply({record_outcome::not_ready, {}});
         auto const key = records_key(question.record.organisation);
         auto const owners = environment_.current_policy()->owners.owners(key);
         bool const first = !owners.empty() &&
@@ -141,6 +143,8 @@
     /// Takes over what a former owner gave up.
     void take_over(organisation_hand_over const& taken)
     {
+        if (environment_.current_policy() == nullptr)
+            return;
         auto const now = environment_.now();
         auto const& owners = environment_.current_policy()->owners;
         for (auto const& it : taken.shares) {
@@ -148,7 +152,9 @@
             if (rate == nullptr)
                 continue;
             auto const key = shares_key(it.organisation, *rate);
-            if (owners.is_owner(key))
+            // Tokens that come before this VM may act are lost.
+            if (!environment_.current_policy()->leaving &&
+                owners.may_act(key, now))
                 shares_.take_over(it, *rate,
                     share_since(*environment_.current_policy(), it.organisation,
                         key, now),
--- a/servers/limits/organisation_shares.cpp
+++ b/servers/limits/organisation_shares.cpp
@@ -43,7 +43,12 @@
     time_point owned_since, time_point now)
 {
     auto const wanted = share_of(rate);
-    auto const it = shares_.find(organisation);
+    auto it = shares_.find(organisation);
+    // Others owned the share in between, so what was counted is void.
+    if (it != shares_.end() && owned_since > it->second.created_at) {
+        shares_.erase(it);
+        it = shares_.end();
+    }
     if (it == shares_.end()) {
         auto const begin = std::max(now, owned_since);
         auto const gathered = std::min(wanted.burst,
@@ -51,7 +56,7 @@
         return shares_
             .emplace(organisation,
                 held_share{wanted, token_bucket(wanted, gathered, begin), now,
-                    0, gathered, begin})
+                    0, gathered, begin, now})
             .first->second;
     }
     auto& held = it->second;
--- a/servers/limits/organisation_shares.hpp
+++ b/servers/limits/organisation_shares.hpp
@@ -87,6 +87,7 @@
         double granted = 0;
         double allowed_at_start = 0;
         time_point made_at;
+        time_point created_at;
     };
 
     held_share& share(organisation_id const& organisation,
--- a/servers/membership/evidence_summary.cpp
+++ b/servers/membership/evidence_summary.cpp
@@ -59,9 +59,9 @@
 } // namespace
 
 void evidence_book::heard(vm_id const& vm, std::uint64_t view_digest,
-    duration read_age, time_point now)
+    duration read_age, time_point said_after)
 {
-    reports_[vm] = {view_digest, read_age, now};
+    reports_[vm] = {view_digest, read_age, said_after};
 }
 
 void evidence_book::follow(data_centre_view const& view)
@@ -78,7 +78,7 @@
     evidence_summary summary;
     summary.view_digest = view_digest;
     for (auto const& [vm, it] : reports_) {
-        auto const report_age = now - it.heard_at;
+        auto const report_age = now - it.said_after;
         bool const never_read = it.read_age == duration::max();
         auto const read_class =
             never_read ? age_classes - 1 : class_of(it.read_age + report_age);
@@ -91,9 +91,8 @@
 }
 
 void fleet_evidence::put(data_centre_id const& data_centre,
-    evidence_summary const& summary, duration age, time_point now)
+    evidence_summary const& summary, time_point made_at)
 {
-    auto const made_at = now - age;
     auto& held = summaries_[data_centre];
     if (held.made_at > made_at)
         return;
--- a/servers/membership/evidence_summary.hpp
+++ b/servers/membership/evidence_summary.hpp
@@ -33,10 +33,10 @@
 class evidence_book
 {
 public:
-    /// A VM reported at `now` that it holds `view_digest` and last read the
-    /// store `read_age` ago.
+    /// A VM reported, not before `said_after`, that it holds `view_digest`
+    /// and last read the store `read_age` ago.
     void heard(vm_id const& vm, std::uint64_t view_digest, duration read_age,
-        time_point now);
+        time_point said_after);
 
     /// Forgets VMs that are not in `view`.
     void follow(data_centre_view const& view);
@@ -49,7 +49,7 @@
     {
         std::uint64_t view_digest;
         duration read_age;
-        time_point heard_at;
+        time_point said_after;
     };
 
     absl::flat_hash_map<vm_id, report> reports_;
@@ -59,9 +59,9 @@
 class fleet_evidence
 {
 public:
-    /// Takes the summary of one data centre, `age` old at `now`.
+    /// Takes the summary of one data centre, made not before `made_at`.
     void put(data_centre_id const& data_centre, evidence_summary const& summary,
-        duration age, time_point now);
+        time_point made_at);
 
     /// The age within which `count` VMs have read the store; the largest
     /// duration if there are fewer.
--- a/servers/ownership/ownership.cpp
+++ b/servers/ownership/ownership.cpp
@@ -11,6 +11,17 @@
         [&](vm_record const* it) { return it->vm == vm; });
 }
 
+/// How many times the store's views were written between the two.
+std::uint64_t changes_between(fleet_view const& from, fleet_view const& to)
+{
+    std::uint64_t changes = 0;
+    for (auto const& [data_centre, view] : to.data_centres()) {
+        auto const* const known = from.find(data_centre);
+        changes += view.epoch - (known == nullptr ? 0 : known->epoch);
+    }
+    return changes;
+}
+
 } // namespace
 
 void ownership::adopt(fleet_view const& view, time_point now)
@@ -19,10 +30,12 @@
     former.ranks = current_;
     former.left_at = now;
     former.next = view.epochs();
+    former.skipped = current_ == nullptr || changes_between(view_, view) > 1;
     former.needed_reads = (view_.size() + 1) / 2;
+    auto& stopped = former.released[index_of(released_keys::all_but_targets)];
     for (auto const& it : view.vms()) {
         if (it.standing == vm_standing::leaving)
-            former.released.insert(it.vm);
+            stopped.emplace(it.vm, now);
         auto const* const known = view_.find(it.vm);
         if (known == nullptr || known->incarnation != it.incarnation)
             ++former.needed_reads;
@@ -35,11 +48,12 @@
     current_ = std::make_shared<rendezvous const>(view);
 }
 
-void ownership::release(vm_id const& former, view_epochs const& epochs)
+void ownership::release(vm_id const& former, view_epochs const& epochs,
+    released_keys what, time_point now)
 {
     for (auto& it : former_)
         if (covers(epochs, it.next))
-            it.released.insert(former);
+            it.released[index_of(what)].emplace(former, now);
 }
 
 void ownership::expire(time_point now)
@@ -68,36 +82,48 @@
             self_);
 }
 
-bool ownership::has_stopped(
+time_point ownership::released_at(
+    former_view const& former, owned_key const& key, vm_id const& vm)
+{
+    auto const what = key.kind == owned_kind::target
+        ? released_keys::targets
+        : released_keys::all_but_targets;
+    auto const& released = former.released[index_of(what)];
+    auto const it = released.find(vm);
+    return it == released.end() ? time_point::max() : it->second;
+}
+
+time_point ownership::stopped_at(
     former_view const& former, owned_key const& key) const
 {
-    if (former.ranks == nullptr)
-        return false;
+    if (former.skipped)
+        return former.safe_at;
     auto const before =
         former.ranks->rank(key.kind, key.name, key.shares, key.within);
     if (contains(before, self_))
-        return true;
+        return time_point::min();
     auto const after = owners(key);
-    return std::all_of(before.begin(), before.end(), [&](auto const* it) {
-        return contains(after, it->vm) || former.released.contains(it->vm);
-    });
+    auto last = time_point::min();
+    for (auto const* it : before)
+        if (!contains(after, it->vm))
+            last = std::max(last, released_at(former, key, it->vm));
+    return std::min(last, former.safe_at);
 }
 
 bool ownership::may_act(owned_key const& key, time_point now) const
 {
     if (!is_owner(key))
         return false;
-    return std::all_of(former_.begin(), former_.end(), [&](auto const& it) {
-        return it.safe_at <= now || has_stopped(it, key);
-    });
+    return std::all_of(former_.begin(), former_.end(),
+        [&](auto const& it) { return stopped_at(it, key) <= now; });
 }
 
 time_point ownership::owned_since(owned_key const& key, time_point now) const
 {
     auto since = now - ownership_memory;
     for (auto const& it : former_)
-        if (!was_owner(it, key))
-            since = std::max(since, std::min(it.safe_at, now));
+        if (it.skipped || !was_owner(it, key))
+            since = std::max(since, stopped_at(it, key));
     return since;
 }
 
--- a/servers/ownership/ownership.hpp
+++ b/servers/ownership/ownership.hpp
@@ -4,9 +4,10 @@
 #include "core/clock.hpp"
 #include "servers/ownership/rendezvous.hpp"
 
+#include <array>
 #include <deque>
+#include <map>
 #include <memory>
-#include <set>
 #include <string_view>
 
 namespace pomelohinge {
@@ -22,6 +23,18 @@
 /// How long former views are remembered to tell since when a key is owned.
 inline constexpr duration ownership_memory = std::chrono::seconds(60);
 
+/// What a former owner has stopped acting for. Requests at upstreams end
+/// later than what needs no upstream.
+enum class released_keys { all_but_targets, targets };
+
+template <>
+inline constexpr auto
+    name_table<released_keys> = make_name_table<released_keys>({
+        {released_keys::all_but_targets, "all_but_targets"},
+        {released_keys::targets, "targets"},
+    });
+static_assert(is_ordered<released_keys>());
+
 /// A key as it is ranked.
 struct owned_key
 {
@@ -43,13 +56,16 @@
     explicit ownership(vm_id self) : self_(std::move(self)) {}
 
     /// Goes on with `view`, learned at `now`. Former owners that the view
-    /// shows as leaving stopped before they wrote it. Before the first view
-    /// anybody may have owned anything, so all keys wait for a full lease.
+    /// shows as leaving stopped before they wrote it. Before the first view,
+    /// and where views in between were missed, anybody may have owned
+    /// anything, so all keys wait for a full lease.
     void adopt(fleet_view const& view, time_point now);
 
-    /// Notes that `former` acts by the view of `epochs` or a later one, and
-    /// so has stopped acting for all that it lost up to it.
-    void release(vm_id const& former, view_epochs const& epochs);
+    /// Notes at `now` that `former` acts by the view of `epochs` or a later
+    /// one, and so has stopped acting for all of `what` that it lost up to
+    /// it.
+    void release(vm_id const& former, view_epochs const& epochs,
+        released_keys what, time_point now);
 
     /// Looks whether enough VMs of each former view have read the store
     /// since it was left. Until then a former owner may rest on a majority
@@ -111,15 +127,23 @@
         /// counting those that have joined after it.
         std::size_t needed_reads = 0;
         time_point safe_at = unconfirmed;
-        /// VMs that stopped acting for what they lost.
-        std::set<vm_id> released;
+        /// Views between this one and the next are not known.
+        bool skipped = false;
+        /// When VMs stopped acting for what they lost.
+        std::array<std::map<vm_id, time_point>, enum_count<released_keys>>
+            released;
     };
 
     bool was_owner(former_view const& former, owned_key const& key) const;
 
-    /// Whether the owners of `key` under `former` that are no longer owners
-    /// have all stopped.
-    bool has_stopped(former_view const& former, owned_key const& key) const;
+    /// When the owners of `key` under `former` that are no longer owners had
+    /// all stopped; the latest time if they may not have.
+    time_point stopped_at(
+        former_view const& former, owned_key const& key) const;
+
+    /// When `vm` stopped acting for `key`, by its own word.
+    static time_point released_at(
+        former_view const& former, owned_key const& key, vm_id const& vm);
 
     vm_id self_;
     fleet_view view_;
--- a/servers/peers/messages.hpp
+++ b/servers/peers/messages.hpp
@@ -9,6 +9,7 @@
 #include "servers/limits/organisation_shares.hpp"
 #include "servers/membership/evidence_summary.hpp"
 #include "servers/membership/view.hpp"
+#include "servers/ownership/ownership.hpp"
 #include "servers/poison/poison_guard.hpp"
 #include "servers/requests/refusal.hpp"
 #include "servers/requests/request.hpp"
@@ -235,6 +236,8 @@
 {
     data_centre_id data_centre;
     std::uint64_t epoch = 0;
+
+    friend bool operator==(view_epoch const&, view_epoch const&) = default;
 };
 
 /// A VM's heartbeat to a watcher, which asks for what it lacks.
@@ -246,6 +249,9 @@
     std::uint64_t view_digest = 0;
     /// Age of the last read of the store; the largest duration if never.
     duration read_age = duration::max();
+    /// The stamp of the last reply from the watcher that is asked; 0 if
+    /// there was none.
+    std::uint64_t stamp = 0;
 };
 
 /// The summary of one data centre's evidence on its way.
@@ -259,6 +265,9 @@
 struct sync_reply
 {
     bool reached = false;
+    /// Names this reply. A question that brings it back was asked after it,
+    /// which bounds the question's age even if it lay in a queue.
+    std::uint64_t stamp = 0;
     /// Whether the configuration is known at all.
     bool ready = false;
     std::uint64_t configuration_version = 0;
@@ -279,6 +288,7 @@
     std::uint64_t id = 0;
     /// The view by which the former owner acts now.
     std::vector<view_epoch> epochs;
+    released_keys what = released_keys::all_but_targets;
     std::vector<share_transfer> shares;
     std::vector<idempotency_record> records;
 };
--- a/tests/simulation/fake_vm.hpp
+++ b/tests/simulation/fake_vm.hpp
@@ -135,7 +135,8 @@
                 bool const granted = answer.result == charge_outcome::granted ||
                     answer.result == charge_outcome::granted_on_trial;
                 if (granted)
-                    judge.token_given(question.organisation.text(), at.now());
+                    judge.token_given(
+                        question.organisation.text(), at.name(), at.now());
                 reply(answer);
             });
     }
@@ -286,19 +287,22 @@
             reach_verdict::not_reached);
     }
 
-    void publish(policy_pointer const& next, hand_over_callback done)
+    void publish(policy_pointer const& next, hand_over_callback done,
+        std::function<void()> lost_are_idle)
     {
         // The traffic thread takes the policy a little later.
         fleet_.world.after(std::chrono::milliseconds(1),
-            here([this, next, done = std::move(done)] {
+            here([this, next, done = std::move(done), lost_are_idle] {
                 auto const before = std::exchange(policy_, next);
                 done(organisations_.release_lost(before));
+                targets_.when_lost_are_idle(here(lost_are_idle));
             }));
     }
 
     void take_over(organisation_hand_over taken)
     {
-        fleet_.world.after(std::chrono::microseconds(100),
+        // Behind the policy that was published before.
+        fleet_.world.after(std::chrono::milliseconds(1),
             here([this, taken] { organisations_.take_over(taken); }));
     }
 
--- a/tests/simulation/referee.hpp
+++ b/tests/simulation/referee.hpp
@@ -25,7 +25,8 @@
         buckets_[organisation] = {rate, static_cast<double>(rate.burst), {}};
     }
 
-    void token_given(std::string const& organisation, time_point now)
+    void token_given(
+        std::string const& organisation, std::string const& vm, time_point now)
     {
         auto& it = buckets_.at(organisation);
         if (it.at != time_point{})
@@ -36,8 +37,14 @@
         it.level -= 1;
         ++it.given;
         constexpr double rounding = 1e-6;
-        if (it.level < -rounding)
-            blame(organisation + " got more than its rate", now);
+        it.givers[vm] = now;
+        if (it.level >= -rounding)
+            return;
+        std::string text = organisation + " got more than its rate; givers:";
+        for (auto const& [name, at] : it.givers)
+            if (now - at < std::chrono::seconds(2))
+                text += " " + name;
+        blame(std::move(text), now);
     }
 
     void data_centre_out(std::string const& name, time_point now)
@@ -89,6 +96,8 @@
         double level = 0;
         time_point at;
         std::uint64_t given = 0;
+        /// When each VM gave its last token.
+        std::map<std::string, time_point> givers;
     };
 
     std::map<std::string, reference_bucket> buckets_;
