Judge former owners by the change that took a key from them

Cause: the waiting time of a gained key was worked out against the present owners, so a later change of view moved it, and a running bucket was made anew with tokens for a time in which it had given some. Change: each change of view keeps the ranks before and after it.

--- a/servers/ownership/ownership.cpp
+++ b/servers/ownership/ownership.cpp
@@ -44,8 +44,9 @@
     if (current_ == nullptr)
         former.needed_reads = (view.size() + 1) / 2;
     view_ = view;
-    former_.push_back(std::move(former));
     current_ = std::make_shared<rendezvous const>(view);
+    former.next_ranks = current_;
+    former_.push_back(std::move(former));
 }
 
 void ownership::release(vm_id const& former, view_epochs const& epochs,
@@ -75,11 +76,16 @@
     return contains(owners(key), self_);
 }
 
-bool ownership::was_owner(former_view const& former, owned_key const& key) const
+bool ownership::stayed_owner(
+    former_view const& former, owned_key const& key) const
 {
-    return former.ranks != nullptr &&
-        contains(former.ranks->rank(key.kind, key.name, key.shares, key.within),
-            self_);
+    if (former.skipped)
+        return false;
+    auto const is_owner_in = [&](rendezvous const& ranks) {
+        return contains(
+            ranks.rank(key.kind, key.name, key.shares, key.within), self_);
+    };
+    return is_owner_in(*former.ranks) && is_owner_in(*former.next_ranks);
 }
 
 time_point ownership::released_at(
@@ -98,14 +104,15 @@
 {
     if (former.skipped)
         return former.safe_at;
+    if (stayed_owner(former, key))
+        return time_point::min();
     auto const before =
         former.ranks->rank(key.kind, key.name, key.shares, key.within);
-    if (contains(before, self_))
-        return time_point::min();
-    auto const after = owners(key);
+    auto const after =
+        former.next_ranks->rank(key.kind, key.name, key.shares, key.within);
     auto last = time_point::min();
     for (auto const* it : before)
-        if (!contains(after, it->vm))
+        if (it->vm != self_ && !contains(after, it->vm))
             last = std::max(last, released_at(former, key, it->vm));
     return std::min(last, former.safe_at);
 }
@@ -122,8 +129,8 @@
 {
     auto since = now - ownership_memory;
     for (auto const& it : former_)
-        if (it.skipped || !was_owner(it, key))
-            since = std::max(since, stopped_at(it, key));
+        if (!stayed_owner(it, key))
+            since = std::max({since, it.left_at, stopped_at(it, key)});
     return since;
 }
 
--- a/servers/ownership/ownership.hpp
+++ b/servers/ownership/ownership.hpp
@@ -120,6 +120,7 @@
     {
         /// Null for the time before the first view.
         std::shared_ptr<rendezvous const> ranks;
+        std::shared_ptr<rendezvous const> next_ranks;
         time_point left_at;
         /// Epochs of the view that came after it.
         view_epochs next;
@@ -134,10 +135,12 @@
             released;
     };
 
-    bool was_owner(former_view const& former, owned_key const& key) const;
+    /// Whether this VM was an owner before and after the change.
+    bool stayed_owner(former_view const& former, owned_key const& key) const;
 
-    /// When the owners of `key` under `former` that are no longer owners had
-    /// all stopped; the latest time if they may not have.
+    /// When the other owners that lost `key` with the change had all stopped;
+    /// the latest time if they may not have. The earliest if the share of
+    /// this VM was not touched.
     time_point stopped_at(
         former_view const& former, owned_key const& key) const;
 
