Keep idempotency records on three VMs and learn them before acting

The new end of each run, which asks that every request within the rate is answered once all is mended, showed that VMs that restart together could wait for each other without end, and that VMs fed by a watcher without the store did not look for the store themselves. Change: three keepers; a new first keeper fetches from all former ones in the view before its first step; a stale VM follows the store itself; a VM joins after observing for one lease.

--- a/drivers/peers/codec.cpp
+++ b/drivers/peers/codec.cpp
@@ -334,6 +334,8 @@
 wire::RecordReply to_wire(record_reply const& from)
 {
     wire::RecordReply to;
+    for (auto const& it : from.records)
+        to_wire(it, *to.add_records());
     to.set_result(position(from.result));
     to_wire(from.answer, *to.mutable_answer());
     return to;
@@ -341,8 +343,12 @@
 
 record_reply from_wire(wire::RecordReply const& from)
 {
-    return {at_position(from.result(), record_outcome::unknown),
-        from_wire(from.answer())};
+    record_reply to;
+    to.result = at_position(from.result(), record_outcome::unknown);
+    to.answer = from_wire(from.answer());
+    for (auto const& it : from.records())
+        to.records.push_back(from_wire(it));
+    return to;
 }
 
 wire::SyncQuestion to_wire(sync_question const& from)
--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -73,6 +73,7 @@
     void start()
     {
         auto const now = environment_.now();
+        observing_since_ = now;
         tick_timer_ = timers_.every(now, tick_period, [this] { tick(); });
         report_timer_ = timers_.every(now, floor_report_period, [this] {
             if (policy_ != nullptr)
@@ -187,8 +188,12 @@
     /// A watcher that was asked by others lately goes on with its work.
     static constexpr duration watcher_memory = std::chrono::seconds(3);
     static constexpr duration watch_retry = std::chrono::milliseconds(300);
+    /// Other VMs try a store that does not answer more rarely.
+    static constexpr duration rare_retry = std::chrono::seconds(2);
     static constexpr duration exchange_period = std::chrono::seconds(1);
     static constexpr std::size_t most_entries_sent = 64;
+    static constexpr duration observing_time =
+        freshness_lease + takeover_margin;
 
     // Reading the store.
 
@@ -196,8 +201,9 @@
     {
         if (phase_ == control_phase::left)
             return false;
-        bool const alone = now - last_sync_ > watcher_patience;
-        return alone || is_watcher() || now - last_heartbeat_ < watcher_memory;
+        bool const is_stale = read_age(now) > watcher_patience;
+        return is_stale || catch_up_ || is_watcher() ||
+            now - last_heartbeat_ < watcher_memory;
     }
 
     /// Whether this VM is among the watchers of its data centre.
@@ -237,7 +243,7 @@
     {
         auto const now = environment_.now();
         if (changes.status != store_status::done) {
-            next_watch_ = now + watch_retry;
+            next_watch_ = now + (is_watcher() ? watch_retry : rare_retry);
             if (std::exchange(store_reached_, false))
                 log(log_event::store_unreachable);
             return;
@@ -250,6 +256,7 @@
             return;
         }
         revision_ = changes.revision;
+        catch_up_ = false;
         bool changed = false;
         for (auto& it : changes.changes)
             changed |= take(std::move(it));
@@ -358,6 +365,7 @@
     void start_over()
     {
         phase_ = control_phase::observing;
+        observing_since_ = environment_.now();
         self_.incarnation = environment_.random();
         environment_.set_lease_end(time_point{});
         log(log_event::freshness_lost, {{"vm", self_.vm.text()}});
@@ -424,7 +432,7 @@
                 return;
             }
             // The newer view comes with the next read of the store.
-            last_sync_ = {};
+            catch_up_ = true;
             log(log_event::view_write_failed, {{"status", to_name(status)}});
         });
     }
@@ -534,7 +542,6 @@
             return;
         }
         if (counts) {
-            last_sync_ = environment_.now();
             // The first watcher is tried again now and then.
             if (failed_syncs_ > 0 && environment_.random() % 8 == 0)
                 failed_syncs_ = 0;
@@ -710,7 +717,8 @@
     {
         switch (phase_) {
         case control_phase::observing:
-            if (policy_->ready && !owners_.waiting(now))
+            // Who joins after a lease knows all owners that may still act.
+            if (policy_->ready && now - observing_since_ > observing_time)
                 phase_ = control_phase::joining;
             return;
         case control_phase::joining:
@@ -833,6 +841,7 @@
     vm_record self_;
     std::vector<std::string> seeds_;
     control_phase phase_ = control_phase::observing;
+    time_point observing_since_{};
 
     configuration_follower configuration_;
     fleet_view view_;
@@ -859,11 +868,12 @@
     bool store_reached_ = true;
     time_point next_watch_{};
     bool writing_ = false;
+    /// A write was refused, so the view held is not the newest.
+    bool catch_up_ = false;
     time_point next_write_{};
 
     std::size_t failed_syncs_ = 0;
     std::map<std::string, std::uint64_t> last_stamps_;
-    time_point last_sync_{};
     time_point last_heartbeat_{};
     time_point last_exchange_{};
     bool monitoring_ = false;
--- a/servers/limits/organisation_owner.hpp
+++ b/servers/limits/organisation_owner.hpp
@@ -2,6 +2,7 @@
 #define POMELOHINGE_SERVERS_LIMITS_ORGANISATION_OWNER_HPP
 
 #include "core/invariant.hpp"
+#include "servers/idempotency/record_keeper.hpp"
 #include "servers/peers/messages.hpp"
 #include "servers/requests/policy.hpp"
 
@@ -43,7 +44,7 @@
 {
 public:
     explicit organisation_owner(Environment& environment)
-        : environment_(environment)
+        : environment_(environment), records_(environment)
     {
         // The environment may hold this object and is complete only here.
         static_assert(OrganisationEnvironment<Environment>);
@@ -88,32 +89,11 @@
         }
     }
 
-    /// Carries out a step of a record. A step is answered once the other
-    /// keeper has it too, so that the death of one loses nothing.
+    /// Carries out a step of a record.
     void record(record_question const& question,
         std::function<void(record_reply)> reply)
     {
-        auto const now = environment_.now();
-        if (question.step == record_step::copy) {
-            records_.merge(question.record, now);
-            return reply({record_outcome::accepted, {}});
-        }
-        if (question.step == record_step::withdraw_copy) {
-            records_.withdraw(
-                question.record.organisation, question.record.repeat_key);
-            return reply({record_outcome::accepted, {}});
-        }
-        if (environment_.current_policy() == nullptr)
-            return reply({record_outcome::not_ready, {}});
-        auto const key = records_key(question.record.organisation);
-        auto const owners = environment_.current_policy()->owners.owners(key);
-        bool const first = !owners.empty() &&
-            owners.front()->vm == environment_.current_policy()->owners.self();
-        if (!first || !may_act(key, now))
-            return reply({record_outcome::not_ready, {}});
-        if (question.step == record_step::begin)
-            return begin(question.record, owners, std::move(reply));
-        change(question, owners, std::move(reply));
+        records_.record(question, std::move(reply));
     }
 
     /// Gives up what this VM lost with the policy in force now, and copies
@@ -137,10 +117,7 @@
             if (now < environment_.lease_end())
                 released.shares.push_back({it, tokens});
         }
-        for (auto const& it : records_.organisations())
-            if (keepers_changed(it, before))
-                for (auto& record : records_.of(it))
-                    released.records.push_back(std::move(record));
+        released.records = records_.to_hand_over(before);
         return released;
     }
 
@@ -164,15 +141,14 @@
                         key, now),
                     now);
         }
-        for (auto const& it : taken.records)
-            records_.merge(it, now);
+        records_.take_over(taken.records);
     }
 
     /// Drops what is old.
     void expire()
     {
         shares_.forget_idle(environment_.now());
-        records_.expire(environment_.now());
+        records_.expire();
     }
 
     std::size_t records() const { return records_.size(); }
@@ -187,21 +163,6 @@
             organisation.text());
     }
 
-    bool keepers_changed(
-        std::string const& organisation, policy_pointer const& before) const
-    {
-        if (before == nullptr)
-            return true;
-        auto const key = records_key(organisation);
-        auto const old = before->owners.owners(key);
-        auto const next = environment_.current_policy()->owners.owners(key);
-        return !std::equal(old.begin(), old.end(), next.begin(), next.end(),
-            [](auto const* left, auto const* right) {
-                return left->vm == right->vm &&
-                    left->incarnation == right->incarnation;
-            });
-    }
-
     /// Ownership and lease, checked next to the act.
     bool may_act(owned_key const& key, time_point now) const
     {
@@ -229,102 +190,10 @@
         return charge_outcome::held_back;
     }
 
-    static record_outcome outcome_of(record_verdict verdict)
-    {
-        switch (verdict) {
-        case record_verdict::proceed:
-            return record_outcome::accepted;
-        case record_verdict::running:
-            return record_outcome::running;
-        case record_verdict::done:
-            return record_outcome::done;
-        case record_verdict::unknown:
-            return record_outcome::unknown;
-        case record_verdict::differs:
-            return record_outcome::differs;
-        case record_verdict::full:
-            return record_outcome::full;
-        }
-        return record_outcome::unknown;
-    }
-
-    void begin(idempotency_record const& record,
-        std::vector<vm_record const*> const& owners,
-        std::function<void(record_reply)> reply)
-    {
-        records_.expire(environment_.now());
-        auto const verdict = records_.begin(record, environment_.now());
-        record_reply answer{outcome_of(verdict), {}};
-        if (verdict == record_verdict::done)
-            answer.answer =
-                records_.find(record.organisation, record.repeat_key)->answer;
-        if (verdict != record_verdict::proceed)
-            return reply(std::move(answer));
-        if (owners.size() < 2)
-            return reply(std::move(answer));
-        copy_to(*owners[1], record,
-            [this, record, reply = std::move(reply)](bool kept) {
-                if (kept)
-                    return reply({record_outcome::accepted, {}});
-                records_.withdraw(record.organisation, record.repeat_key);
-                reply({record_outcome::not_ready, {}});
-            });
-    }
-
-    void change(record_question const& question,
-        std::vector<vm_record const*> const& owners,
-        std::function<void(record_reply)> reply)
-    {
-        auto const& it = question.record;
-        auto const now = environment_.now();
-        switch (question.step) {
-        case record_step::finish:
-            records_.finish(it.organisation, it.repeat_key, it.answer, now);
-            break;
-        case record_step::lose:
-            records_.lose(it.organisation, it.repeat_key, now);
-            break;
-        case record_step::withdraw:
-            records_.withdraw(it.organisation, it.repeat_key);
-            if (owners.size() > 1)
-                withdraw_at(*owners[1], it);
-            return reply({record_outcome::accepted, {}});
-        case record_step::begin:
-        case record_step::copy:
-        case record_step::withdraw_copy:
-            break;
-        }
-        auto const* const changed =
-            records_.find(it.organisation, it.repeat_key);
-        if (changed == nullptr || owners.size() < 2)
-            return reply({record_outcome::accepted, {}});
-        copy_to(*owners[1], *changed, [reply = std::move(reply)](bool) {
-            reply({record_outcome::accepted, {}});
-        });
-    }
-
-    /// The message may be lost: then the backup's copy ends as unknown, and
-    /// a later repeat is refused although it could run.
-    void withdraw_at(vm_record const& backup, idempotency_record const& record)
-    {
-        record_question question{record_step::withdraw_copy, record};
-        environment_.ask_record(backup, question, [](record_reply) {});
-    }
-
-    void copy_to(vm_record const& backup, idempotency_record const& record,
-        std::function<void(bool)> kept)
-    {
-        record_question question{record_step::copy, record};
-        environment_.ask_record(
-            backup, question, [kept = std::move(kept)](record_reply reply) {
-                kept(reply.result == record_outcome::accepted);
-            });
-    }
-
     Environment& environment_;
     organisation_shares shares_;
     poison_guard poison_;
-    record_table records_;
+    record_keeper<Environment> records_;
 };
 
 } // namespace pomelohinge
--- a/servers/ownership/ownership.cpp
+++ b/servers/ownership/ownership.cpp
@@ -125,6 +125,28 @@
         [&](auto const& it) { return stopped_at(it, key) <= now; });
 }
 
+std::vector<vm_record const*> ownership::recent_owners(
+    owned_key const& key) const
+{
+    std::map<vm_id, vm_record const*> found;
+    auto const note = [&](rendezvous const& ranks) {
+        for (auto const* it :
+            ranks.rank(key.kind, key.name, key.shares, key.within))
+            if (auto const* const record = view_.find(it->vm))
+                found.emplace(record->vm, record);
+    };
+    for (auto const& it : former_)
+        if (it.ranks != nullptr)
+            note(*it.ranks);
+    if (current_ != nullptr)
+        note(*current_);
+    std::vector<vm_record const*> others;
+    for (auto const& [vm, record] : found)
+        if (vm != self_)
+            others.push_back(record);
+    return others;
+}
+
 time_point ownership::owned_since(owned_key const& key, time_point now) const
 {
     auto since = now - ownership_memory;
--- a/servers/ownership/ownership.hpp
+++ b/servers/ownership/ownership.hpp
@@ -102,6 +102,9 @@
     /// freshness lease is checked apart, next to the act.
     bool may_act(owned_key const& key, time_point now) const;
 
+    /// Other VMs of the view that own `key` or did lately, by name.
+    std::vector<vm_record const*> recent_owners(owned_key const& key) const;
+
     /// Since when this VM has been an owner that may act, as far back as is
     /// remembered. Only for keys for which it may act.
     time_point owned_since(owned_key const& key, time_point now) const;
--- a/servers/peers/messages.hpp
+++ b/servers/peers/messages.hpp
@@ -89,7 +89,17 @@
 };
 
 /// A step of an idempotency record.
-enum class record_step { begin, finish, lose, withdraw, copy, withdraw_copy };
+enum class record_step {
+    begin,
+    finish,
+    lose,
+    withdraw,
+    /// A copy for another keeper.
+    copy,
+    withdraw_copy,
+    /// A new owner asks what others keep.
+    fetch,
+};
 
 template <>
 inline constexpr auto name_table<record_step> = make_name_table<record_step>({
@@ -99,6 +109,7 @@
     {record_step::withdraw, "withdraw"},
     {record_step::copy, "copy"},
     {record_step::withdraw_copy, "withdraw_copy"},
+    {record_step::fetch, "fetch"},
 });
 static_assert(is_ordered<record_step>());
 
@@ -139,6 +150,8 @@
 {
     record_outcome result = record_outcome::unreachable;
     recorded_answer answer;
+    /// With `fetch`: all records of the organisation.
+    std::vector<idempotency_record> records;
 };
 
 /// A request on its way from the entry VM to the target's owner.
--- a/servers/requests/policy.hpp
+++ b/servers/requests/policy.hpp
@@ -65,11 +65,15 @@
 time_point share_since(policy const& in_force,
     organisation_id const& organisation, owned_key const& key, time_point now);
 
-/// The key by which the owner of records and its backup are ranked.
+/// VMs that keep an organisation's idempotency records: its owner first. A
+/// record counts as written once the owner and one more have it; the third
+/// lets two go at once.
+inline constexpr std::size_t record_keepers = 3;
+
+/// The key by which the keepers of records are ranked.
 inline owned_key records_key(std::string const& organisation)
 {
-    constexpr std::size_t owner_and_backup = 2;
-    return {owned_kind::organisation, organisation, nullptr, owner_and_backup};
+    return {owned_kind::organisation, organisation, nullptr, record_keepers};
 }
 
 /// The key by which the owner of a target is ranked.
--- a/tests/simulation/fleet_run.cpp
+++ b/tests/simulation/fleet_run.cpp
@@ -88,6 +88,35 @@
     store_.accept(std::move(changes));
 }
 
+void fleet_run::accept_surely(
+    std::vector<configuration_change> changes, std::function<void()> accepted)
+{
+    if (store_.accept(changes) != 0)
+        return accepted();
+    world_.after(std::chrono::seconds(1),
+        [this, changes, accepted] { accept_surely(changes, accepted); });
+}
+
+std::string fleet_run::describe()
+{
+    std::string text;
+    for (auto* it : living()) {
+        auto const status = it->plane().status();
+        text += it->name() + " " + std::string(to_name(status.phase)) +
+            (status.lease_holds ? " holds" : " no") + " lease, version " +
+            std::to_string(status.configuration_version);
+        for (auto const& [data_centre, view] : status.view.data_centres()) {
+            text += ", " + data_centre.text() + " " +
+                std::to_string(view.epoch) + ":";
+            for (auto const& vm : view.vms)
+                text += " " + vm.vm.text() + " " +
+                    std::string(to_name(vm.standing));
+        }
+        text += "\n";
+    }
+    return text;
+}
+
 fake_vm* fleet_run::vm(std::string const& name)
 {
     auto const it = vms_.find(name);
@@ -215,8 +244,8 @@
         ++tally_.answered;
         return;
     }
-    if (refused->kind == refusal_kind::rate_exceeded)
-        ++tally_.rate_refused;
+    ++tally_.refusals[std::string(to_name(refused->kind)) + " " +
+        refused->detail];
     if (refused->result == outcome::not_run)
         ++tally_.refused_not_run;
     else
@@ -345,9 +374,9 @@
         if (store_.accept({{object_kind::data_centre, data_centre, object}}))
             judge_.data_centre_out(data_centre, world_.now());
         world_.after(2 * span, [this, data_centre] {
-            judge_.data_centre_back(data_centre);
-            store_.accept({{object_kind::data_centre, data_centre,
-                data_centre_object{}}});
+            accept_surely(
+                {{object_kind::data_centre, data_centre, data_centre_object{}}},
+                [this, data_centre] { judge_.data_centre_back(data_centre); });
         });
         return;
     }
@@ -358,8 +387,8 @@
         if (store_.accept({{object_kind::key, organisation, {}}}))
             judge_.key_withdrawn(key.hash, world_.now());
         world_.after(2 * span, [this, organisation, key] {
-            judge_.key_given(key.hash);
-            store_.accept({{object_kind::key, organisation, key}});
+            accept_surely({{object_kind::key, organisation, key}},
+                [this, key] { judge_.key_given(key.hash); });
         });
         return;
     }
--- a/tests/simulation/fleet_run.hpp
+++ b/tests/simulation/fleet_run.hpp
@@ -60,7 +60,7 @@
     std::uint64_t refused_not_run = 0;
     std::uint64_t refused_unknown = 0;
     std::uint64_t never_ended = 0;
-    std::uint64_t rate_refused = 0;
+    std::map<std::string, std::uint64_t> refusals;
 };
 
 /// One seeded run of a small fleet with faults in virtual time.
@@ -110,6 +110,9 @@
 
     run_tally const& tally() const { return tally_; }
 
+    /// One line for each VM: its phase, lease and view.
+    std::string describe();
+
     static key_hash key_of(std::string const& organisation);
 
 private:
@@ -124,6 +127,9 @@
     };
 
     void configure();
+    /// Makes a change, again later if the store is away, and then tells.
+    void accept_surely(std::vector<configuration_change> changes,
+        std::function<void()> accepted);
     void arrive(std::string const& organisation, double rate, time_point end);
     void begin_payment(std::string const& organisation);
     void send_payment(std::shared_ptr<payment> it);
--- a/tests/simulation/fleet_run_test.cpp
+++ b/tests/simulation/fleet_run_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cstdlib>
 #include <gtest/gtest.h>
+#include <iostream>
 #include <sstream>
 
 namespace pomelohinge::simulation {
@@ -45,7 +46,15 @@
     run.drive_within_rate(std::chrono::seconds(3));
     auto const requests = run.tally().requests - before.requests;
     EXPECT_GT(requests, 0u);
-    EXPECT_EQ(run.tally().answered - before.answered, requests);
+    EXPECT_EQ(run.tally().answered - before.answered, requests)
+        << run.describe();
+    for (auto const& [kind, n] : run.tally().refusals) {
+        auto const it = before.refusals.find(kind);
+        auto const old = it == before.refusals.end() ? 0 : it->second;
+        if (n > old)
+            std::cout << "refused at the end: " << n - old << " " << kind
+                      << "\n";
+    }
 }
 
 INSTANTIATE_TEST_SUITE_P(seeds, fleet_run_test, testing::ValuesIn(seeds()));
--- a/tools/seeds.sh
+++ b/tools/seeds.sh
@@ -13,7 +13,7 @@
         >"$folder/$it.log" 2>&1 &
 done
 wait
-grep -hE '^seed|^Expected|FAILED .*GetParam' "$folder"/*.log | sed -E 's/^(seed [0-9]+): [0-9.]+ s:/\1:/' |
+grep -hE '^seed|^refused at|FAILED .*GetParam' "$folder"/*.log | sed -E 's/^(seed [0-9]+): [0-9.]+ s:/\1:/' |
     sort | uniq -c | sort -rn | head -40
 passed=$(grep -h '^\[       OK' "$folder"/*.log | wc -l)
 echo "$passed passed, $((each * workers - passed)) failed"
