Give traffic threads a new policy before a new lease

Change: a new policy is published before the lease is renewed by the same answer. The runs keep the order in which one thread speaks to another.

--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -261,9 +261,10 @@
         for (auto& it : changes.changes)
             changed |= take(std::move(it));
         configuration_.confirmed_current(now);
-        confirm_read(asked_at);
+        // Traffic threads must not get a new lease for a former policy.
         if (changed || !policy_->ready)
             publish();
+        confirm_read(asked_at);
     }
 
     bool take(store_change change)
@@ -335,7 +336,7 @@
         switch (phase_) {
         case control_phase::joining:
             if (listed)
-                begin_serving(now);
+                begin_serving();
             return;
         case control_phase::serving:
             // Others took this VM for dead: it starts over.
@@ -355,11 +356,10 @@
         }
     }
 
-    void begin_serving(time_point)
+    void begin_serving()
     {
         phase_ = control_phase::serving;
         log(log_event::started, {{"vm", self_.vm.text()}});
-        renew_lease();
     }
 
     void start_over()
@@ -547,10 +547,10 @@
                 failed_syncs_ = 0;
         }
         bool const changed = take_reply(reply, asked_at);
-        if (reply.read_age != duration::max() && is_current(reply))
-            confirm_read(asked_at - reply.read_age);
         if (changed || (reply.ready && !policy_->ready))
             publish();
+        if (reply.read_age != duration::max() && is_current(reply))
+            confirm_read(asked_at - reply.read_age);
     }
 
     /// Whether this VM now holds all that the reply's sender held.
--- a/tests/simulation/fake_vm.hpp
+++ b/tests/simulation/fake_vm.hpp
@@ -65,12 +65,19 @@
     void resume()
     {
         paused_ = false;
-        // A process that goes on finds its timers and messages in no
-        // particular order.
-        auto waiting = std::exchange(waiting_, {});
-        std::shuffle(waiting.begin(), waiting.end(), fleet_.world.random());
-        for (auto& it : waiting)
-            it();
+        // A process that goes on finds what its own threads said in order,
+        // and messages of others anywhere between.
+        auto messages = std::exchange(waiting_, {});
+        std::shuffle(messages.begin(), messages.end(), fleet_.world.random());
+        auto own = std::exchange(own_waiting_, {});
+        while (!own.empty() || !messages.empty()) {
+            bool const take_own =
+                messages.empty() || (!own.empty() && fleet_.world.chance(0.5));
+            auto& from = take_own ? own : messages;
+            auto const run = std::move(from.front());
+            from.pop_front();
+            run();
+        }
     }
 
     control_plane<fake_vm>& plane() { return plane_; }
@@ -106,8 +113,12 @@
     std::function<void()> here(Work work)
     {
         return [this, alive = alive_, work = std::move(work)]() mutable {
-            if (*alive)
-                deliver(std::move(work));
+            if (!*alive)
+                return;
+            if (paused_)
+                own_waiting_.push_back(std::move(work));
+            else
+                work();
         };
     }
 
@@ -291,7 +302,7 @@
         std::function<void()> lost_are_idle)
     {
         // The traffic thread takes the policy a little later.
-        fleet_.world.after(std::chrono::milliseconds(1),
+        fleet_.world.after(to_traffic,
             here([this, next, done = std::move(done), lost_are_idle] {
                 auto const before = std::exchange(policy_, next);
                 done(organisations_.release_lost(before));
@@ -301,21 +312,19 @@
 
     void take_over(organisation_hand_over taken)
     {
-        // Behind the policy that was published before.
-        fleet_.world.after(std::chrono::milliseconds(1),
+        fleet_.world.after(to_traffic,
             here([this, taken] { organisations_.take_over(taken); }));
     }
 
     void set_limit(target_id const& target, std::size_t limit)
     {
-        fleet_.world.after(std::chrono::microseconds(100),
+        fleet_.world.after(to_traffic,
             here([this, target, limit] { targets_.set_limit(target, limit); }));
     }
 
     void set_lease_end(time_point end)
     {
-        fleet_.world.after(std::chrono::microseconds(100),
-            here([this, end] { lease_end_ = end; }));
+        fleet_.world.after(to_traffic, here([this, end] { lease_end_ = end; }));
     }
 
     void probe_upstream(std::string const&, std::function<void(bool)> done)
@@ -331,6 +340,9 @@
     static constexpr duration reach_timeout = std::chrono::milliseconds(900);
     static constexpr duration dispatch_allowance =
         std::chrono::milliseconds(200);
+    /// From the control thread to a traffic thread; messages keep their
+    /// order.
+    static constexpr duration to_traffic = std::chrono::milliseconds(1);
     static constexpr duration pump_period = std::chrono::milliseconds(25);
     static constexpr duration sweep_period = std::chrono::milliseconds(50);
 
@@ -427,6 +439,7 @@
     target_owner<fake_vm> targets_;
     bool paused_ = false;
     std::deque<std::function<void()>> waiting_;
+    std::deque<std::function<void()>> own_waiting_;
     std::shared_ptr<bool> alive_;
     std::uint64_t last_call_ = 0;
     std::map<std::uint64_t, std::shared_ptr<std::pair<fake_vm*, ticket>>>
--- a/tests/simulation/fleet_run_test.cpp
+++ b/tests/simulation/fleet_run_test.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Runs whole fleets with faults drawn by a seed. `POMELOHINGE_SEEDS` as
-/// `FIRST:COUNT` replaces the few seeds that run by default.
+/// `FIRST:COUNT` replaces the seeds that run by default.
 class fleet_run_test : public testing::TestWithParam<std::uint64_t>
 {
 protected:
@@ -23,12 +23,14 @@
 std::vector<std::uint64_t> seeds()
 {
     auto const* const text = std::getenv("POMELOHINGE_SEEDS");
+    // Seeds that once showed a fault.
+    if (text == nullptr)
+        return {15, 21, 61, 99, 283, 639, 751, 758, 884, 1226, 1736, 1884,
+            2366, 3718};
     std::uint64_t first = 1;
-    std::uint64_t count = 6;
-    if (text != nullptr) {
-        char colon = ':';
-        std::istringstream(text) >> first >> colon >> count;
-    }
+    std::uint64_t count = 1;
+    char colon = ':';
+    std::istringstream(text) >> first >> colon >> count;
     std::vector<std::uint64_t> all;
     for (std::uint64_t it = 0; it < count; ++it)
         all.push_back(first + it);
