--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -308,7 +308,7 @@
                 {"epoch", view_.find(data_centre)->epoch},
                 {"vms", view_.size()}});
         if (data_centre == self_.data_centre) {
-            own_view_changed(now);
+            own_view_changed();
             book_.follow(*view_.find(data_centre));
         }
         note_joined(before);
@@ -328,7 +328,7 @@
         }
     }
 
-    void own_view_changed(time_point now)
+    void own_view_changed()
     {
         auto const* const record = view_.find(self_.vm);
         bool const listed =
--- /dev/null
+++ b/tests/config/settings_test.cpp
@@ -0,0 +1,55 @@
+#include "config/settings.hpp"
+
+#include <gtest/gtest.h>
+
+namespace pomelohinge {
+namespace {
+
+class settings_test : public testing::Test
+{
+protected:
+    findings found_{"settings"};
+};
+
+TEST_F(settings_test, parse_of_whole_settings_gives_values)
+{
+    auto const it = parse_settings(R"({ // a VM
+        "vm": "vm-1", "data_centre": "derby",
+        "callers_address": "127.0.0.1:8080",
+        "peers_address": "127.0.0.1:8081",
+        "operators_address": "127.0.0.1:8082",
+        "platform_address": "127.0.0.1:9000",
+        "traffic_threads": 3,
+        "log": {"format": "json"},
+        "limits": {"request_body_bytes": 4096}})",
+        found_);
+    ASSERT_TRUE(it) << found_.to_text();
+    EXPECT_EQ(it->vm.text(), "vm-1");
+    EXPECT_EQ(it->traffic_threads, 3);
+    EXPECT_EQ(it->format, log_format::json);
+    EXPECT_EQ(it->request_body_bytes, 4096);
+}
+
+TEST_F(settings_test, parse_with_many_faults_reports_all_with_their_places)
+{
+    EXPECT_FALSE(parse_settings("{\"vm\": 7,\n"
+                                "\"data_centre\": \"derby\",\n"
+                                "\"callers_address\": \"localhost:1\",\n"
+                                "\"peers_address\": \"127.0.0.1:8081\",\n"
+                                "\"operators_address\": \"127.0.0.1:8082\",\n"
+                                "\"traffic_threads\": 0,\n"
+                                "\"log\": {\"level\": \"loud\"},\n"
+                                "\"colour\": 1}",
+        found_));
+    auto const text = found_.to_text();
+    EXPECT_NE(text.find("settings:1:8: /vm: a string"), std::string::npos);
+    EXPECT_NE(text.find(":3:"), std::string::npos);
+    EXPECT_NE(text.find("\"platform_address\" is missing"), std::string::npos);
+    EXPECT_NE(text.find("0 is not between 1 and"), std::string::npos);
+    EXPECT_NE(text.find("\"loud\" is not one of"), std::string::npos);
+    EXPECT_NE(text.find(":8:11: /colour: unknown field"), std::string::npos)
+        << text;
+}
+
+} // namespace
+} // namespace pomelohinge
--- /dev/null
+++ b/tests/drivers/front_test.cpp
@@ -0,0 +1,207 @@
+#include "drivers/front/front.hpp"
+#include "drivers/front/http_forms.hpp"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace pomelohinge {
+namespace {
+
+/// A front on loopback whose requests are answered by the test.
+class front_test : public testing::Test
+{
+protected:
+    static constexpr std::uint16_t port = 18080;
+    static constexpr std::size_t body_limit = 2000;
+
+    front_test()
+        : front_(context_,
+              {[this](entry_message message,
+                   std::function<void(entry_result)> done) {
+                   return handle(std::move(message), std::move(done));
+               },
+                  [](std::optional<key_hash> const&) {
+                      return entry_answer{
+                          {"127.0.0.1:1"}, std::chrono::seconds(9)};
+                  }},
+              {body_limit}),
+          work_(context_.get_executor())
+    {
+        auto const status = front_.listen("127.0.0.1:" + std::to_string(port));
+        EXPECT_TRUE(status.ok()) << status.message();
+        thread_ = std::thread([this] { context_.run(); });
+    }
+
+    ~front_test() override
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    std::function<void()> handle(
+        entry_message message, std::function<void(entry_result)> done)
+    {
+        ++handled_;
+        handled_.notify_all();
+        if (message.head.target == "/hang")
+            return [this] {
+                caller_gone_ = true;
+                caller_gone_.notify_all();
+            };
+        last_ = message;
+        done(upstream_answer{200, {{"X-Served", "yes"}}, "whole"});
+        return [] {
+        };
+    }
+
+    asio::ip::tcp::socket connect()
+    {
+        asio::ip::tcp::socket socket(caller_);
+        socket.connect({asio::ip::make_address("127.0.0.1"), port});
+        return socket;
+    }
+
+    /// Sends raw bytes and returns all that comes until the connection ends.
+    std::string exchange(std::string const& bytes)
+    {
+        auto socket = connect();
+        asio::error_code ec;
+        asio::write(socket, asio::buffer(bytes), ec);
+        std::string answer;
+        asio::read(socket, asio::dynamic_buffer(answer), ec);
+        return answer;
+    }
+
+    std::string request(std::string const& more, std::string body = {})
+    {
+        return exchange("POST /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" +
+            more + "Content-Length: " + std::to_string(body.size()) +
+            "\r\n\r\n" + body);
+    }
+
+    /// Expects a refusal that says "not run", before any handler.
+    void expect_refused(std::string const& answer, std::string const& status)
+    {
+        EXPECT_NE(answer.find("HTTP/1.1 " + status), std::string::npos)
+            << answer;
+        EXPECT_NE(
+            answer.find("Pomelohinge-Outcome: not_run"), std::string::npos);
+        EXPECT_NE(answer.find("\"outcome\":\"not_run\""), std::string::npos);
+        EXPECT_EQ(handled_, 0);
+    }
+
+    asio::io_context context_{1};
+    asio::io_context caller_{1};
+    front front_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    std::thread thread_;
+    std::atomic<int> handled_ = 0;
+    std::atomic<bool> caller_gone_ = false;
+    entry_message last_;
+};
+
+TEST_F(front_test, request_that_is_whole_reaches_its_handler_without_the_key)
+{
+    auto const answer =
+        request("Authorization: Bearer secret\r\nX-Request-Id: id-1\r\n"
+                "Pomelohinge-Organisation: forged\r\nAccept: */*\r\n",
+            "abc");
+    EXPECT_NE(answer.find("200 OK"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("X-Request-Id: id-1"), std::string::npos);
+    EXPECT_EQ(last_.body, "abc");
+    EXPECT_EQ(last_.head.key, hash_key("secret"));
+    ASSERT_EQ(last_.headers.size(), 1u);
+    EXPECT_EQ(last_.headers.front().name, "Accept");
+}
+
+TEST_F(front_test, request_with_garbage_is_refused_readably)
+{
+    expect_refused(exchange("garbage\r\n\r\n"), "400");
+}
+
+TEST_F(front_test, request_with_two_lengths_is_refused)
+{
+    expect_refused(exchange("POST /a HTTP/1.1\r\nHost: x\r\n"
+                            "Content-Length: 3\r\nContent-Length: 4\r\n\r\n"
+                            "abcd"),
+        "400");
+}
+
+TEST_F(front_test, request_with_length_and_chunks_is_refused)
+{
+    expect_refused(exchange("POST /a HTTP/1.1\r\nHost: x\r\n"
+                            "Content-Length: 3\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n"
+                            "0\r\n\r\n"),
+        "400");
+}
+
+TEST_F(front_test, request_with_oversize_header_is_refused)
+{
+    expect_refused(
+        request("X-Long: " + std::string(20'000, 'x') + "\r\n"), "400");
+}
+
+TEST_F(front_test, request_with_oversize_path_is_refused)
+{
+    expect_refused(exchange("GET /" + std::string(9'000, 'p') +
+                       " HTTP/1.1\r\nHost: x\r\n\r\n"),
+        "400");
+}
+
+TEST_F(front_test, request_with_oversize_body_is_refused_as_too_large)
+{
+    expect_refused(request("", std::string(body_limit + 1, 'b')), "413");
+}
+
+TEST_F(front_test, request_with_a_header_twice_is_refused)
+{
+    expect_refused(request("Authorization: Bearer a\r\n"
+                           "Authorization: Bearer b\r\n"),
+        "400");
+    expect_refused(
+        request("Idempotency-Key: a\r\nIdempotency-Key: a\r\n"), "400");
+}
+
+TEST_F(front_test, request_with_a_deadline_that_is_no_number_is_refused)
+{
+    expect_refused(request("Pomelohinge-Deadline-Ms: soon\r\n"), "400");
+}
+
+TEST_F(front_test, request_with_unknown_method_is_refused)
+{
+    expect_refused(exchange("PURGE /a HTTP/1.1\r\nHost: x\r\n"
+                            "Connection: close\r\n\r\n"),
+        "405");
+}
+
+TEST_F(front_test, caller_that_hangs_up_is_noticed_while_it_waits)
+{
+    {
+        auto socket = connect();
+        std::string const bytes = "GET /hang HTTP/1.1\r\nHost: x\r\n\r\n";
+        asio::write(socket, asio::buffer(bytes));
+        handled_.wait(0);
+    }
+    // The test ends by its own time limit if the hang-up is never noticed.
+    caller_gone_.wait(false);
+    EXPECT_EQ(front_.open_requests(), 0u);
+}
+
+TEST_F(front_test, entry_question_gets_addresses)
+{
+    auto const answer =
+        exchange("GET /.pomelohinge/entries HTTP/1.1\r\nHost: x\r\n"
+                 "Connection: close\r\n\r\n");
+    EXPECT_NE(
+        answer.find("{\"addresses\":[\"127.0.0.1:1\"],\"ttl_seconds\":9}"),
+        std::string::npos)
+        << answer;
+}
+
+} // namespace
+} // namespace pomelohinge
