--- a/core/json_text.cpp
+++ b/core/json_text.cpp
@@ -109,12 +109,23 @@
     std::size_t line_start_ = 0;
 };
 
+/// What one pass over a text gives.
+struct parsed_text
+{
+    nlohmann::json value;
+    text_map<text_place> places;
+    bool whole = false;
+};
+
+/// Whether a pass notes the place of each value.
+enum class note_places { no, yes };
+
 /// Receives the parser's events and builds the document.
 class document_builder : public nlohmann::json_sax<nlohmann::json>
 {
 public:
-    document_builder(std::string_view text, findings& found)
-        : places_(text), found_(found)
+    document_builder(std::string_view text, findings& found, note_places noted)
+        : places_(text), found_(found), noted_(noted)
     {
     }
 
@@ -147,7 +158,7 @@
 
     bool key(string_t& value) override
     {
-        auto const place = places_.next();
+        auto const place = next_place();
         auto& it = open_.back();
         it.key = std::move(value);
         if (it.value->contains(it.key))
@@ -167,7 +178,7 @@
         return false;
     }
 
-    json_document take() { return std::move(document_); }
+    parsed_text take() { return std::move(document_); }
 
 private:
     struct container
@@ -187,9 +198,15 @@
         return it.pointer + "/" + escape_pointer_token(it.key);
     }
 
+    text_place next_place()
+    {
+        return noted_ == note_places::yes ? places_.next() : text_place{};
+    }
+
     nlohmann::json* place_value(nlohmann::json value)
     {
-        document_.places.emplace(child_pointer(), places_.next());
+        if (noted_ == note_places::yes)
+            document_.places.emplace(child_pointer(), next_place());
         if (open_.empty()) {
             document_.value = std::move(value);
             return &document_.value;
@@ -210,7 +227,8 @@
 
     bool open(nlohmann::json value)
     {
-        auto pointer = child_pointer();
+        auto pointer =
+            noted_ == note_places::yes ? child_pointer() : std::string();
         auto* const placed = place_value(std::move(value));
         open_.push_back({placed, std::move(pointer), {}});
         return true;
@@ -218,24 +236,44 @@
 
     bool close()
     {
-        places_.next();
+        next_place();
         open_.pop_back();
         return true;
     }
 
     token_places places_;
     findings& found_;
-    json_document document_;
+    note_places noted_;
+    parsed_text document_;
     std::vector<container> open_;
 };
 
+parsed_text parse_once(
+    std::string_view text, findings& found, note_places noted)
+{
+    constexpr bool strict = true;
+    constexpr bool ignore_comments = true;
+    auto const before = found.items().size();
+    document_builder builder(text, found, noted);
+    auto const accepted =
+        nlohmann::json::sax_parse(text.begin(), text.end(), &builder,
+            nlohmann::json::input_format_t::json, strict, ignore_comments);
+    auto parsed = builder.take();
+    parsed.whole = accepted && found.items().size() == before;
+    return parsed;
+}
+
 } // namespace
 
 text_place json_document::place_of(std::string_view pointer) const
 {
+    if (!places_) {
+        findings none("");
+        places_ = parse_once(text_, none, note_places::yes).places;
+    }
     while (true) {
-        auto const it = places.find(pointer);
-        if (it != places.end())
+        auto const it = places_->find(pointer);
+        if (it != places_->end())
             return it->second;
         auto const cut = pointer.rfind('/');
         if (cut == std::string_view::npos)
@@ -247,16 +285,16 @@
 std::optional<json_document> parse_json_text(
     std::string_view text, findings& found)
 {
-    constexpr bool strict = true;
-    constexpr bool ignore_comments = true;
-    auto const before = found.items().size();
-    document_builder builder(text, found);
-    auto const parsed =
-        nlohmann::json::sax_parse(text.begin(), text.end(), &builder,
-            nlohmann::json::input_format_t::json, strict, ignore_comments);
-    if (!parsed || found.items().size() != before)
+    findings first("");
+    auto parsed = parse_once(text, first, note_places::no);
+    if (!parsed.whole) {
+        parse_once(text, found, note_places::yes);
         return std::nullopt;
-    return builder.take();
+    }
+    json_document document;
+    document.value = std::move(parsed.value);
+    document.text_ = std::string(text);
+    return document;
 }
 
 std::string escape_pointer_token(std::string_view key)
--- a/core/json_text.hpp
+++ b/core/json_text.hpp
@@ -11,15 +11,23 @@
 
 namespace pomelohinge {
 
-/// A parsed JSON text with comments that remembers where each value stands.
-struct json_document
+/// A parsed JSON text with comments that can tell where each value stands.
+class json_document
 {
+public:
     nlohmann::json value;
-    /// Place of each value by its JSON pointer.
-    text_map<text_place> places;
 
-    /// The place of the value at `pointer`, or of its nearest parent.
+    /// The place of the value at `pointer`, or of its nearest parent. The
+    /// first call reads the text again, so that texts without findings do
+    /// not pay for places.
     text_place place_of(std::string_view pointer) const;
+
+private:
+    friend std::optional<json_document> parse_json_text(
+        std::string_view text, findings& found);
+
+    std::string text_;
+    mutable std::optional<text_map<text_place>> places_;
 };
 
 /// Parses JSON with comments. Syntax errors and duplicate keys are added to
--- a/drivers/front/front.cpp
+++ b/drivers/front/front.cpp
@@ -245,7 +245,7 @@
         message.head.deadline = headers.deadline;
         message.head.body_bytes = request->body().size();
         message.headers = std::move(headers.passed);
-        message.body = std::move(request->body());
+        message.body = request->body();
         run(std::move(request), std::move(message));
         return restinio::request_accepted();
     }
--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -80,16 +80,16 @@
     }
     /// RESTinio accepts the next connection into the moved-from socket, so
     /// that one gets a watch of its own.
-    front_socket(front_socket&& other)
+    front_socket(front_socket&& other) noexcept
         : base(std::move(other)), watch_(std::exchange(other.watch_,
                                       std::make_shared<connection_watch>()))
     {
     }
-    front_socket& operator=(front_socket&& other)
+    front_socket& operator=(front_socket&& other) noexcept
     {
-        base::operator=(std::move(other));
         watch_ =
             std::exchange(other.watch_, std::make_shared<connection_watch>());
+        base::operator=(std::move(other));
         return *this;
     }
 
--- a/drivers/peers/peer_client.cpp
+++ b/drivers/peers/peer_client.cpp
@@ -87,7 +87,7 @@
     Method method, Done done)
 {
     // gRPC needs context, question and reply until its callback has come.
-    auto const it = std::make_shared<call<Reply>>();
+    auto it = std::make_shared<call<Reply>>();
     auto const kept = std::make_shared<Question>(std::move(question));
     it->context.set_deadline(std::chrono::system_clock::now() +
         std::chrono::duration_cast<std::chrono::system_clock::duration>(
--- a/drivers/platform/platform_client.hpp
+++ b/drivers/platform/platform_client.hpp
@@ -26,7 +26,8 @@
         std::function<void(store_changes)> done)
     {
         store_.watch("", revision, wait,
-            [this, revision, done = std::move(done)](watch_reply reply) {
+            [this, revision, done = std::move(done)](
+                watch_reply reply) mutable {
                 if (reply.status != store_status::done ||
                     reply.revision < revision)
                     return done({reply.status, reply.revision, {}});
--- a/main/control_thread.cpp
+++ b/main/control_thread.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/post.hpp>
 #include <fmt/format.h>
+#include <malloc.h>
 
 namespace pomelohinge {
 namespace {
@@ -11,7 +12,7 @@
 constexpr duration watch_wait = std::chrono::milliseconds(500);
 
 /// By then no request decides by a former snapshot any more.
-constexpr duration policy_memory = std::chrono::seconds(10);
+constexpr duration policy_memory = std::chrono::seconds(5);
 
 vm_record record_of(settings const& configured, std::uint64_t incarnation)
 {
@@ -68,8 +69,11 @@
 
 void control_thread::release_old_policies()
 {
-    std::erase_if(old_policies_,
+    auto const released = std::erase_if(old_policies_,
         [&](auto const& it) { return now() - it.first > policy_memory; });
+    // A large snapshot leaves much memory that the allocator would keep.
+    if (released > 0)
+        malloc_trim(0);
 }
 
 void control_thread::watch_store(
--- a/main/daemon.cpp
+++ b/main/daemon.cpp
@@ -43,14 +43,13 @@
 
 absl::Status daemon::run()
 {
-    if (auto const status = peers_.listen(settings_.peers_address);
-        !status.ok())
+    if (auto status = peers_.listen(settings_.peers_address); !status.ok())
         return status;
-    if (auto const status = operators_.listen(settings_.operators_address);
+    if (auto status = operators_.listen(settings_.operators_address);
         !status.ok())
         return status;
     for (auto const& it : traffic_)
-        if (auto const status = it->start(); !status.ok())
+        if (auto status = it->start(); !status.ok())
             return status;
     signals_.async_wait([this](asio::error_code ec, int) {
         if (!ec)
--- a/main/traffic_thread.cpp
+++ b/main/traffic_thread.cpp
@@ -49,8 +49,7 @@
 
 absl::Status traffic_thread::start()
 {
-    if (auto const status = front_.listen(settings_.callers_address);
-        !status.ok())
+    if (auto status = front_.listen(settings_.callers_address); !status.ok())
         return status;
     sweep_timer_ = timers_.every(now(), sweep_period, [this] { sweep(); });
     keep_time();
--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -319,13 +319,9 @@
     /// from this VM and are told once all threads have stopped acting.
     void note_joined(fleet_view const& before)
     {
-        for (auto const& it : view_.vms()) {
-            auto const* const known = before.find(it.vm);
-            bool const same =
-                known != nullptr && known->incarnation == it.incarnation;
-            if (!same && it.vm != self_.vm)
-                joined_.push_back(it);
-        }
+        for (auto& it : joined_between(before, view_))
+            if (it.vm != self_.vm)
+                joined_.push_back(std::move(it));
     }
 
     void own_view_changed()
@@ -388,10 +384,9 @@
     {
         std::vector<data_centre_view> newer;
         for (auto const& [data_centre, view] : view_.data_centres()) {
-            auto const it = std::find_if(
-                known.begin(), known.end(), [&](auto const& epoch) {
-                    return epoch.data_centre == data_centre;
-                });
+            auto const it = std::find_if(known.begin(), known.end(),
+                [&wanted = data_centre](
+                    auto const& epoch) { return epoch.data_centre == wanted; });
             if (it == known.end() || it->epoch < view.epoch)
                 newer.push_back(view);
         }
--- a/servers/control/target_control.hpp
+++ b/servers/control/target_control.hpp
@@ -124,11 +124,22 @@
         owned_index_ = in_force.index;
         owned_ranks_ = in_force.owners.current();
         owned_targets_.clear();
+        owned_services_.clear();
+        if (owned_ranks_ == nullptr)
+            return;
+        // Only few data centres rank this VM, most often its own alone.
+        std::map<data_centre_id, bool> ranked_in;
         for (auto const& [name, object] :
-            in_force.index->source.template table<target_object>())
-            if (in_force.owners.is_owner(target_key(target_id(name), object)))
+            in_force.index->source.template table<target_object>()) {
+            auto const [it, fresh] =
+                ranked_in.emplace(object.data_centre, false);
+            if (fresh)
+                it->second = owned_ranks_->is_ranked(
+                    in_force.owners.self(), object.data_centre);
+            if (it->second &&
+                in_force.owners.is_owner(target_key(target_id(name), object)))
                 owned_targets_.push_back(name);
-        owned_services_.clear();
+        }
         for (auto const& [name, object] :
             in_force.index->source.template table<service_object>())
             if (in_force.owners.is_owner(service_key(name)))
@@ -155,7 +166,7 @@
             auto const known = keepers_.find(id);
             auto [it, fresh] = next.emplace(id,
                 known != keepers_.end()
-                    ? std::move(known->second)
+                    ? known->second
                     : target_keeper(rules_.target, slots, now));
             auto& keeper = it->second;
             keeper.set_slots(slots);
--- a/servers/dispatch/target_owner.hpp
+++ b/servers/dispatch/target_owner.hpp
@@ -192,7 +192,7 @@
         return answer;
     }
 
-    void finish_order(order_map::iterator it, dispatch_answer answer)
+    void finish_order(typename order_map::iterator it, dispatch_answer answer)
     {
         auto const on_end = std::move(it->second.on_end);
         orders_.erase(it);
--- a/servers/entries/entry_answer.cpp
+++ b/servers/entries/entry_answer.cpp
@@ -20,7 +20,8 @@
     owned_key const key{owned_kind::organisation, organisation.text(), nullptr,
         shares + fallback_addresses};
     auto ranked = owners.owners(key);
-    auto const preferred = std::min(shares, ranked.size());
+    auto const preferred =
+        static_cast<std::ptrdiff_t>(std::min(shares, ranked.size()));
     std::shuffle(ranked.begin(), ranked.begin() + preferred, random);
     entry_answer answer;
     for (auto const* it : ranked)
--- a/servers/membership/configuration_follower.cpp
+++ b/servers/membership/configuration_follower.cpp
@@ -5,8 +5,10 @@
 namespace pomelohinge {
 namespace {
 
-/// Entries that are kept for VMs that lag behind.
-constexpr std::size_t kept_entries = 1024;
+/// Entries that are kept for VMs that lag behind, and the changes in all of
+/// them. VMs that lag further get the whole configuration.
+constexpr std::size_t most_kept_entries = 1024;
+constexpr std::size_t most_kept_changes = 4096;
 
 } // namespace
 
@@ -46,6 +48,7 @@
     current_ = std::move(whole);
     version_ = version;
     recent_.clear();
+    recent_changes_ = 0;
     confirmed_current(now);
     return true;
 }
@@ -85,6 +88,18 @@
     return entries;
 }
 
+void configuration_follower::keep_recent()
+{
+    recent_.push_back(*offered_);
+    recent_changes_ += offered_->changes.size();
+    while (!recent_.empty() &&
+        (recent_.size() > most_kept_entries ||
+            recent_changes_ > most_kept_changes)) {
+        recent_changes_ -= recent_.front().changes.size();
+        recent_.pop_front();
+    }
+}
+
 void configuration_follower::perform(configuration_action action)
 {
     switch (action) {
@@ -93,10 +108,7 @@
             offered_->version == version_ + 1, offered_->write_id);
         current_ = current_.with(offered_->changes);
         version_ = offered_->version;
-        recent_.push_back(*offered_);
-        if (recent_.size() > kept_entries)
-            recent_.pop_front();
-        return;
+        return keep_recent();
     case configuration_action::ask_missing:
         missing_ = true;
         return;
--- a/servers/membership/configuration_follower.hpp
+++ b/servers/membership/configuration_follower.hpp
@@ -57,12 +57,15 @@
     void perform(configuration_action action);
 
 private:
+    void keep_recent();
     void fire(configuration_event event, time_point now);
 
     chart_instance<configuration_chart> life_;
     configuration current_;
     std::uint64_t version_ = 0;
     std::deque<journal_entry> recent_;
+    /// Changes in all of `recent_`.
+    std::size_t recent_changes_ = 0;
     journal_entry const* offered_ = nullptr;
     time_point entered_at_{};
     bool missing_ = false;
--- a/servers/membership/view.cpp
+++ b/servers/membership/view.cpp
@@ -73,6 +73,28 @@
     return state;
 }
 
+std::vector<vm_record> joined_between(
+    fleet_view const& before, fleet_view const& after)
+{
+    std::vector<vm_record> joined;
+    for (auto const& [data_centre, view] : after.data_centres()) {
+        auto const* const old = before.find(data_centre);
+        if (old != nullptr && old->epoch == view.epoch)
+            continue;
+        for (auto const& it : view.vms) {
+            bool const known = old != nullptr &&
+                std::any_of(old->vms.begin(), old->vms.end(),
+                    [&](vm_record const& held) {
+                        return held.incarnation == it.incarnation &&
+                            held.vm == it.vm;
+                    });
+            if (!known)
+                joined.push_back(it);
+        }
+    }
+    return joined;
+}
+
 data_centre_view with_vm(data_centre_view view, vm_record record)
 {
     auto const it = std::lower_bound(view.vms.begin(), view.vms.end(),
--- a/servers/membership/view.hpp
+++ b/servers/membership/view.hpp
@@ -92,6 +92,10 @@
     std::map<data_centre_id, data_centre_view> views_;
 };
 
+/// VMs of `after` that are not in `before` with the same incarnation.
+std::vector<vm_record> joined_between(
+    fleet_view const& before, fleet_view const& after);
+
 /// `view` with `record` put in place of the one of the same name.
 data_centre_view with_vm(data_centre_view view, vm_record record);
 
--- a/servers/ownership/ownership.cpp
+++ b/servers/ownership/ownership.cpp
@@ -31,15 +31,13 @@
     former.left_at = now;
     former.next = view.epochs();
     former.skipped = current_ == nullptr || changes_between(view_, view) > 1;
-    former.needed_reads = (view_.size() + 1) / 2;
+    former.needed_reads =
+        (view_.size() + 1) / 2 + joined_between(view_, view).size();
     auto& stopped = former.released[index_of(released_keys::all_but_targets)];
-    for (auto const& it : view.vms()) {
-        if (it.standing == vm_standing::leaving)
-            stopped.emplace(it.vm, now);
-        auto const* const known = view_.find(it.vm);
-        if (known == nullptr || known->incarnation != it.incarnation)
-            ++former.needed_reads;
-    }
+    for (auto const& [data_centre, it] : view.data_centres())
+        for (auto const& record : it.vms)
+            if (record.standing == vm_standing::leaving)
+                stopped.emplace(record.vm, now);
     // Before the first view, the VMs in it are the ones to ask.
     if (current_ == nullptr)
         former.needed_reads = (view.size() + 1) / 2;
--- a/servers/ownership/rendezvous.cpp
+++ b/servers/ownership/rendezvous.cpp
@@ -42,12 +42,18 @@
 std::vector<vm_record const*> rendezvous::rank(owned_kind kind,
     std::string_view key, std::size_t count, data_centre_id const* within) const
 {
+    if (count == 1) {
+        auto const* const first = owner(kind, key, within);
+        return first == nullptr ? std::vector<vm_record const*>()
+                                : std::vector<vm_record const*>{first};
+    }
     auto const hash = hash_text(key, index_of(kind));
     std::vector<std::pair<std::uint64_t, vm_record const*>> ranked;
     for (auto const& it : seats(within))
         ranked.emplace_back(weigh(it.hash, hash), &it.record);
     count = std::min(count, ranked.size());
-    std::partial_sort(ranked.begin(), ranked.begin() + count, ranked.end(),
+    std::partial_sort(ranked.begin(),
+        ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(),
         [](auto const& left, auto const& right) {
             return left.first != right.first
                 ? left.first > right.first
@@ -59,11 +65,29 @@
     return best;
 }
 
+bool rendezvous::is_ranked(vm_id const& vm, data_centre_id const& within) const
+{
+    auto const& ranked = seats(&within);
+    return std::any_of(ranked.begin(), ranked.end(),
+        [&](seat const& it) { return it.record.vm == vm; });
+}
+
 vm_record const* rendezvous::owner(
     owned_kind kind, std::string_view key, data_centre_id const* within) const
 {
-    auto const best = rank(kind, key, 1, within);
-    return best.empty() ? nullptr : best.front();
+    auto const hash = hash_text(key, index_of(kind));
+    seat const* best = nullptr;
+    std::uint64_t highest = 0;
+    for (auto const& it : seats(within)) {
+        auto const weight = weigh(it.hash, hash);
+        bool const better = best == nullptr || weight > highest ||
+            (weight == highest && it.record.vm < best->record.vm);
+        if (!better)
+            continue;
+        best = &it;
+        highest = weight;
+    }
+    return best == nullptr ? nullptr : &best->record;
 }
 
 } // namespace pomelohinge
--- a/servers/ownership/rendezvous.hpp
+++ b/servers/ownership/rendezvous.hpp
@@ -35,6 +35,9 @@
     std::vector<vm_record const*> rank(owned_kind kind, std::string_view key,
         std::size_t count, data_centre_id const* within = nullptr) const;
 
+    /// Whether `vm` is among those ranked within a data centre.
+    bool is_ranked(vm_id const& vm, data_centre_id const& within) const;
+
     /// The first VM for the key; null if no VM serves.
     vm_record const* owner(owned_kind kind, std::string_view key,
         data_centre_id const* within = nullptr) const;
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -59,14 +59,16 @@
                 return left.route.path_prefix.size() >
                     right.route.path_prefix.size();
             });
-    for (auto const& [name, it] : from.table<key_object>())
-        keys_.emplace(it.hash, it.organisation);
+    auto const& keys = configuration_.table<key_object>();
+    keys_.reserve(keys.size());
+    for (auto const& [name, it] : keys)
+        keys_.emplace(it.hash, &it.organisation);
 }
 
 organisation_id const* router::organisation_of(key_hash const& key) const
 {
     auto const it = keys_.find(key);
-    return it == keys_.end() ? nullptr : &it->second;
+    return it == keys_.end() ? nullptr : it->second;
 }
 
 bool router::key_in_force(
--- a/servers/routing/router.hpp
+++ b/servers/routing/router.hpp
@@ -22,6 +22,8 @@
 {
 public:
     explicit router(configuration const& from);
+    router(router const&) = delete;
+    router& operator=(router const&) = delete;
 
     /// Decides on one request. The key is checked first, so that a caller
     /// without one learns nothing of services, except on open routes.
@@ -52,7 +54,8 @@
     configuration configuration_;
     /// Routes by service, longest prefix first.
     text_map<std::vector<route_entry>> routes_;
-    absl::flat_hash_map<key_hash, organisation_id> keys_;
+    /// The organisations are those of the configuration's key objects.
+    absl::flat_hash_map<key_hash, organisation_id const*> keys_;
 };
 
 /// Edits that turn `left` into `right`: insertions, deletions, replacements
--- a/tests/simulation/referee.hpp
+++ b/tests/simulation/referee.hpp
@@ -22,7 +22,9 @@
     /// Sets the rate that an organisation's tokens are held to.
     void set_rate(std::string const& organisation, rate_object const& rate)
     {
-        buckets_[organisation] = {rate, static_cast<double>(rate.burst), {}};
+        auto& it = buckets_[organisation];
+        it.rate = rate;
+        it.level = static_cast<double>(rate.burst);
     }
 
     void token_given(
