Report capacities on change and every 4 s; retry heartbeats soon

Cause: at the design size a VM would send 15 floor reports a second, and a watcher of 14 VMs spent 2.2% of a core on heartbeats every 0.25 s. Change: a change of capacity is reported at once, all of them every 4 s; heartbeats every 0.4 s to 1 s, and 0.1 s after one that failed.

--- a/main/control_thread.cpp
+++ b/main/control_thread.cpp
@@ -74,6 +74,7 @@
     // A large snapshot leaves much memory that the allocator would keep.
     if (released > 0)
         malloc_trim(0);
+    peers_.drop_idle(now());
 }
 
 void control_thread::watch_store(
--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -75,10 +75,8 @@
         auto const now = environment_.now();
         observing_since_ = now;
         tick_timer_ = timers_.every(now, tick_period, [this] { tick(); });
-        report_timer_ = timers_.every(now, floor_report_period, [this] {
-            if (policy_ != nullptr)
-                targets_.report(*policy_);
-        });
+        report_timer_ = timers_.every(
+            now, floor_report_period, [this] { targets_.report(); });
         publish();
         heartbeat();
         tick();
@@ -173,10 +171,12 @@
     static constexpr duration tick_period = std::chrono::milliseconds(100);
     /// A heartbeat to the watcher comes more often in a small data centre.
     static constexpr duration shortest_heartbeat =
-        std::chrono::milliseconds(250);
+        std::chrono::milliseconds(400);
     static constexpr duration longest_heartbeat =
         std::chrono::milliseconds(1000);
     static constexpr duration heartbeat_per_vm = std::chrono::milliseconds(10);
+    /// After a heartbeat without an answer the next watcher is tried soon.
+    static constexpr duration heartbeat_retry = std::chrono::milliseconds(100);
     /// VMs of a data centre that follow the store themselves.
     static constexpr std::size_t watchers_per_data_centre = 2;
     /// Ranks that a VM tries when its watcher does not answer.
@@ -532,8 +532,11 @@
     void sync_answered(sync_reply reply, time_point asked_at, bool counts)
     {
         if (!reply.reached) {
-            if (counts)
+            if (counts) {
                 ++failed_syncs_;
+                heartbeat_timer_ = timers_.once(environment_.now(),
+                    heartbeat_retry, [this] { heartbeat(); });
+            }
             return;
         }
         if (counts) {
--- a/servers/control/target_control.hpp
+++ b/servers/control/target_control.hpp
@@ -59,23 +59,16 @@
             keeper.tick(environment_.now());
             settle(target, keeper);
         }
-        ask_ejections(now_in_force);
+        tell_services(now_in_force);
     }
 
-    /// Reports capacities to the owners of services; call it every
+    /// Reports all capacities to the owners of services; call it every
     /// `floor_report_period`.
-    void report(policy const& now_in_force)
+    void report()
     {
         send_limits();
-        std::map<service_id, floor_question> questions;
         for (auto const& [target, keeper] : keepers_)
-            if (auto const* const object = find(now_in_force, target))
-                questions[object->service].reports.push_back(
-                    report_of(target, *object, keeper));
-        for (auto& [service, question] : questions) {
-            question.service = service;
-            send(now_in_force, std::move(question));
-        }
+            to_report_.insert(target);
     }
 
     /// Answers as the owner of a service.
@@ -231,6 +224,7 @@
         if (!fresh && it->second == limit)
             return;
         it->second = limit;
+        to_report_.insert(target);
         environment_.set_limit(target, limit);
         auto const [state, first] =
             logged_states_.emplace(target, keeper.state());
@@ -249,7 +243,7 @@
             environment_.set_limit(target, limit);
     }
 
-    void ask_ejections(policy const& in_force)
+    void tell_services(policy const& in_force)
     {
         std::map<service_id, floor_question> questions;
         for (auto const& target : to_eject_)
@@ -258,8 +252,16 @@
         for (auto const& target : to_return_)
             if (auto const* const object = find(in_force, target))
                 questions[object->service].returned.push_back(target);
+        for (auto const& target : to_report_) {
+            auto const* const object = find(in_force, target);
+            auto const keeper = keepers_.find(target);
+            if (object != nullptr && keeper != keepers_.end())
+                questions[object->service].reports.push_back(
+                    report_of(target, *object, keeper->second));
+        }
         to_eject_.clear();
         to_return_.clear();
+        to_report_.clear();
         for (auto& [service, question] : questions) {
             question.service = service;
             send(in_force, std::move(question));
@@ -321,6 +323,7 @@
     std::map<target_id, target_state> logged_states_;
     std::set<target_id> to_eject_;
     std::set<target_id> to_return_;
+    std::set<target_id> to_report_;
     std::set<target_id> probes_;
 };
 
--- a/servers/floors/floor_keeper.cpp
+++ b/servers/floors/floor_keeper.cpp
@@ -8,11 +8,11 @@
 namespace {
 
 /// A report older than this is not relied upon.
-constexpr duration report_limit = 4 * floor_report_period;
+constexpr duration report_limit = 3 * floor_report_period;
 
 /// For so long after a grant, reports that do not show the ejection yet are
 /// taken as sent before it.
-constexpr duration grant_settles = 2 * floor_report_period;
+constexpr duration grant_settles = std::chrono::seconds(2);
 
 } // namespace
 
--- a/servers/floors/floor_keeper.hpp
+++ b/servers/floors/floor_keeper.hpp
@@ -11,8 +11,9 @@
 
 namespace pomelohinge {
 
-/// How often owners of targets report to the owner of their service.
-inline constexpr duration floor_report_period = std::chrono::seconds(1);
+/// How often owners of targets report to the owner of their service; a
+/// change of capacity is reported at once.
+inline constexpr duration floor_report_period = std::chrono::seconds(4);
 
 /// What a target's owner reports to the owner of the service.
 struct capacity_report
