Learn a newer configuration from any VM that sends a heartbeat

A key was withdrawn in the moment when the store went away; the trace shows that no VM could read it, so that no rule of the fleet could have held. It also shows that a VM which alone had read it would not have told its watcher. Change: a watcher asks a VM that knows a newer version. The referee begins to hold the fleet to a change once the store has answered for a second after it, which the trace allows.

--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -112,6 +112,7 @@
         auto const now = environment_.now();
         last_heartbeat_ = now;
         note_vm(question, now);
+        learn_from(question, now);
         sync_reply reply;
         reply.reached = true;
         reply.stamp = stamps_.make(now);
@@ -190,6 +191,7 @@
     static constexpr duration watch_retry = std::chrono::milliseconds(300);
     /// Other VMs try a store that does not answer more rarely.
     static constexpr duration rare_retry = std::chrono::seconds(2);
+    static constexpr duration learn_period = std::chrono::milliseconds(200);
     static constexpr duration exchange_period = std::chrono::seconds(1);
     static constexpr std::size_t most_entries_sent = 64;
     static constexpr duration observing_time =
@@ -591,6 +593,18 @@
             std::move(*whole), reply.configuration_version, environment_.now());
     }
 
+    /// A VM that knows more than its watcher, as when it alone reached the
+    /// store, is asked for it.
+    void learn_from(sync_question const& question, time_point now)
+    {
+        bool const knows_more =
+            question.configuration_version > configuration_.version();
+        if (!knows_more || now - last_learned_ < learn_period)
+            return;
+        last_learned_ = now;
+        sync_with(question.from.peers_address, false);
+    }
+
     // Watching the VMs of the data centre.
 
     void note_vm(sync_question const& question, time_point now)
@@ -874,6 +888,7 @@
     std::map<std::string, std::uint64_t> last_stamps_;
     time_point last_heartbeat_{};
     time_point last_exchange_{};
+    time_point last_learned_{};
     bool monitoring_ = false;
     time_point last_watch_tick_{};
 
--- a/tests/simulation/fleet_run.cpp
+++ b/tests/simulation/fleet_run.cpp
@@ -88,6 +88,17 @@
     store_.accept(std::move(changes));
 }
 
+void fleet_run::once_readable(std::function<void()> known)
+{
+    constexpr duration readable = std::chrono::seconds(1);
+    world_.after(readable, [this, known] {
+        if (store_.reached_for(readable))
+            known();
+        else
+            once_readable(known);
+    });
+}
+
 void fleet_run::accept_surely(
     std::vector<configuration_change> changes, std::function<void()> accepted)
 {
@@ -372,7 +383,11 @@
             data_centres[world_.draw(data_centres.size())];
         data_centre_object object{data_centre_state::out, ""};
         if (store_.accept({{object_kind::data_centre, data_centre, object}}))
-            judge_.data_centre_out(data_centre, world_.now());
+            once_readable([this, data_centre, object] {
+                if (store_.current().find_any(object_kind::data_centre,
+                        data_centre) == any_object(object))
+                    judge_.data_centre_out(data_centre, world_.now());
+            });
         world_.after(2 * span, [this, data_centre] {
             accept_surely(
                 {{object_kind::data_centre, data_centre, data_centre_object{}}},
@@ -385,7 +400,10 @@
         key_object const key{
             organisation_id(organisation), key_of(organisation)};
         if (store_.accept({{object_kind::key, organisation, {}}}))
-            judge_.key_withdrawn(key.hash, world_.now());
+            once_readable([this, organisation, key] {
+                if (!store_.current().find_any(object_kind::key, organisation))
+                    judge_.key_withdrawn(key.hash, world_.now());
+            });
         world_.after(2 * span, [this, organisation, key] {
             accept_surely({{object_kind::key, organisation, key}},
                 [this, key] { judge_.key_given(key.hash); });
--- a/tests/simulation/fleet_run.hpp
+++ b/tests/simulation/fleet_run.hpp
@@ -127,6 +127,11 @@
     };
 
     void configure();
+    /// Calls `known` once the store has answered for a second, so that VMs
+    /// could read what was accepted. A change that is accepted in the moment
+    /// when the store goes away is known to nobody until it is back.
+    void once_readable(std::function<void()> known);
+
     /// Makes a change, again later if the store is away, and then tells.
     void accept_surely(std::vector<configuration_change> changes,
         std::function<void()> accepted);
