Judge a silent data centre from elsewhere; assert what a refusal says

Asserting that a request refused as not run has no attempt that may have run showed that a retried request could be refused so after its first try was lost.

--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -191,6 +191,10 @@
     static constexpr duration watch_retry = std::chrono::milliseconds(300);
     /// Other VMs try a store that does not answer more rarely.
     static constexpr duration rare_retry = std::chrono::seconds(2);
+    /// Without an answer from another data centre's watchers for so long,
+    /// its VMs are judged from here.
+    static constexpr duration silent_data_centre = std::chrono::seconds(5);
+    static constexpr duration judgement_time = std::chrono::milliseconds(1200);
     static constexpr duration learn_period = std::chrono::milliseconds(200);
     static constexpr duration exchange_period = std::chrono::seconds(1);
     static constexpr std::size_t most_entries_sent = 64;
@@ -506,10 +510,22 @@
         environment_.send_sync(address, question,
             [this, now, address, is_heartbeat](sync_reply reply) {
                 last_stamps_[address] = reply.stamp;
+                if (auto const* const at = data_centre_of(address);
+                    reply.reached && at != nullptr)
+                    exchanged_at_[*at] = environment_.now();
                 sync_answered(std::move(reply), now, is_heartbeat);
             });
     }
 
+    data_centre_id const* data_centre_of(std::string const& address) const
+    {
+        for (auto const& [data_centre, view] : view_.data_centres())
+            for (auto const& it : view.vms)
+                if (it.peers_address == address)
+                    return &data_centre;
+        return nullptr;
+    }
+
     /// Watchers ask those of other data centres, so that views and evidence
     /// go round while the store is away.
     void exchange_with_others(time_point now)
@@ -528,9 +544,70 @@
             auto const* const peer =
                 ranked[environment_.random() % ranked.size()];
             sync_with(peer->peers_address, false);
+            judge_silent(data_centre, now);
         }
     }
 
+    /// Judges the VMs of a data centre none of whose watchers answers: its
+    /// own watchers, who would do it, may all be dead.
+    void judge_silent(data_centre_id const& data_centre, time_point now)
+    {
+        auto& heard = exchanged_at_.try_emplace(data_centre, now).first->second;
+        if (now - heard < silent_data_centre)
+            return;
+        heard = now;
+        auto const reached = std::make_shared<std::set<vm_id>>();
+        auto const* const view = view_.find(data_centre);
+        for (auto const& it : view->vms)
+            ask_two(it, [reached, vm = it.vm] { reached->insert(vm); });
+        judgement_timers_[data_centre] =
+            timers_.once(now, judgement_time, [this, data_centre, reached] {
+                remove_unreached(data_centre, *reached);
+            });
+    }
+
+    /// Asks this VM itself and another one, of a third data centre if there
+    /// is one, whether they reach `asked`.
+    void ask_two(vm_record const& asked, std::function<void()> reached)
+    {
+        reach_question const question{asked.peers_address, {}};
+        auto const note = [reached](reach_verdict verdict) {
+            if (verdict == reach_verdict::reached)
+                reached();
+        };
+        environment_.ask_reach(self_, question, note);
+        auto others = view_.vms();
+        std::erase_if(others, [&](auto const& it) {
+            return it.vm == self_.vm || it.data_centre == asked.data_centre;
+        });
+        if (others.empty())
+            return;
+        auto const third =
+            std::partition(others.begin(), others.end(), [&](auto const& it) {
+                return it.data_centre != self_.data_centre;
+            });
+        auto const n = third == others.begin()
+            ? others.size()
+            : static_cast<std::size_t>(third - others.begin());
+        environment_.ask_reach(
+            others[environment_.random() % n], question, note);
+    }
+
+    void remove_unreached(
+        data_centre_id const& data_centre, std::set<vm_id> const& reached)
+    {
+        auto const* const view = view_.find(data_centre);
+        if (writing_ || !freshness_.may_act(environment_.now()))
+            return;
+        auto next = *view;
+        std::erase_if(
+            next.vms, [&](auto const& it) { return !reached.contains(it.vm); });
+        if (next.vms.size() == view->vms.size())
+            return;
+        ++next.epoch;
+        write_view(next);
+    }
+
     void sync_answered(sync_reply reply, time_point asked_at, bool counts)
     {
         if (!reply.reached) {
@@ -889,6 +966,8 @@
     time_point last_heartbeat_{};
     time_point last_exchange_{};
     time_point last_learned_{};
+    std::map<data_centre_id, time_point> exchanged_at_;
+    std::map<data_centre_id, timer_service::subscription> judgement_timers_;
     bool monitoring_ = false;
     time_point last_watch_tick_{};
 
--- a/servers/dispatch/target_dispatcher.cpp
+++ b/servers/dispatch/target_dispatcher.cpp
@@ -71,6 +71,8 @@
     running_.insert(id);
     assert_invariant(
         invariant::slots_never_exceeded, running_.size() <= slots_, "dispatch");
+    assert_invariant(invariant::cold_limit_never_exceeded,
+        running_.size() <= limit_, "dispatch");
 }
 
 dispatch_verdict target_dispatcher::submit(ticket id,
--- a/servers/dispatch/target_owner.hpp
+++ b/servers/dispatch/target_owner.hpp
@@ -244,6 +244,15 @@
             finish_order(it, refused(*reason, &dispatcher));
             return carry_out(target, step);
         }
+        auto const& index = *environment_.current_policy()->index;
+        assert_invariant(invariant::closed_target_gets_no_work,
+            index.targets.is_usable(entry.order.target),
+            entry.order.target.text());
+        assert_invariant(invariant::withdrawn_key_stops,
+            !entry.order.key ||
+                index.routes.key_in_force(
+                    *entry.order.key, entry.order.organisation),
+            entry.order.organisation.text());
         entry.started_at = now;
         entry.order.remaining = entry.deadline - now;
         auto const& object = *find_target(entry.order.target);
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -202,6 +202,11 @@
     void end(entry_result result)
     {
         settle_trial();
+        auto const* const refused = std::get_if<refusal>(&result);
+        assert_invariant(invariant::not_run_is_true,
+            refused == nullptr || refused->result != outcome::not_run ||
+                !(may_have_run_ || under_way_),
+            message_.head.request_id);
         if (auto const callback = std::exchange(on_end_, nullptr))
             callback(std::move(result));
     }
@@ -209,7 +214,9 @@
     void refuse(refusal_kind kind, outcome result, std::string detail,
         std::optional<duration> retry_after = {})
     {
-        refusal_ = {kind, result, std::move(detail), {}};
+        // A request that is tried again may have run at its first try.
+        auto const known = may_have_run_ ? outcome::unknown : result;
+        refusal_ = {kind, known, std::move(detail), {}};
         if (retry_after)
             refusal_.retry_after =
                 std::chrono::ceil<std::chrono::milliseconds>(*retry_after);
@@ -520,6 +527,8 @@
         answer_ = std::move(answer);
         if (answer_.result == dispatch_outcome::answered) {
             attempted_ = true;
+            assert_invariant(invariant::answer_belongs_to_request,
+                answers_this(answer_.answer), message_.head.request_id);
             return fire(request_event::answer);
         }
         if (!proves_not_run(answer_))
@@ -529,6 +538,16 @@
         fire(request_event::failed);
     }
 
+    /// Whether the request id that an answer brings back, if any, is ours.
+    bool answers_this(upstream_answer const& answer) const
+    {
+        return std::all_of(answer.headers.begin(), answer.headers.end(),
+            [&](header_field const& it) {
+                return it.name != "X-Request-Id" ||
+                    it.value == message_.head.request_id;
+            });
+    }
+
     /// The dispatch ended after the request: only its record is settled.
     void ended_late(dispatch_answer answer)
     {
--- a/tests/simulation/fleet_run_test.cpp
+++ b/tests/simulation/fleet_run_test.cpp
@@ -59,6 +59,34 @@
     }
 }
 
+/// One data centre of a run dies at once, and nobody of it is left to say so.
+class data_centre_death_test : public fleet_run_test
+{
+};
+
+TEST_P(data_centre_death_test, fleet_without_one_data_centre_serves_again)
+{
+    fleet_run run(GetParam());
+    run.settle(std::chrono::seconds(12));
+    run.kill("west-1");
+    run.kill("west-2");
+    run.settle(std::chrono::seconds(20));
+    for (auto* it : run.living())
+        EXPECT_TRUE(
+            it->plane().status().view.find(data_centre_id("west"))->vms.empty())
+            << run.describe();
+    auto const before = run.tally();
+    run.drive_within_rate(std::chrono::seconds(3));
+    EXPECT_EQ(run.tally().answered - before.answered,
+        run.tally().requests - before.requests)
+        << run.describe();
+    run.check_end();
+    EXPECT_TRUE(run.judge().blamed().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    deaths, data_centre_death_test, testing::Values(1, 2, 3));
+
 INSTANTIATE_TEST_SUITE_P(seeds, fleet_run_test, testing::ValuesIn(seeds()));
 
 } // namespace
