--- a/main/daemon.cpp
+++ b/main/daemon.cpp
@@ -160,11 +160,10 @@
         });
 }
 
-operators_reply daemon::status_page() const
+operators_reply daemon::status_page()
 {
-    auto& control = const_cast<control_thread&>(control_);
     return {200, "application/json",
-        to_json(control.plane().status(), settings_.vm, stopping_)};
+        to_json(control_.plane().status(), settings_.vm, stopping_)};
 }
 
 void daemon::answer_page(
--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -31,7 +31,7 @@
     void answer_page(
         operators_page page, std::function<void(operators_reply)> reply);
     void collect_metrics(std::function<void(traffic_metrics const&)> done);
-    operators_reply status_page() const;
+    operators_reply status_page();
 
     // The planned stop, step by step.
     void begin_stop();
--- a/main/traffic_thread.cpp
+++ b/main/traffic_thread.cpp
@@ -90,8 +90,7 @@
 void traffic_thread::sweep()
 {
     targets_.sweep();
-    static thread_local unsigned sweeps = 0;
-    if (++sweeps % sweeps_per_cleaning != 0)
+    if (++sweeps_ % sweeps_per_cleaning != 0)
         return;
     organisations_.expire();
     peers_.drop_idle(now());
--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -124,6 +124,7 @@
     asio::steady_timer clock_;
     timer_service timers_;
     timer_service::subscription sweep_timer_;
+    unsigned sweeps_ = 0;
 
     curl_loop http_;
     upstream_client upstreams_;
--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -245,11 +245,22 @@
         });
     }
 
+    /// Up to twice the shortest wait, drawn at random, so that VMs do not
+    /// try a store that comes back all at once.
+    duration retry_wait()
+    {
+        auto const shortest = is_watcher() ? watch_retry : rare_retry;
+        auto const spread = static_cast<std::uint64_t>(shortest.count());
+        return shortest +
+            duration(
+                static_cast<duration::rep>(environment_.random() % spread));
+    }
+
     void store_answered(store_changes changes, time_point asked_at)
     {
         auto const now = environment_.now();
         if (changes.status != store_status::done) {
-            next_watch_ = now + (is_watcher() ? watch_retry : rare_retry);
+            next_watch_ = now + retry_wait();
             if (std::exchange(store_reached_, false))
                 log(log_event::store_unreachable);
             return;
--- a/stand_ins/caller.cpp
+++ b/stand_ins/caller.cpp
@@ -60,10 +60,10 @@
           random_(static_cast<std::uint64_t>(plan.seed)),
           started_(std::chrono::steady_clock::now()), progress_(context)
     {
-        for (auto const& it : plan_.tenants)
+        for (std::size_t it = 0; it < plan_.tenants.size(); ++it) {
             arrivals_.push_back(std::make_unique<asio::steady_timer>(context));
-        for (std::size_t it = 0; it < plan_.tenants.size(); ++it)
             next_arrival(it, started_);
+        }
         tell_progress(1);
     }
 
--- a/tests/servers/ownership_test.cpp
+++ b/tests/servers/ownership_test.cpp
@@ -81,8 +81,9 @@
     for (int it = 0; it < 2000; ++it) {
         auto const key = std::to_string(it);
         auto const* const old = before.owner(owned_kind::target, key);
-        if (old->vm != record(3).vm)
+        if (old->vm != record(3).vm) {
             EXPECT_EQ(after.owner(owned_kind::target, key)->vm, old->vm);
+        }
     }
 }
 
