Ask whether a VM is reached in one place; drop code that nothing calls

Cause: reading the whole change again: the question and its verdict stood in two places of the control plane, and five functions had no caller. Change: one function asks one VM about another; the unused functions of the target keeper, the floor keeper, the peer client and the control plane go. Behaviour is the same.

--- a/drivers/peers/peer_client.hpp
+++ b/drivers/peers/peer_client.hpp
@@ -43,8 +43,6 @@
     /// Drops connections that were not used for a while.
     void drop_idle(time_point now);
 
-    std::size_t channels() const { return peers_.size(); }
-
 private:
     struct peer
     {
--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -163,11 +163,6 @@
             targets_.status()};
     }
 
-    configuration const& current_configuration() const
-    {
-        return configuration_.current();
-    }
-
 private:
     static constexpr duration tick_period = std::chrono::milliseconds(100);
     /// A heartbeat to the watcher comes more often in a small data centre.
@@ -581,12 +576,7 @@
     /// is one, whether they reach `asked`.
     void ask_two(vm_record const& asked, std::function<void()> reached)
     {
-        reach_question const question{asked.peers_address, {}};
-        auto const note = [reached](reach_verdict verdict) {
-            if (verdict == reach_verdict::reached)
-                reached();
-        };
-        environment_.ask_reach(self_, question, note);
+        ask_one(self_, asked, reached);
         auto others = view_.vms();
         std::erase_if(others, [&](auto const& it) {
             return it.vm == self_.vm || it.data_centre == asked.data_centre;
@@ -600,8 +590,18 @@
         auto const n = third == others.begin()
             ? others.size()
             : static_cast<std::size_t>(third - others.begin());
-        environment_.ask_reach(
-            others[environment_.random() % n], question, note);
+        ask_one(others[environment_.random() % n], asked, reached);
+    }
+
+    /// Asks one VM whether it reaches another.
+    void ask_one(vm_record const& asker, vm_record const& asked,
+        std::function<void()> reached)
+    {
+        environment_.ask_reach(asker, {asked.peers_address, {}},
+            [reached = std::move(reached)](reach_verdict verdict) {
+                if (verdict == reach_verdict::reached)
+                    reached();
+            });
     }
 
     void remove_unreached(
@@ -749,16 +749,14 @@
             others.begin(), others.end(), [&](auto const& it) {
                 return it.data_centre != self_.data_centre;
             });
-        reach_question const question{suspected.peers_address, {}};
-        auto const vouch = [this, vm = suspected.vm](reach_verdict verdict) {
-            if (verdict == reach_verdict::reached)
-                monitor_.vouched(vm, environment_.now());
+        auto const vouch = [this, vm = suspected.vm] {
+            monitor_.vouched(vm, environment_.now());
         };
-        environment_.ask_reach(self_, question, vouch);
+        ask_one(self_, suspected, vouch);
         if (!others.empty())
-            environment_.ask_reach(others.front(), question, vouch);
+            ask_one(others.front(), suspected, vouch);
         if (others.size() > 1)
-            environment_.ask_reach(others.back(), question, vouch);
+            ask_one(others.back(), suspected, vouch);
     }
 
     void remove_vm(vm_record const& lost)
--- a/servers/floors/floor_keeper.cpp
+++ b/servers/floors/floor_keeper.cpp
@@ -97,10 +97,4 @@
         it->second.ejected = false;
 }
 
-void floor_keeper::forget_reports()
-{
-    for (auto& [name, it] : targets_)
-        it.reported = false;
-}
-
 } // namespace pomelohinge
--- a/servers/floors/floor_keeper.hpp
+++ b/servers/floors/floor_keeper.hpp
@@ -66,9 +66,6 @@
     /// The ejection of `target` is over.
     void give_back(target_id const& target);
 
-    /// Forgets all reports, as when the ownership is new.
-    void forget_reports();
-
     /// Healthy capacity now, in requests at a time.
     std::int64_t healthy_capacity() const;
 
--- a/servers/health/target_keeper.cpp
+++ b/servers/health/target_keeper.cpp
@@ -118,11 +118,6 @@
     return 0;
 }
 
-bool target_keeper::counts_as_capacity() const
-{
-    return limit() > 0;
-}
-
 target_wants target_keeper::take_wants()
 {
     return std::exchange(wants_, {});
--- a/servers/health/target_keeper.hpp
+++ b/servers/health/target_keeper.hpp
@@ -59,7 +59,6 @@
     target_state state() const { return life_.state(); }
     double score() const { return evidence_.score(); }
     duration probation() const { return probation_; }
-    bool counts_as_capacity() const;
 
     /// Returns and clears what is wanted.
     target_wants take_wants();
