--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -1,6 +1,7 @@
 #include "config/configuration.hpp"
-#include "servers/limits/organisation_shares.hpp"
-#include "servers/ownership/ownership.hpp"
+#include "servers/exchange/fleet_reports.hpp"
+#include "servers/limits/organisation_limits.hpp"
+#include "servers/membership/hub_rank.hpp"
 #include "servers/requests/policy.hpp"
 
 #include <benchmark/benchmark.h>
@@ -9,25 +10,6 @@
 namespace pomelohinge {
 namespace {
 
-constexpr int data_centres = 13;
-
-fleet_view make_view(int vms)
-{
-    std::map<data_centre_id, data_centre_view> views;
-    for (int it = 0; it < vms; ++it) {
-        data_centre_id const name("dc-" + std::to_string(it % data_centres));
-        auto& view = views[name];
-        view.data_centre = name;
-        auto const vm = "vm-" + std::to_string(it);
-        view = with_vm(std::move(view),
-            {vm_id(vm), name, vm, vm, 1, vm_standing::serving});
-    }
-    fleet_view all;
-    for (auto& [name, view] : views)
-        all.adopt(std::move(view));
-    return all;
-}
-
 configuration make_configuration(int organisations)
 {
     std::vector<configuration_change> changes;
@@ -44,77 +26,66 @@
     return configuration().with(changes);
 }
 
-/// Owner of one key; the cost grows with the VMs that are ranked.
-void find_owner(benchmark::State& state)
-{
-    rendezvous const ranks(make_view(static_cast<int>(state.range(0))));
-    std::uint64_t n = 0;
-    for (auto _ : state)
-        benchmark::DoNotOptimize(
-            ranks.owner(owned_kind::service, std::to_string(++n)));
-}
-BENCHMARK(find_owner)->Arg(44)->Arg(92)->Arg(1200);
-
-/// A change of one data centre's view.
-void adopt_view(benchmark::State& state)
+/// The order of a data centre's VMs; the cost grows with the VMs.
+void order_hubs(benchmark::State& state)
 {
-    auto view = make_view(static_cast<int>(state.range(0)));
-    auto changed = view.data_centres().begin()->second;
-    ownership owners(vm_id("vm-0"));
-    manual_clock clock;
-    for (auto _ : state) {
-        ++changed.epoch;
-        view.adopt(changed);
-        owners.adopt(view, clock.now());
-        clock.advance(std::chrono::minutes(2));
-        owners.confirm(
-            [](std::size_t) { return duration::zero(); }, clock.now());
-        clock.advance(std::chrono::minutes(2));
-        owners.expire(clock.now());
+    fleet_members members;
+    for (int it = 0; it < state.range(0); ++it) {
+        fleet_member member;
+        member.record.vm = vm_id("vm-" + std::to_string(it));
+        member.record.data_centre = data_centre_id("dc");
+        members.push_back(member);
     }
+    data_centre_id const data_centre("dc");
+    for (auto _ : state)
+        benchmark::DoNotOptimize(hub_order(members, data_centre));
 }
-BENCHMARK(adopt_view)->Arg(44)->Arg(1200)->Unit(benchmark::kMicrosecond);
+BENCHMARK(order_hubs)->Arg(44)->Arg(92)->Arg(300);
 
-/// One accepted change of a correction, to the new index.
-void apply_change(benchmark::State& state)
+/// What a change of the configuration costs every VM.
+void index_configuration(benchmark::State& state)
 {
-    auto const base = make_configuration(static_cast<int>(state.range(0)));
-    configuration_change const change{object_kind::correction, "x",
-        any_object(correction_object{service_id("y")})};
-    std::uint64_t version = 0;
+    auto const source = make_configuration(static_cast<int>(state.range(0)));
     for (auto _ : state)
-        benchmark::DoNotOptimize(std::make_shared<configuration_index>(
-            base.with({change}), ++version));
+        benchmark::DoNotOptimize(configuration_index(source, 1));
 }
-BENCHMARK(apply_change)->Arg(8)->Arg(89000)->Unit(benchmark::kMicrosecond);
+BENCHMARK(index_configuration)->Arg(100)->Arg(10000)->Arg(89000);
 
-/// Authentication and routing of one request.
-void admit_request(benchmark::State& state)
+/// One charge among many organisations.
+void charge_organisation(benchmark::State& state)
 {
-    configuration_index const index(
-        make_configuration(static_cast<int>(state.range(0))), 1);
-    request_head head;
-    head.target = "/orders/today";
-    head.key = key_hash{};
-    for (auto _ : state)
-        benchmark::DoNotOptimize(index.routes.admit(head));
+    organisation_limits limits;
+    rate_object const rate{1e6, 1000};
+    auto now = machine_clock::now();
+    std::vector<std::string> names;
+    for (int it = 0; it < state.range(0); ++it)
+        names.push_back("organisation-" + std::to_string(it));
+    std::size_t n = 0;
+    for (auto _ : state) {
+        now += std::chrono::microseconds(10);
+        benchmark::DoNotOptimize(
+            limits.charge(names[++n % names.size()], rate, now));
+    }
 }
-BENCHMARK(admit_request)->Arg(8)->Arg(89000);
+BENCHMARK(charge_organisation)->Arg(8)->Arg(1000)->Arg(89000);
 
-/// One charge at a share that is held.
-void charge_share(benchmark::State& state)
+/// A hub's work for one report, by VMs that report.
+void exchange_reports(benchmark::State& state)
 {
-    organisation_shares shares;
-    manual_clock clock;
-    auto const since = clock.now() - std::chrono::hours(1);
-    rate_object const rate{1e6, 1'000'000};
-    organisation_id const name("pub");
+    report_ledger ledger;
+    traffic_report report;
+    for (int it = 0; it < 80; ++it)
+        report.targets["target-" + std::to_string(it)] =
+            target_report{1, 2, 0, 0};
+    auto const now = machine_clock::now();
+    int n = 0;
     for (auto _ : state) {
-        clock.advance(std::chrono::milliseconds(1));
-        benchmark::DoNotOptimize(shares.charge(name, rate, since, clock.now()));
+        auto const name = "vm-" + std::to_string(++n % state.range(0));
+        ledger.take(name, false, report, now);
+        benchmark::DoNotOptimize(ledger.for_reader(name, false));
     }
 }
-BENCHMARK(charge_share);
+BENCHMARK(exchange_reports)->Arg(4)->Arg(16)->Arg(64);
 
 } // namespace
 } // namespace pomelohinge
--- a/charts/chart_list.cpp
+++ b/charts/chart_list.cpp
@@ -47,14 +47,10 @@
     std::string const& folder, findings& found)
 {
     auto target = load_chart<target_chart>(folder, "target", found);
-    auto vm = load_chart<vm_chart>(folder, "vm", found);
-    auto configuration =
-        load_chart<configuration_chart>(folder, "configuration", found);
     auto request = load_chart<request_chart>(folder, "request", found);
-    if (!target || !vm || !configuration || !request)
+    if (!target || !request)
         return std::nullopt;
-    return chart_list{std::move(*target), std::move(*vm),
-        std::move(*configuration), std::move(*request)};
+    return chart_list{std::move(*target), std::move(*request)};
 }
 
 } // namespace pomelohinge
--- a/charts/chart_list.hpp
+++ b/charts/chart_list.hpp
@@ -3,8 +3,6 @@
 
 #include "core/chart.hpp"
 #include "servers/health/target_chart.hpp"
-#include "servers/membership/configuration_chart.hpp"
-#include "servers/membership/vm_chart.hpp"
 #include "servers/requests/request_chart.hpp"
 
 #include <string>
@@ -28,8 +26,6 @@
 struct chart_list
 {
     chart<target_chart> target;
-    chart<vm_chart> vm;
-    chart<configuration_chart> configuration;
     chart<request_chart> request;
 };
 
--- a/config/configuration.cpp
+++ b/config/configuration.cpp
@@ -58,8 +58,7 @@
         for (auto const& [name, it] : checked_.table<floor_object>())
             require<service_object>(object_kind::floor, name, name);
         for (auto const& [name, it] : checked_.table<route_object>())
-            require<service_object>(
-                object_kind::route, name, it.service.text());
+            check_route(name, it);
         for (auto const& [name, it] : checked_.table<correction_object>())
             check_correction(name, it);
         for (auto const& [name, it] : checked_.table<organisation_object>())
@@ -100,6 +99,16 @@
                 "its address belongs to target \"" + other->second + "\"");
     }
 
+    void check_route(std::string const& name, route_object const& it)
+    {
+        if (it.split.empty())
+            require<service_object>(
+                object_kind::route, name, it.service.text());
+        for (auto const& part : it.split)
+            require<service_object>(
+                object_kind::route, name, part.service.text());
+    }
+
     void check_correction(std::string const& name, correction_object const& it)
     {
         if (checked_.find<service_object>(name))
--- a/config/object_codec.cpp
+++ b/config/object_codec.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace pomelohinge {
 namespace {
@@ -16,6 +17,8 @@
 constexpr double maximum_rate_per_second = 1e6;
 constexpr std::int64_t maximum_burst = 1'000'000;
 constexpr std::int64_t maximum_deadline_ms = 10LL * 60 * 1000;
+constexpr std::int64_t maximum_attempts = 16;
+constexpr std::int64_t lowest_priority = 1000;
 
 template <class Tag>
 void read_id(object_reader& reader, std::string_view field,
@@ -30,10 +33,24 @@
     out = identifier<Tag>(std::move(text));
 }
 
+void read_milliseconds(object_reader& reader, std::string_view field,
+    std::chrono::milliseconds& out, std::int64_t low)
+{
+    std::int64_t value = out.count();
+    reader.integer(field, value, low, maximum_deadline_ms, presence::optional);
+    out = std::chrono::milliseconds(value);
+}
+
 void read_fields(object_reader& reader, service_object& object)
 {
     reader.flag(
         "echoes_request_id", object.echoes_request_id, presence::optional);
+    reader.text("health_path", object.health_path, presence::optional);
+    if (!object.health_path.starts_with('/'))
+        reader.add("health_path", "a path starts with \"/\"");
+    read_milliseconds(reader, "cold_ms", object.cold_time, 0);
+    reader.number("cold_requests_per_second", object.cold_requests_per_second,
+        0, maximum_rate_per_second, presence::optional);
 }
 
 void read_fields(object_reader& reader, data_centre_object& object)
@@ -61,7 +78,9 @@
 void read_methods(object_reader& reader, route_object& object)
 {
     std::vector<std::string> names;
-    reader.texts("methods", names);
+    bool const any = !object.host.empty();
+    reader.texts(
+        "methods", names, any ? presence::optional : presence::required);
     for (auto const& it : names) {
         if (auto const method = from_name<http_method>(it))
             object.methods.push_back(*method);
@@ -72,19 +91,43 @@
         reader.add("methods", "at least one method is expected");
 }
 
+/// Reads a split as texts `SERVICE:WEIGHT`.
+void read_split(object_reader& reader, route_object& object)
+{
+    std::vector<std::string> parts;
+    reader.texts("split", parts, presence::optional);
+    for (auto const& it : parts) {
+        auto const colon = it.rfind(':');
+        double weight = 0;
+        bool const valid = colon != std::string::npos &&
+            is_object_name(it.substr(0, colon)) &&
+            absl::SimpleAtod(it.substr(colon + 1), &weight) && weight >= 0 &&
+            weight <= maximum_rate_per_second;
+        if (valid)
+            object.split.push_back({service_id(it.substr(0, colon)), weight});
+        else
+            reader.add("split", "\"" + it + "\" is not SERVICE:WEIGHT");
+    }
+}
+
 void read_fields(object_reader& reader, route_object& object)
 {
-    read_id(reader, "service", object.service);
+    read_split(reader, object);
+    read_id(reader, "service", object.service,
+        object.split.empty() ? presence::required : presence::optional);
+    reader.text("host", object.host, presence::optional);
     reader.text("path_prefix", object.path_prefix, presence::optional);
     if (!object.path_prefix.starts_with('/'))
         reader.add("path_prefix", "a path starts with \"/\"");
     read_methods(reader, object);
     reader.name("access", object.access, presence::optional);
     reader.name("repeat", object.repeat, presence::optional);
-    std::int64_t deadline_ms = object.deadline.count();
+    read_milliseconds(reader, "deadline_ms", object.deadline, 1);
+    read_milliseconds(reader, "goal_ms", object.goal, 0);
     reader.integer(
-        "deadline_ms", deadline_ms, 1, maximum_deadline_ms, presence::optional);
-    object.deadline = std::chrono::milliseconds(deadline_ms);
+        "attempts", object.attempts, 1, maximum_attempts, presence::optional);
+    reader.integer(
+        "priority", object.priority, 0, lowest_priority, presence::optional);
 }
 
 void read_fields(object_reader& reader, correction_object& object)
@@ -95,6 +138,11 @@
 void read_fields(object_reader& reader, organisation_object& object)
 {
     reader.text("title", object.title, presence::optional);
+    if (!reader.has("priority"))
+        return reader.accept("priority");
+    std::int64_t priority = 0;
+    reader.integer("priority", priority, 0, lowest_priority);
+    object.priority = priority;
 }
 
 void read_fields(object_reader& reader, rate_object& object)
@@ -122,6 +170,12 @@
 {
     if (object.echoes_request_id != service_object{}.echoes_request_id)
         body["echoes_request_id"] = object.echoes_request_id;
+    if (object.health_path != service_object{}.health_path)
+        body["health_path"] = object.health_path;
+    if (object.cold_time.count() > 0)
+        body["cold_ms"] = object.cold_time.count();
+    if (object.cold_requests_per_second > 0)
+        body["cold_requests_per_second"] = object.cold_requests_per_second;
 }
 
 void write_fields(
@@ -149,18 +203,28 @@
 
 void write_fields(nlohmann::ordered_json& body, route_object const& object)
 {
-    body["service"] = object.service.text();
+    if (!object.service.empty())
+        body["service"] = object.service.text();
+    for (auto const& it : object.split)
+        body["split"].push_back(
+            fmt::format("{}:{}", it.service.text(), it.weight));
+    if (!object.host.empty())
+        body["host"] = object.host;
     body["path_prefix"] = object.path_prefix;
-    auto methods = nlohmann::ordered_json::array();
     for (auto const it : object.methods)
-        methods.push_back(to_name(it));
-    body["methods"] = std::move(methods);
+        body["methods"].push_back(to_name(it));
     if (object.access != route_access::keyed)
         body["access"] = to_name(object.access);
     if (object.repeat != idempotency::by_method)
         body["repeat"] = to_name(object.repeat);
     if (object.deadline != route_object{}.deadline)
         body["deadline_ms"] = object.deadline.count();
+    if (object.goal.count() > 0)
+        body["goal_ms"] = object.goal.count();
+    if (object.attempts != route_object{}.attempts)
+        body["attempts"] = object.attempts;
+    if (object.priority != route_object{}.priority)
+        body["priority"] = object.priority;
 }
 
 void write_fields(nlohmann::ordered_json& body, correction_object const& object)
@@ -173,6 +237,8 @@
 {
     if (!object.title.empty())
         body["title"] = object.title;
+    if (object.priority)
+        body["priority"] = *object.priority;
 }
 
 void write_fields(nlohmann::ordered_json& body, rate_object const& object)
--- a/config/objects.hpp
+++ b/config/objects.hpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -105,6 +106,12 @@
     /// Whether upstreams always return the request id, so that an answer
     /// without it is wrong. A different one is always wrong.
     bool echoes_request_id = false;
+    /// Path of the upstreams' health endpoint.
+    std::string health_path = "/health";
+    /// How long an upstream is cold after its start; zero if unknown.
+    std::chrono::milliseconds cold_time{0};
+    /// Requests a second that a cold upstream bears; zero for no bound.
+    double cold_requests_per_second = 0;
 
     friend bool operator==(
         service_object const&, service_object const&) = default;
@@ -142,15 +149,39 @@
     friend bool operator==(floor_object const&, floor_object const&) = default;
 };
 
+/// One of the services that a route divides its requests among.
+struct weighted_service
+{
+    service_id service;
+    /// Share of the requests, relative to the other weights.
+    double weight = 1;
+
+    friend bool operator==(
+        weighted_service const&, weighted_service const&) = default;
+};
+
 struct route_object
 {
+    /// Empty on a route with a split.
     service_id service;
+    /// Services in place of the one above, with their weights.
+    std::vector<weighted_service> split;
+    /// The host that the route is for. Without one, the first segment of
+    /// the path names the service.
+    std::string host;
     std::string path_prefix = "/";
+    /// Empty for any method.
     std::vector<http_method> methods;
     route_access access = route_access::keyed;
     idempotency repeat = idempotency::by_method;
     /// Deadline of a request that brings none, and the longest it may ask.
     std::chrono::milliseconds deadline{2000};
+    /// Time within which an answer is of full use; zero if unknown.
+    std::chrono::milliseconds goal{0};
+    /// Targets that one request may be sent to at most.
+    std::int64_t attempts = 4;
+    /// Rank among routes; 0 is the most urgent.
+    std::int64_t priority = 1;
 
     friend bool operator==(route_object const&, route_object const&) = default;
 };
@@ -168,6 +199,8 @@
 {
     /// A name for people.
     std::string title;
+    /// Goes before the priority of the route.
+    std::optional<std::int64_t> priority;
 
     friend bool operator==(
         organisation_object const&, organisation_object const&) = default;
@@ -176,6 +209,7 @@
 /// Rate and burst of an organisation, by which it is named.
 struct rate_object
 {
+    /// 0 for no limit.
     double requests_per_second = 1;
     std::int64_t burst = 1;
 
--- a/config/settings.cpp
+++ b/config/settings.cpp
@@ -12,6 +12,13 @@
 constexpr std::int64_t smallest_body_limit = 1024;
 constexpr std::int64_t largest_body_limit = 16 << 20;
 constexpr std::int64_t longest_stop_limit_ms = 10LL * 60 * 1000;
+constexpr double longest_bound_seconds = 3600;
+constexpr double most_lines_per_second = 1e6;
+constexpr double most_retry_extra = 1e6;
+constexpr double fewest_cores = 0.01;
+constexpr double most_cores = 1024;
+constexpr double fewest_mbps = 0.1;
+constexpr double most_mbps = 1e6;
 
 template <class Tag>
 void read_name(
@@ -40,11 +47,63 @@
             reader.add("seeds", "\"" + it + "\" is not an IP:PORT");
 }
 
+void read_optional_address(
+    object_reader& reader, std::string_view field, std::string& out)
+{
+    if (reader.has(field))
+        return read_address(reader, field, out);
+    reader.accept(field);
+}
+
 void read_log(json_document const& document, findings& found, settings& out)
 {
     object_reader reader(document, "/log", found);
-    reader.name("format", out.format, presence::optional);
-    reader.name("level", out.level, presence::optional);
+    reader.name("format", out.logs.format, presence::optional);
+    reader.name("level", out.logs.level, presence::optional);
+    reader.number("lines_per_second", out.logs.lines_per_second, 0,
+        most_lines_per_second, presence::optional);
+    reader.number(
+        "burst", out.logs.burst, 1, most_lines_per_second, presence::optional);
+    reader.finish();
+}
+
+void read_machine(json_document const& document, findings& found, settings& out)
+{
+    object_reader reader(document, "/machine", found);
+    double share = 1;
+    reader.number(
+        "cores", out.cores, fewest_cores, most_cores, presence::optional);
+    reader.number(
+        "core_share", share, fewest_cores, most_cores, presence::optional);
+    out.cores *= share;
+    reader.number(
+        "link_mbps", out.link_mbps, fewest_mbps, most_mbps, presence::optional);
+    reader.finish();
+}
+
+void read_seconds(
+    object_reader& reader, std::string_view field, duration& out, double low)
+{
+    double seconds = to_seconds(out);
+    reader.number(
+        field, seconds, low, longest_bound_seconds, presence::optional);
+    out = from_seconds(seconds);
+}
+
+void read_bounds(json_document const& document, findings& found, settings& out)
+{
+    object_reader reader(document, "/bounds", found);
+    auto& it = out.bounds;
+    bool strict = true;
+    reader.flag("strict_revocation", strict, presence::optional);
+    read_seconds(reader, "revocation_s", it.revocation, 0);
+    if (!strict)
+        it.revocation = duration::zero();
+    reader.number("retry_ratio", it.retry_ratio, 0, 10, presence::optional);
+    read_seconds(reader, "retry_window_s", it.retry_window, 1);
+    reader.number(
+        "retry_extra", it.retry_extra, 0, most_retry_extra, presence::optional);
+    reader.number("floor", it.floor, 0, 1, presence::optional);
     reader.finish();
 }
 
@@ -55,7 +114,9 @@
         smallest_body_limit, largest_body_limit, presence::optional);
     reader.integer("answer_body_bytes", out.answer_body_bytes,
         smallest_body_limit, largest_body_limit, presence::optional);
-    std::int64_t stop_limit_ms = out.stop_limit.count();
+    duration stop_limit = out.stop_limit;
+    read_seconds(reader, "stop_s", stop_limit, 0);
+    std::int64_t stop_limit_ms = to_milliseconds(stop_limit);
     reader.integer("stop_limit_ms", stop_limit_ms, 0, longest_stop_limit_ms,
         presence::optional);
     out.stop_limit = std::chrono::milliseconds(stop_limit_ms);
@@ -81,15 +142,21 @@
     read_address(reader, "operators_address", out.operators_address);
     read_address(reader, "platform_address", out.platform_address);
     read_seeds(reader, out);
+    read_optional_address(reader, "readiness_address", out.readiness_address);
+    read_optional_address(reader, "directory_address", out.directory_address);
     reader.integer("traffic_threads", out.traffic_threads, 1,
         maximum_traffic_threads, presence::optional);
-    reader.accept("log");
-    reader.accept("limits");
+    for (auto const* it : {"log", "limits", "machine", "bounds"})
+        reader.accept(it);
     reader.finish();
     if (reader.has("log"))
         read_log(*document, found, out);
     if (reader.has("limits"))
         read_limits(*document, found, out);
+    if (reader.has("machine"))
+        read_machine(*document, found, out);
+    if (reader.has("bounds"))
+        read_bounds(*document, found, out);
     if (found.items().size() != before)
         return std::nullopt;
     return out;
--- a/core/clock.hpp
+++ b/core/clock.hpp
@@ -3,13 +3,35 @@
 
 #include <chrono>
 #include <concepts>
+#include <cstdint>
+#include <ctime>
 
 namespace pomelohinge {
 
+/// The monotonic clock of the machine. It counts the time for which the
+/// machine was suspended, which `std::chrono::steady_clock` does not, so
+/// that what was known before a suspension is as old as it is.
+struct machine_clock
+{
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<machine_clock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept
+    {
+        timespec it{};
+        clock_gettime(CLOCK_BOOTTIME, &it);
+        return time_point(std::chrono::seconds(it.tv_sec) +
+            std::chrono::nanoseconds(it.tv_nsec));
+    }
+};
+
 /// A point on the monotonic clock of one process. Points of two processes
 /// are never compared; what travels between VMs are ages.
-using time_point = std::chrono::steady_clock::time_point;
-using duration = std::chrono::steady_clock::duration;
+using time_point = machine_clock::time_point;
+using duration = machine_clock::duration;
 
 /// A source of monotonic time.
 template <class Clock>
@@ -23,7 +45,7 @@
 /// The clock of the machine.
 struct system_clock_source
 {
-    time_point now() const { return std::chrono::steady_clock::now(); }
+    time_point now() const { return machine_clock::now(); }
 };
 
 /// A clock that moves only when it is told to.
@@ -43,6 +65,13 @@
     return std::chrono::duration<double>(value).count();
 }
 
+/// `seconds`, which may have fractions, as a duration.
+constexpr duration from_seconds(double seconds)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds));
+}
+
 /// `value` in whole milliseconds, rounded down.
 constexpr std::int64_t to_milliseconds(duration value)
 {
--- a/core/log.hpp
+++ b/core/log.hpp
@@ -3,6 +3,7 @@
 
 #include "core/log_event.hpp"
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -16,6 +17,7 @@
 {
     std::string_view name;
     std::string value;
+    bool is_number = false;
 
     log_field(std::string_view field, std::string_view text)
         : name(field), value(text)
@@ -25,7 +27,7 @@
     template <class Number>
         requires std::is_arithmetic_v<Number> log_field(
             std::string_view field, Number number)
-            : name(field), value(std::to_string(number))
+            : name(field), value(std::to_string(number)), is_number(true)
         {
         }
 };
@@ -40,12 +42,36 @@
 });
 static_assert(is_ordered<log_format>());
 
-/// Sets up logging to standard error. Call once, before other threads run.
-void configure_log(log_format format, log_level minimum);
+/// How much is logged.
+struct log_settings
+{
+    log_format format = log_format::text;
+    log_level level = log_level::info;
+    /// Lines a second of each event and thread; more are dropped and
+    /// counted. Errors have no limit.
+    double lines_per_second = 60;
+    double burst = 200;
+};
+
+/// Sets up logging to standard output. Call once, before other threads run.
+void configure_log(log_settings configured);
 
-/// Writes one event. Safe from every thread.
+/// Changes what is logged; safe from every thread.
+void change_log_level(log_level minimum);
+
+/// Writes what is waiting and ends the writer.
+void close_log();
+
+/// Logs one event. Safe from every thread, and waits for nothing: the line
+/// goes into a ring of the calling thread, from which a writer takes it, and
+/// is dropped and counted if the ring is full or the event's budget is used
+/// up.
 void log(log_event event, std::initializer_list<log_field> fields = {});
 
+/// Lines of `event` that were dropped since the process started.
+std::uint64_t dropped_lines(log_event event);
+std::uint64_t dropped_lines();
+
 } // namespace pomelohinge
 
 #endif
--- a/drivers/front/http_forms.cpp
+++ b/drivers/front/http_forms.cpp
@@ -1,12 +1,15 @@
 #include "drivers/front/http_forms.hpp"
 
+#include "drivers/front/front_socket.hpp"
 #include "drivers/http/header_names.hpp"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <openssl/sha.h>
+#include <random>
 
 namespace pomelohinge {
 namespace {
@@ -14,6 +17,8 @@
 constexpr std::size_t longest_request_id = 128;
 constexpr std::size_t longest_repeat_key = 255;
 constexpr std::string_view bearer = "Bearer ";
+constexpr std::string_view entries_path = "/.pomelohinge/entries";
+constexpr std::string_view data_centre_field = "data_centre=";
 
 struct status_row
 {
@@ -62,32 +67,33 @@
     /// Returns what is wrong with the header, if anything.
     std::optional<refusal> take(header_field const& field)
     {
+        auto& head = parsed.head;
         if (is_same_header(field.name, header::authorization))
             return take_key(field.value);
         if (is_same_header(field.name, header::request_id))
-            return take_text(field, parsed.request_id, longest_request_id);
+            return take_text(field, head.request_id, longest_request_id);
         if (is_same_header(field.name, header::idempotency_key)) {
-            auto wrong =
-                take_text(field, parsed.repeat_key, longest_repeat_key);
+            auto wrong = take_text(field, head.repeat_key, longest_repeat_key);
             if (!wrong)
-                parsed.passed.push_back(field);
+                parsed.headers.push_back(field);
             return wrong;
         }
         if (is_same_header(field.name, header::deadline))
             return take_deadline(field.value);
-        if (!is_hop_by_hop(field.name) && !is_ours(field.name))
-            parsed.passed.push_back(field);
+        if (is_same_header(field.name, "Host"))
+            head.host = field.value.substr(0, field.value.find(':'));
+        else if (!is_hop_by_hop(field.name) && !is_ours(field.name))
+            parsed.headers.push_back(field);
         return std::nullopt;
     }
 
-    parsed_headers parsed;
+    entry_message parsed;
 
 private:
     static bool is_ours(std::string_view name)
     {
         return is_same_header(name, header::organisation) ||
-            is_same_header(name, header::outcome) ||
-            is_same_header(name, "Host");
+            is_same_header(name, header::outcome);
     }
 
     std::optional<refusal> take_key(std::string_view value)
@@ -97,7 +103,7 @@
         if (!value.starts_with(bearer) || value.size() == bearer.size())
             return malformed(
                 "\"Authorization\" is not of the form \"Bearer KEY\"");
-        parsed.key = hash_key(value.substr(bearer.size()));
+        parsed.head.key = hash_key(value.substr(bearer.size()));
         return std::nullopt;
     }
 
@@ -115,26 +121,29 @@
 
     std::optional<refusal> take_deadline(std::string_view value)
     {
-        if (parsed.deadline)
+        if (parsed.head.deadline)
             return malformed("\"Pomelohinge-Deadline-Ms\" occurs twice");
-        std::int64_t number = 0;
-        auto const end = value.data() + value.size();
-        auto const read = std::from_chars(value.data(), end, number);
-        if (read.ec != std::errc() || read.ptr != end)
+        parsed.head.deadline = parse_milliseconds(value);
+        if (!parsed.head.deadline)
             return malformed(
                 "\"Pomelohinge-Deadline-Ms\" is not a whole number");
-        parsed.deadline = std::chrono::milliseconds(number);
         return std::nullopt;
     }
 
     bool key_seen_ = false;
 };
 
+std::string seconds_text(std::chrono::milliseconds value)
+{
+    return std::to_string(std::max<std::int64_t>(
+        1, std::chrono::ceil<std::chrono::seconds>(value).count()));
+}
+
 } // namespace
 
-int status_of(refusal_kind kind)
+int status_of(refusal const& refused)
 {
-    return statuses[index_of(kind)].status;
+    return statuses[index_of(refused.kind)].status;
 }
 
 std::string problem_body(refusal const& refused)
@@ -147,13 +156,6 @@
         .dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
-std::string entries_body(entry_answer const& answer)
-{
-    return nlohmann::ordered_json{
-        {"addresses", answer.addresses}, {"ttl_seconds", answer.ttl.count()}}
-        .dump();
-}
-
 key_hash hash_key(std::string_view key)
 {
     key_hash hash{};
@@ -163,23 +165,117 @@
     return hash;
 }
 
-std::variant<parsed_headers, refusal> parse_headers(
-    std::vector<header_field> const& headers)
+bool is_hop_by_hop(std::string_view name)
+{
+    constexpr std::array<std::string_view, 11> names{"Connection", "Keep-Alive",
+        "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "TE",
+        "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"};
+    return std::any_of(names.begin(), names.end(),
+        [&](std::string_view it) { return is_same_header(it, name); });
+}
+
+std::optional<std::chrono::milliseconds> parse_milliseconds(
+    std::string_view text)
+{
+    std::int64_t number = 0;
+    auto const end = text.data() + text.size();
+    auto const read = std::from_chars(text.data(), end, number);
+    if (read.ec != std::errc() || read.ptr != end)
+        return std::nullopt;
+    return std::chrono::milliseconds(number);
+}
+
+std::string make_request_id()
+{
+    thread_local std::mt19937_64 random{std::random_device{}()};
+    return fmt::format("{:016x}{:016x}", random(), random());
+}
+
+parsed_head product_front_dialect::parse(std::string const& method,
+    std::string const& target, std::vector<header_field> const& headers)
 {
     header_parser parser;
     for (auto const& it : headers)
         if (auto wrong = parser.take(it))
             return std::move(*wrong);
+    if (!from_name<http_method>(method))
+        return refusal{refusal_kind::method_not_allowed, outcome::not_run,
+            "the method is not known", {}};
+    auto& head = parser.parsed.head;
+    head.method = method;
+    head.target = target;
+    if (head.request_id.empty())
+        head.request_id = make_request_id();
     return std::move(parser.parsed);
 }
 
-bool is_hop_by_hop(std::string_view name)
+refusal_form product_front_dialect::form_of(
+    refusal const& refused, std::string const& request_id)
 {
-    constexpr std::array<std::string_view, 11> names{"Connection", "Keep-Alive",
-        "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "TE",
-        "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"};
-    return std::any_of(names.begin(), names.end(),
-        [&](std::string_view it) { return is_same_header(it, name); });
+    refusal_form form{status_of(refused), {}, problem_body(refused)};
+    form.headers.push_back({"Content-Type", "application/problem+json"});
+    form.headers.push_back(
+        {std::string(header::outcome), std::string(to_name(refused.result))});
+    if (!request_id.empty())
+        form.headers.push_back({std::string(header::request_id), request_id});
+    constexpr int too_many = 429;
+    constexpr int unavailable = 503;
+    if (form.status == too_many || form.status == unavailable)
+        form.headers.push_back({std::string(header::retry_after),
+            seconds_text(refused.retry_after.value_or(
+                std::chrono::milliseconds(1000)))});
+    return form;
+}
+
+bool product_front_dialect::passes_back(std::string_view name)
+{
+    return !is_same_header(name, header::request_id);
+}
+
+std::vector<header_field> product_front_dialect::answer_headers(
+    std::string const& request_id)
+{
+    return {{std::string(header::request_id), request_id}};
+}
+
+std::optional<data_centre_id> product_front_dialect::entry_question(
+    std::string const& target)
+{
+    if (!target.starts_with(entries_path))
+        return std::nullopt;
+    auto const rest = std::string_view(target).substr(entries_path.size());
+    if (rest.empty())
+        return data_centre_id();
+    if (!rest.starts_with('?'))
+        return std::nullopt;
+    auto const at = rest.find(data_centre_field);
+    if (at == std::string_view::npos)
+        return data_centre_id();
+    auto const value = rest.substr(at + data_centre_field.size());
+    return data_centre_id(std::string(value.substr(0, value.find('&'))));
+}
+
+std::string product_front_dialect::entry_body(entry_answer const& answer)
+{
+    return nlohmann::ordered_json{{"addresses", answer.addresses},
+        {"ttl_seconds", to_seconds(answer.time_to_live)}}
+        .dump();
+}
+
+std::string const& unparsable_refusal()
+{
+    static std::string const text = [] {
+        refusal const refused{refusal_kind::malformed, outcome::not_run,
+            "the request cannot be parsed, is incomplete or exceeds a limit",
+            {}};
+        auto const body = problem_body(refused);
+        return fmt::format("HTTP/1.1 400 Bad Request\r\n"
+                           "Content-Type: application/problem+json\r\n"
+                           "{}: {}\r\nConnection: close\r\n"
+                           "Content-Length: {}\r\n\r\n{}",
+            header::outcome, to_name(refused.result), body.size(), body);
+    }();
+    return text;
 }
 
 } // namespace pomelohinge
--- a/drivers/front/http_forms.hpp
+++ b/drivers/front/http_forms.hpp
@@ -1,50 +1,52 @@
 #ifndef POMELOHINGE_DRIVERS_FRONT_HTTP_FORMS_HPP
 #define POMELOHINGE_DRIVERS_FRONT_HTTP_FORMS_HPP
 
-#include "servers/entries/entry_answer.hpp"
-#include "servers/requests/refusal.hpp"
-#include "servers/requests/request.hpp"
+#include "drivers/front/front_dialect.hpp"
 
-#include <optional>
 #include <string>
 #include <string_view>
-#include <variant>
 #include <vector>
 
 /// Between requests and refusals and their HTTP forms.
 namespace pomelohinge {
 
-/// The HTTP status of a refusal.
-int status_of(refusal_kind kind);
+/// The HTTP status of a refusal, which also depends on whether the request
+/// has certainly not run.
+int status_of(refusal const& refused);
 
 /// The body of a refusal, `application/problem+json`.
 std::string problem_body(refusal const& refused);
 
-/// The body of an entry answer.
-std::string entries_body(entry_answer const& answer);
-
 /// SHA-256 of a caller's key.
 key_hash hash_key(std::string_view key);
 
-/// What the headers of a request say.
-struct parsed_headers
-{
-    std::optional<key_hash> key;
-    std::string request_id;
-    std::string repeat_key;
-    std::optional<std::chrono::milliseconds> deadline;
-    /// Headers that are passed on.
-    std::vector<header_field> passed;
-};
-
-/// Reads the headers of a request. A header that is given a meaning and
-/// occurs twice, or has no valid value, makes the request malformed.
-std::variant<parsed_headers, refusal> parse_headers(
-    std::vector<header_field> const& headers);
-
 /// Whether a header concerns one connection only and is not passed on.
 bool is_hop_by_hop(std::string_view name);
 
+/// Reads a whole number of milliseconds.
+std::optional<std::chrono::milliseconds> parse_milliseconds(
+    std::string_view text);
+
+/// An id for a request that brought none.
+std::string make_request_id();
+
+/// How the product's callers speak; docs/CALLERS.md.
+struct product_front_dialect
+{
+    static constexpr bool entries_at_front = true;
+
+    static parsed_head parse(std::string const& method,
+        std::string const& target, std::vector<header_field> const& headers);
+    static refusal_form form_of(
+        refusal const& refused, std::string const& request_id);
+    static bool passes_back(std::string_view name);
+    static std::vector<header_field> answer_headers(
+        std::string const& request_id);
+    static std::optional<data_centre_id> entry_question(
+        std::string const& target);
+    static std::string entry_body(entry_answer const& answer);
+};
+
 } // namespace pomelohinge
 
 #endif
--- /dev/null
+++ b/drivers/http/answer_parser.cpp
@@ -0,0 +1,131 @@
+#include "drivers/http/answer_parser.hpp"
+
+namespace pomelohinge {
+namespace {
+
+answer_parser& self_of(http_parser* parser)
+{
+    return *static_cast<answer_parser*>(parser->data);
+}
+
+/// Largest head of an answer, in bytes.
+constexpr std::size_t most_head_bytes = 64 << 10;
+
+constexpr int first_final_status = 200;
+
+} // namespace
+
+answer_parser::answer_parser(bool is_head, std::size_t most_body_bytes)
+    : is_head_(is_head), most_body_bytes_(most_body_bytes)
+{
+    http_parser_init(&parser_, HTTP_RESPONSE);
+    http_parser_settings_init(&settings_);
+    settings_.on_header_field = &on_header_field;
+    settings_.on_header_value = &on_header_value;
+    settings_.on_headers_complete = &on_headers_complete;
+    settings_.on_body = &on_body;
+    settings_.on_message_complete = &on_message_complete;
+}
+
+answer_parser::progress answer_parser::state() const
+{
+    if (complete_)
+        return progress::complete;
+    return too_large_ ? progress::too_large : progress::incomplete;
+}
+
+answer_parser::progress answer_parser::take(
+    std::string_view bytes, std::size_t& taken)
+{
+    // The parser may have been moved since.
+    parser_.data = this;
+    started_ |= !bytes.empty();
+    taken = 0;
+    while (taken < bytes.size() && !complete_) {
+        taken += http_parser_execute(
+            &parser_, &settings_, bytes.data() + taken, bytes.size() - taken);
+        auto const error = HTTP_PARSER_ERRNO(&parser_);
+        if (error == HPE_PAUSED) {
+            http_parser_pause(&parser_, 0);
+            continue;
+        }
+        if (too_large_)
+            return progress::too_large;
+        if (error != HPE_OK || parser_.upgrade != 0)
+            return progress::unparsable;
+    }
+    return state();
+}
+
+answer_parser::progress answer_parser::end_of_input()
+{
+    parser_.data = this;
+    if (!started_ || complete_)
+        return state();
+    http_parser_execute(&parser_, &settings_, nullptr, 0);
+    return HTTP_PARSER_ERRNO(&parser_) == HPE_OK ||
+            HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED
+        ? state()
+        : progress::incomplete;
+}
+
+int answer_parser::on_header_field(
+    http_parser* parser, char const* data, std::size_t size)
+{
+    auto& self = self_of(parser);
+    auto& headers = self.answer_.headers;
+    if (headers.empty() || self.in_value_)
+        headers.emplace_back();
+    self.in_value_ = false;
+    headers.back().name.append(data, size);
+    return parser->nread > most_head_bytes ? 1 : 0;
+}
+
+int answer_parser::on_header_value(
+    http_parser* parser, char const* data, std::size_t size)
+{
+    auto& self = self_of(parser);
+    self.in_value_ = true;
+    if (!self.answer_.headers.empty())
+        self.answer_.headers.back().value.append(data, size);
+    return 0;
+}
+
+int answer_parser::on_headers_complete(http_parser* parser)
+{
+    auto& self = self_of(parser);
+    self.answer_.status = static_cast<int>(parser->status_code);
+    self.interim_ = self.answer_.status < first_final_status;
+    constexpr int without_body = 1;
+    return self.is_head_ ? without_body : 0;
+}
+
+int answer_parser::on_body(
+    http_parser* parser, char const* data, std::size_t size)
+{
+    auto& self = self_of(parser);
+    if (self.answer_.body.size() + size > self.most_body_bytes_) {
+        self.too_large_ = true;
+        return 1;
+    }
+    self.answer_.body.append(data, size);
+    return 0;
+}
+
+int answer_parser::on_message_complete(http_parser* parser)
+{
+    auto& self = self_of(parser);
+    if (self.interim_) {
+        self.answer_ = {};
+        self.in_value_ = false;
+        self.interim_ = false;
+        return 0;
+    }
+    self.complete_ = true;
+    self.keeps_alive_ = http_should_keep_alive(parser) != 0;
+    // Bytes behind the answer are not parsed.
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+} // namespace pomelohinge
--- a/drivers/peers/codec.cpp
+++ b/drivers/peers/codec.cpp
@@ -1,9 +1,5 @@
 #include "drivers/peers/codec.hpp"
 
-#include "core/log.hpp"
-
-#include <algorithm>
-
 namespace pomelohinge {
 namespace {
 
@@ -41,63 +37,7 @@
     return n < enum_count<Enum> ? static_cast<Enum>(n) : otherwise;
 }
 
-template <class Repeated>
-void headers_to_wire(std::vector<header_field> const& from, Repeated& to)
-{
-    for (auto const& it : from) {
-        auto& field = *to.Add();
-        field.set_name(it.name);
-        field.set_value(it.value);
-    }
-}
-
-template <class Repeated>
-std::vector<header_field> headers_from_wire(Repeated& from)
-{
-    std::vector<header_field> headers;
-    for (auto& it : from)
-        headers.push_back(
-            {std::move(*it.mutable_name()), std::move(*it.mutable_value())});
-    return headers;
-}
-
-void to_wire(recorded_answer const& from, wire::Answer& to)
-{
-    to.set_status(static_cast<std::uint32_t>(from.status));
-    to.set_content_type(from.content_type);
-    to.set_body(from.body);
-}
-
-recorded_answer from_wire(wire::Answer const& from)
-{
-    return {static_cast<int>(from.status()), from.content_type(), from.body()};
-}
-
-void to_wire(idempotency_record const& from, wire::IdempotencyRecord& to)
-{
-    to.set_organisation(from.organisation);
-    to.set_repeat_key(from.repeat_key);
-    to.set_fingerprint(from.print);
-    to.set_state(position(from.state));
-    to_wire(from.answer, *to.mutable_answer());
-    to.set_revision(from.revision);
-    to.set_run_limit_us(to_microseconds(from.run_limit));
-}
-
-idempotency_record from_wire(wire::IdempotencyRecord const& from)
-{
-    idempotency_record to;
-    to.organisation = from.organisation();
-    to.repeat_key = from.repeat_key();
-    to.print = from.fingerprint();
-    to.state = at_position(from.state(), record_state::unknown);
-    to.answer = from_wire(from.answer());
-    to.revision = from.revision();
-    to.run_limit = from_microseconds(from.run_limit_us());
-    return to;
-}
-
-void to_wire(vm_record const& from, wire::Vm& to)
+void fill(wire::Vm& to, vm_record const& from)
 {
     to.set_vm(from.vm.text());
     to.set_data_centre(from.data_centre.text());
@@ -105,417 +45,199 @@
     to.set_callers_address(from.callers_address);
     to.set_incarnation(from.incarnation);
     to.set_standing(position(from.standing));
+    to.set_cores(from.cores);
+    to.set_link_mbps(from.link_mbps);
 }
 
 vm_record from_wire(wire::Vm const& from)
 {
-    vm_record to;
-    to.vm = vm_id(from.vm());
-    to.data_centre = data_centre_id(from.data_centre());
-    to.peers_address = from.peers_address();
-    to.callers_address = from.callers_address();
-    to.incarnation = from.incarnation();
-    to.standing = at_position(from.standing(), vm_standing::leaving);
-    return to;
+    return {vm_id(from.vm()), data_centre_id(from.data_centre()),
+        from.peers_address(), from.callers_address(), from.incarnation(),
+        at_position(from.standing(), vm_standing::leaving), from.cores(),
+        from.link_mbps()};
 }
 
-template <class Repeated>
-void epochs_to_wire(std::vector<view_epoch> const& from, Repeated& to)
+void fill(wire::Report& to, traffic_report const& from)
 {
-    for (auto const& it : from) {
-        auto& epoch = *to.Add();
-        epoch.set_data_centre(it.data_centre.text());
-        epoch.set_epoch(it.epoch);
+    for (auto const& [target, it] : from.targets) {
+        auto& row = *to.add_targets();
+        row.set_target(target);
+        row.set_in_flight(it.in_flight);
+        row.set_answers(it.answers);
+        row.set_faults(it.faults);
+        row.set_silences(it.silences);
     }
-}
-
-template <class Repeated>
-std::vector<view_epoch> epochs_from_wire(Repeated const& from)
-{
-    std::vector<view_epoch> epochs;
-    for (auto const& it : from)
-        epochs.push_back({data_centre_id(it.data_centre()), it.epoch()});
-    return epochs;
-}
-
-void to_wire(data_centre_view const& from, wire::View& to)
-{
-    to.set_data_centre(from.data_centre.text());
-    to.set_epoch(from.epoch);
-    for (auto const& it : from.vms)
-        to_wire(it, *to.add_vms());
-}
-
-data_centre_view from_wire(wire::View const& from)
-{
-    data_centre_view to;
-    to.data_centre = data_centre_id(from.data_centre());
-    to.epoch = from.epoch();
-    for (auto const& it : from.vms())
-        to.vms.push_back(from_wire(it));
-    return to;
-}
-
-void to_wire(dated_summary const& from, wire::Summary& to)
-{
-    to.set_data_centre(from.data_centre.text());
-    for (auto const it : from.summary.read_ages)
-        to.add_read_ages(it);
-    to.set_view_digest(from.summary.view_digest);
-    for (auto const it : from.summary.hold_ages)
-        to.add_hold_ages(it);
-    to.set_age_us(to_microseconds(from.age));
-}
-
-template <class Repeated>
-void copy_counts(
-    Repeated const& from, std::array<std::uint32_t, age_classes>& to)
-{
-    auto const n = std::min<std::size_t>(
-        age_classes, static_cast<std::size_t>(from.size()));
-    std::copy_n(from.begin(), n, to.begin());
-}
-
-dated_summary from_wire(wire::Summary const& from)
-{
-    dated_summary to;
-    to.data_centre = data_centre_id(from.data_centre());
-    copy_counts(from.read_ages(), to.summary.read_ages);
-    to.summary.view_digest = from.view_digest();
-    copy_counts(from.hold_ages(), to.summary.hold_ages);
-    to.age = from_microseconds(from.age_us());
-    return to;
-}
-
-void take_entries(wire::SyncReply const& from, sync_reply& to)
-{
-    for (auto const& it : from.entries()) {
-        findings found("peer");
-        if (auto entry = decode_journal_entry(it, found))
-            to.entries.push_back(std::move(*entry));
-        else
-            log(log_event::configuration_entry_refused,
-                {{"findings", found.to_text()}});
+    for (auto const& [organisation, rate] : from.organisations) {
+        auto& row = *to.add_demands();
+        row.set_organisation(organisation);
+        row.set_requests_per_second(rate);
     }
-}
-
-} // namespace
-
-wire::DispatchOrder to_wire(dispatch_order const& from)
-{
-    wire::DispatchOrder to;
-    to.set_target(from.target.text());
-    to.set_service(from.service.text());
-    to.set_organisation(from.organisation.text());
-    if (from.key)
-        to.set_key(from.key->data(), from.key->size());
-    to.set_method(position(from.method));
-    to.set_path(from.path);
-    headers_to_wire(from.headers, *to.mutable_headers());
-    to.set_body(from.body);
-    to.set_request_id(from.request_id);
-    to.set_remaining_us(to_microseconds(from.remaining));
-    to.set_idempotent(from.idempotent);
-    to.set_echoes_request_id(from.echoes_request_id);
-    to.set_service_median_us(to_microseconds(from.baseline.median));
-    to.set_service_failures(from.baseline.failures);
-    return to;
-}
-
-dispatch_order from_wire(wire::DispatchOrder&& from)
-{
-    dispatch_order to;
-    to.target = target_id(std::move(*from.mutable_target()));
-    to.service = service_id(std::move(*from.mutable_service()));
-    to.organisation = organisation_id(std::move(*from.mutable_organisation()));
-    if (from.key().size() == key_hash{}.size()) {
-        to.key.emplace();
-        std::copy(from.key().begin(), from.key().end(), to.key->begin());
+    for (auto const& it : from.suspects) {
+        auto& row = *to.add_suspects();
+        row.set_fingerprint(it.print);
+        row.set_crashes(it.crashes);
+        row.set_age_us(to_microseconds(it.age));
     }
-    to.method = at_position(from.method(), http_method::post);
-    to.path = std::move(*from.mutable_path());
-    to.headers = headers_from_wire(*from.mutable_headers());
-    to.body = std::move(*from.mutable_body());
-    to.request_id = std::move(*from.mutable_request_id());
-    to.remaining = from_microseconds(from.remaining_us());
-    to.idempotent = from.idempotent();
-    to.echoes_request_id = from.echoes_request_id();
-    to.baseline = {
-        from_microseconds(from.service_median_us()), from.service_failures()};
-    return to;
-}
-
-wire::DispatchAnswer to_wire(dispatch_answer const& from)
-{
-    wire::DispatchAnswer to;
-    to.set_result(position(from.result));
-    to.set_attempt(position(from.attempt));
-    to.set_status(static_cast<std::uint32_t>(from.answer.status));
-    headers_to_wire(from.answer.headers, *to.mutable_headers());
-    to.set_body(from.answer.body);
     to.set_load(from.load);
-    to.set_service_time_us(to_microseconds(from.service_time));
-    to.set_queue_time_us(to_microseconds(from.queue_time));
-    return to;
-}
-
-dispatch_answer from_wire(wire::DispatchAnswer&& from)
-{
-    dispatch_answer to;
-    to.result = at_position(from.result(), dispatch_outcome::lost);
-    to.attempt = at_position(from.attempt(), attempt_result::connection_lost);
-    to.answer.status = static_cast<int>(from.status());
-    to.answer.headers = headers_from_wire(*from.mutable_headers());
-    to.answer.body = std::move(*from.mutable_body());
-    to.load = from.load();
-    to.service_time = from_microseconds(from.service_time_us());
-    to.queue_time = from_microseconds(from.queue_time_us());
-    return to;
+    to.set_entries(from.entries);
 }
 
-wire::ChargeQuestion to_wire(charge_question const& from)
+traffic_report from_wire(wire::Report const& from)
 {
-    wire::ChargeQuestion to;
-    to.set_organisation(from.organisation.text());
-    to.set_fingerprint(from.print);
-    to.set_after_crash(from.after_crash);
-    return to;
+    traffic_report report;
+    for (auto const& it : from.targets())
+        report.targets[it.target()] = target_report{
+            it.in_flight(), it.answers(), it.faults(), it.silences()};
+    for (auto const& it : from.demands())
+        report.organisations[it.organisation()] = it.requests_per_second();
+    for (auto const& it : from.suspects())
+        report.suspects.push_back(
+            {it.fingerprint(), it.crashes(), from_microseconds(it.age_us())});
+    report.load = from.load();
+    report.entries = from.entries();
+    return report;
 }
 
-charge_question from_wire(wire::ChargeQuestion const& from)
+void fill(wire::Target& to, target_record const& from, time_point now)
 {
-    return {organisation_id(from.organisation()), from.fingerprint(),
-        from.after_crash()};
-}
-
-wire::ChargeReply to_wire(charge_reply const& from)
-{
-    wire::ChargeReply to;
-    to.set_result(position(from.result));
-    to.set_retry_after_us(to_microseconds(from.retry_after));
-    return to;
-}
-
-charge_reply from_wire(wire::ChargeReply const& from)
-{
-    return {at_position(from.result(), charge_outcome::not_owner),
-        from_microseconds(from.retry_after_us())};
-}
-
-wire::PoisonNotice to_wire(poison_notice const& from)
-{
-    wire::PoisonNotice to;
-    to.set_organisation(from.organisation.text());
-    to.set_fingerprint(from.print);
-    to.set_report(position(from.report));
-    return to;
-}
-
-poison_notice from_wire(wire::PoisonNotice const& from)
-{
-    return {organisation_id(from.organisation()), from.fingerprint(),
-        at_position(from.report(), poison_report::crashed)};
-}
-
-wire::RecordQuestion to_wire(record_question const& from)
-{
-    wire::RecordQuestion to;
-    to.set_step(position(from.step));
-    to_wire(from.record, *to.mutable_record());
-    return to;
+    to.set_id(from.id.text());
+    to.set_incarnation(from.incarnation);
+    to.set_service(from.service.text());
+    to.set_data_centre(from.data_centre.text());
+    to.set_address(from.address);
+    to.set_slots(from.slots);
+    to.set_standing(position(from.standing));
+    to.set_cold_left_us(
+        from.cold_until > now ? to_microseconds(from.cold_until - now) : -1);
+    to.set_revision(from.revision);
 }
 
-record_question from_wire(wire::RecordQuestion const& from)
+target_record from_wire(wire::Target const& from, time_point now)
 {
-    return {
-        at_position(from.step(), record_step::lose), from_wire(from.record())};
+    target_record record;
+    record.id = target_id(from.id());
+    record.incarnation = from.incarnation();
+    record.service = service_id(from.service());
+    record.data_centre = data_centre_id(from.data_centre());
+    record.address = from.address();
+    record.slots = from.slots();
+    record.standing = at_position(from.standing(), target_standing::draining);
+    if (from.cold_left_us() > 0)
+        record.cold_until = now + from_microseconds(from.cold_left_us());
+    record.revision = from.revision();
+    return record;
 }
 
-wire::RecordReply to_wire(record_reply const& from)
+target_changes from_wire(wire::TargetChanges const& from, time_point now)
 {
-    wire::RecordReply to;
-    for (auto const& it : from.records)
-        to_wire(it, *to.add_records());
-    to.set_result(position(from.result));
-    to_wire(from.answer, *to.mutable_answer());
-    return to;
+    target_changes changes;
+    changes.revision = from.revision();
+    changes.whole = from.whole();
+    for (auto const& it : from.put())
+        changes.put.push_back(from_wire(it, now));
+    for (auto const& it : from.removed())
+        changes.removed.emplace_back(it);
+    return changes;
 }
 
-record_reply from_wire(wire::RecordReply const& from)
-{
-    record_reply to;
-    to.result = at_position(from.result(), record_outcome::unknown);
-    to.answer = from_wire(from.answer());
-    for (auto const& it : from.records())
-        to.records.push_back(from_wire(it));
-    return to;
-}
+} // namespace
 
-wire::SyncQuestion to_wire(sync_question const& from)
+wire::SyncQuestion to_wire(sync_question const& question)
 {
     wire::SyncQuestion to;
-    to_wire(from.from, *to.mutable_from());
-    to.set_configuration_version(from.configuration_version);
-    epochs_to_wire(from.epochs, *to.mutable_epochs());
-    to.set_view_digest(from.view_digest);
-    to.set_read_age_us(age_to_wire(from.read_age));
-    to.set_stamp(from.stamp);
+    fill(*to.mutable_from(), question.from);
+    to.set_relation(position(question.relation));
+    to.set_configuration_version(question.configuration_version);
+    to.set_targets_revision(question.targets_revision);
+    to.set_closures_revision(question.closures_revision);
+    to.set_members_source(question.members_source);
+    to.set_members_sequence(question.members_sequence);
+    to.set_wait_us(to_microseconds(question.wait));
+    to.set_patience_us(to_microseconds(question.patience));
+    fill(*to.mutable_report(), question.report);
     return to;
 }
 
 sync_question from_wire(wire::SyncQuestion const& from)
 {
-    sync_question to;
-    to.from = from_wire(from.from());
-    to.configuration_version = from.configuration_version();
-    to.epochs = epochs_from_wire(from.epochs());
-    to.view_digest = from.view_digest();
-    to.read_age = age_from_wire(from.read_age_us());
-    to.stamp = from.stamp();
-    return to;
+    sync_question question;
+    question.from = from_wire(from.from());
+    question.relation = at_position(from.relation(), sync_relation::member);
+    question.configuration_version = from.configuration_version();
+    question.targets_revision = from.targets_revision();
+    question.closures_revision = from.closures_revision();
+    question.members_source = from.members_source();
+    question.members_sequence = from.members_sequence();
+    question.wait = from_microseconds(from.wait_us());
+    question.patience = from_microseconds(from.patience_us());
+    question.report = from_wire(from.report());
+    return question;
 }
 
-wire::SyncReply to_wire(sync_reply const& from)
+wire::SyncReply to_wire(sync_reply const& reply, time_point now)
 {
     wire::SyncReply to;
-    to.set_stamp(from.stamp);
-    to.set_ready(from.ready);
-    to.set_configuration_version(from.configuration_version);
-    for (auto const& it : from.entries)
-        to.add_entries(encode_journal_entry(it));
-    to.set_whole(from.whole);
-    for (auto const& it : from.views)
-        to_wire(it, *to.add_views());
-    to.set_read_age_us(age_to_wire(from.read_age));
-    for (auto const& it : from.summaries)
-        to_wire(it, *to.add_summaries());
-    return to;
-}
-
-sync_reply from_wire(wire::SyncReply const& from)
-{
-    sync_reply to;
-    to.reached = true;
-    to.stamp = from.stamp();
-    to.ready = from.ready();
-    to.configuration_version = from.configuration_version();
-    take_entries(from, to);
-    to.whole = from.whole();
-    for (auto const& it : from.views())
-        to.views.push_back(from_wire(it));
-    to.read_age = age_from_wire(from.read_age_us());
-    for (auto const& it : from.summaries())
-        to.summaries.push_back(from_wire(it));
-    return to;
-}
-
-wire::ReleaseNotice to_wire(release_notice const& from)
-{
-    wire::ReleaseNotice to;
-    to.set_from(from.from.text());
-    to.set_id(from.id);
-    to.set_what(position(from.what));
-    epochs_to_wire(from.epochs, *to.mutable_epochs());
-    for (auto const& it : from.shares) {
-        auto& share = *to.add_shares();
-        share.set_organisation(it.organisation.text());
-        share.set_tokens(it.tokens);
+    to.set_members_source(reply.members_source);
+    to.set_members_sequence(reply.members_sequence);
+    to.set_has_members(reply.members.has_value());
+    if (reply.members)
+        for (auto const& it : *reply.members) {
+            auto& row = *to.add_members();
+            fill(*row.mutable_record(), it.record);
+            row.set_alive(it.alive);
+            row.set_entry(it.entry);
+            row.set_load(it.load);
+        }
+    to.set_configuration_version(reply.configuration.version);
+    if (reply.configuration.text != nullptr)
+        to.set_configuration(*reply.configuration.text);
+    to.set_read_age_us(age_to_wire(reply.read_age));
+    if (reply.targets) {
+        auto& changes = *to.mutable_targets();
+        changes.set_revision(reply.targets->revision);
+        changes.set_whole(reply.targets->whole);
+        for (auto const& it : reply.targets->put)
+            fill(*changes.add_put(), it, now);
+        for (auto const& it : reply.targets->removed)
+            changes.add_removed(it.text());
     }
-    for (auto const& it : from.records)
-        to_wire(it, *to.add_records());
-    return to;
-}
-
-release_notice from_wire(wire::ReleaseNotice const& from)
-{
-    release_notice to;
-    to.from = vm_id(from.from());
-    to.id = from.id();
-    to.what = at_position(from.what(), released_keys::all_but_targets);
-    to.epochs = epochs_from_wire(from.epochs());
-    for (auto const& it : from.shares())
-        to.shares.push_back({organisation_id(it.organisation()), it.tokens()});
-    for (auto const& it : from.records())
-        to.records.push_back(from_wire(it));
-    return to;
-}
-
-wire::FloorQuestion to_wire(floor_question const& from)
-{
-    wire::FloorQuestion to;
-    to.set_service(from.service.text());
-    for (auto const& it : from.reports) {
-        auto& report = *to.add_reports();
-        report.set_target(it.target.text());
-        report.set_slots(it.slots);
-        report.set_capacity(it.capacity);
-        report.set_ejected(it.ejected);
+    if (reply.closures) {
+        auto& closures = *to.mutable_closures();
+        closures.set_revision(reply.closures->revision);
+        for (auto const& it : reply.closures->closed)
+            closures.add_closed(it.text());
     }
-    for (auto const& it : from.eject)
-        to.add_eject(it.text());
-    for (auto const& it : from.returned)
-        to.add_returned(it.text());
-    return to;
-}
-
-floor_question from_wire(wire::FloorQuestion const& from)
-{
-    floor_question to;
-    to.service = service_id(from.service());
-    for (auto const& it : from.reports())
-        to.reports.push_back(
-            {target_id(it.target()), it.slots(), it.capacity(), it.ejected()});
-    for (auto const& it : from.eject())
-        to.eject.emplace_back(it);
-    for (auto const& it : from.returned())
-        to.returned.emplace_back(it);
+    fill(*to.mutable_others(), reply.others);
     return to;
 }
 
-wire::FloorReply to_wire(floor_reply const& from)
+sync_reply from_wire(wire::SyncReply&& from, time_point now)
 {
-    wire::FloorReply to;
-    for (auto const& it : from.answers) {
-        auto& answer = *to.add_answers();
-        answer.set_target(it.target.text());
-        answer.set_verdict(position(it.verdict));
+    sync_reply reply;
+    reply.reached = true;
+    reply.members_source = from.members_source();
+    reply.members_sequence = from.members_sequence();
+    if (from.has_members()) {
+        reply.members.emplace();
+        for (auto const& it : from.members())
+            reply.members->push_back(
+                {from_wire(it.record()), it.alive(), it.entry(), it.load()});
     }
-    return to;
-}
-
-floor_reply from_wire(wire::FloorReply const& from)
-{
-    floor_reply to;
-    to.reached = true;
-    for (auto const& it : from.answers())
-        to.answers.push_back({target_id(it.target()),
-            at_position(it.verdict(), floor_verdict::not_known)});
-    return to;
-}
-
-wire::ReachQuestion to_wire(reach_question const& from)
-{
-    wire::ReachQuestion to;
-    to.set_vm_address(from.vm_address);
-    to.set_upstream_address(from.upstream_address);
-    return to;
-}
-
-reach_question from_wire(wire::ReachQuestion const& from)
-{
-    return {from.vm_address(), from.upstream_address()};
-}
-
-wire::ReachReply to_wire(reach_verdict from)
-{
-    wire::ReachReply to;
-    to.set_verdict(position(from));
-    return to;
-}
-
-reach_verdict from_wire(wire::ReachReply const& from)
-{
-    return at_position(from.verdict(), reach_verdict::not_asked);
+    reply.configuration.version = from.configuration_version();
+    if (!from.configuration().empty())
+        reply.configuration.text = std::make_shared<std::string>(
+            std::move(*from.mutable_configuration()));
+    reply.read_age = age_from_wire(from.read_age_us());
+    if (from.has_targets())
+        reply.targets = from_wire(from.targets(), now);
+    if (from.has_closures()) {
+        reply.closures.emplace();
+        reply.closures->revision = from.closures().revision();
+        for (auto const& it : from.closures().closed())
+            reply.closures->closed.emplace_back(it);
+    }
+    reply.others = from_wire(from.others());
+    return reply;
 }
 
 } // namespace pomelohinge
--- a/drivers/peers/peer_server.hpp
+++ b/drivers/peers/peer_server.hpp
@@ -1,48 +1,32 @@
 #ifndef POMELOHINGE_DRIVERS_PEERS_PEER_SERVER_HPP
 #define POMELOHINGE_DRIVERS_PEERS_PEER_SERVER_HPP
 
-#include "servers/peers/messages.hpp"
+#include "servers/exchange/sync.hpp"
 
 #include <absl/status/status.h>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
 
 namespace pomelohinge {
 
-/// Answers one call, from any thread.
-template <class Reply>
-using reply_function = std::function<void(Reply)>;
+/// Answers a question of another VM; called on one of gRPC's threads. The
+/// reply may be given later, from any thread.
+using sync_handler =
+    std::function<void(sync_question, std::function<void(sync_reply)>)>;
 
-/// Who answers the calls of other VMs. Each is called on a thread of gRPC
-/// and hands the work to the thread that owns it.
-struct peer_handlers
-{
-    /// Returns what is to be called when the caller does not want the
-    /// answer any more.
-    std::function<std::function<void()>(
-        dispatch_order, reply_function<dispatch_answer>)>
-        dispatch;
-    std::function<void(charge_question, reply_function<charge_reply>)> charge;
-    std::function<void(record_question, reply_function<record_reply>)> record;
-    std::function<void(poison_notice)> poison;
-    std::function<void(sync_question, reply_function<sync_reply>)> sync;
-    std::function<void(release_notice)> release;
-    std::function<void(floor_question, reply_function<floor_reply>)> floor;
-    std::function<void(reach_question, reply_function<reach_verdict>)> reach;
-};
-
-/// The gRPC server for other VMs.
+/// Takes calls of other VMs over gRPC.
 class peer_server
 {
 public:
-    explicit peer_server(peer_handlers handlers);
+    explicit peer_server(sync_handler handler);
     ~peer_server();
 
-    /// Listens on `address`.
+    /// Listens on `IP:PORT`.
     absl::Status listen(std::string const& address);
 
-    /// Takes no further calls and ends those under way after `grace`.
+    /// Ends calls that are under way after `grace`.
     void stop(std::chrono::milliseconds grace);
 
 private:
--- a/drivers/platform/platform_client.hpp
+++ b/drivers/platform/platform_client.hpp
@@ -12,20 +12,27 @@
 
 namespace pomelohinge {
 
-/// Changes and views in the platform's objects:
-/// `config/journal/VERSION` holds one entry, `config/body/WRITE_ID/PART` the
-/// parts of a large one, `views/DATA_CENTRE` a view.
+/// Entries of the journal up to a revision of the store.
+struct journal_reading
+{
+    store_status status = store_status::unavailable;
+    std::uint64_t revision = 0;
+    std::vector<journal_entry> entries;
+};
+
+/// The journal in the platform's objects: `config/journal/VERSION` holds one
+/// entry, `config/body/WRITE_ID/PART` the parts of a large one.
 template <ObjectStore Store>
 class platform_client
 {
 public:
     explicit platform_client(Store& store) : store_(store) {}
 
-    /// Waits up to `wait` for changes after `revision` and reads them.
-    void changes_after(std::uint64_t revision, duration wait,
-        std::function<void(store_changes)> done)
+    /// Waits up to `wait` for entries after `revision` and reads them.
+    void entries_after(std::uint64_t revision, duration wait,
+        std::function<void(journal_reading)> done)
     {
-        store_.watch("", revision, wait,
+        store_.watch(std::string(journal_prefix), revision, wait,
             [this, revision, done = std::move(done)](
                 watch_reply reply) mutable {
                 if (reply.status != store_status::done ||
@@ -35,25 +42,6 @@
             });
     }
 
-    /// Replaces the view of the epoch before.
-    void write_view(data_centre_view const& view, std::string const& writer,
-        std::function<void(store_status)> done)
-    {
-        auto const name = view_name(view.data_centre);
-        auto const epoch_before = view.epoch - 1;
-        auto value = encode_view(view, writer);
-        store_.get(name,
-            [this, name, epoch_before, value = std::move(value),
-                done = std::move(done)](get_reply reply) {
-                if (reply.status != store_status::done)
-                    return done(reply.status);
-                if (epoch_of(reply.object) != epoch_before)
-                    return done(store_status::conflict);
-                store_.put(name, value, reply.object.version,
-                    [done](put_reply put) { done(put.status); });
-            });
-    }
-
     /// Appends an entry to the journal; `conflict` means that its version
     /// was taken by another.
     void append(
@@ -80,8 +68,8 @@
     {
         watch_reply watched;
         std::size_t next = 0;
-        store_changes result;
-        std::function<void(store_changes)> done;
+        journal_reading result;
+        std::function<void(journal_reading)> done;
     };
 
     void write_next_part(std::shared_ptr<append_step> step)
@@ -103,11 +91,8 @@
     }
 
     void read_changed(
-        watch_reply reply, std::function<void(store_changes)> done)
+        watch_reply reply, std::function<void(journal_reading)> done)
     {
-        std::erase_if(reply.changed, [](stored_object const& it) {
-            return !is_journal(it.name) && !is_view(it.name);
-        });
         std::sort(reply.changed.begin(), reply.changed.end(),
             [](auto const& left, auto const& right) {
                 return left.name < right.name;
@@ -135,13 +120,6 @@
 
     void take(stored_object object, std::shared_ptr<read_step> step)
     {
-        findings found(object.name);
-        if (is_view(object.name)) {
-            if (auto view = decode_view(object.value, found))
-                step->result.changes.push_back(std::move(*view));
-            report(found);
-            return read_next(step);
-        }
         auto const parts = parts_of(object.value);
         if (!parts)
             return take_entry(object.value, step);
@@ -161,7 +139,7 @@
     {
         if (it->next == it->reference.parts) {
             it->entry.version = it->reference.version;
-            it->step->result.changes.push_back(std::move(it->entry));
+            it->step->result.entries.push_back(std::move(it->entry));
             return read_next(it->step);
         }
         store_.get(part_name(it->reference.write_id, it->next),
@@ -187,7 +165,7 @@
     {
         findings found("journal");
         if (auto entry = decode_journal_entry(value, found))
-            step->result.changes.push_back(std::move(*entry));
+            step->result.entries.push_back(std::move(*entry));
         report(found);
         read_next(step);
     }
@@ -195,8 +173,7 @@
     static void report(findings const& found)
     {
         if (!found.empty())
-            log(log_event::configuration_entry_refused,
-                {{"findings", found.to_text()}});
+            log(log_event::object_unreadable, {{"findings", found.to_text()}});
     }
 
     Store& store_;
--- a/drivers/platform/stored_form.cpp
+++ b/drivers/platform/stored_form.cpp
@@ -2,20 +2,32 @@
 
 #include "core/object_reader.hpp"
 
+#include <absl/strings/escaping.h>
 #include <charconv>
 #include <fmt/format.h>
 #include <limits>
+#include <xxhash.h>
 
 namespace pomelohinge {
 namespace {
 
-constexpr std::string_view journal_prefix = "config/journal/";
-constexpr std::string_view view_prefix = "views/";
-
 /// Changes in one part; with the longest names a part stays well below the
 /// platform's limit of a megabyte.
 constexpr std::size_t changes_per_part = 2000;
 
+constexpr double most_cores = 1e6;
+constexpr double most_mbps = 1e9;
+
+std::string to_base64(std::string const& bytes)
+{
+    return absl::Base64Escape(bytes);
+}
+
+bool from_base64(std::string const& text, std::string& bytes)
+{
+    return absl::Base64Unescape(text, &bytes);
+}
+
 std::string hexadecimal(std::uint64_t value)
 {
     return fmt::format("{:016x}", value);
@@ -28,24 +40,6 @@
     return value;
 }
 
-vm_record read_vm(
-    json_document const& document, std::string const& pointer, findings& found)
-{
-    vm_record record;
-    std::string vm;
-    std::string incarnation;
-    object_reader reader(document, pointer, found);
-    reader.text("vm", vm);
-    reader.text("peers", record.peers_address);
-    reader.text("callers", record.callers_address);
-    reader.text("incarnation", incarnation);
-    reader.name("standing", record.standing);
-    reader.finish();
-    record.vm = vm_id(std::move(vm));
-    record.incarnation = from_hexadecimal(incarnation);
-    return record;
-}
-
 } // namespace
 
 std::string journal_name(std::uint64_t version)
@@ -58,19 +52,17 @@
     return fmt::format("config/body/{}/{:04}", write_id, part);
 }
 
-std::string view_name(data_centre_id const& data_centre)
-{
-    return std::string(view_prefix) + data_centre.text();
-}
-
-bool is_journal(std::string_view name)
+std::string vm_name(vm_id const& vm)
 {
-    return name.starts_with(journal_prefix);
+    return std::string(vms_prefix) + vm.text();
 }
 
-bool is_view(std::string_view name)
+std::string record_name(idempotency_record const& record)
 {
-    return name.starts_with(view_prefix);
+    auto const& key = record.repeat_key;
+    auto const hash = XXH3_128bits(key.data(), key.size());
+    return fmt::format("records/{}/{:016x}{:016x}", record.organisation,
+        hash.high64, hash.low64);
 }
 
 std::vector<std::string> split_entry(journal_entry const& entry)
@@ -106,58 +98,77 @@
         body.value("parts", std::size_t{0})};
 }
 
-std::string encode_view(data_centre_view const& view, std::string const& writer)
+std::string encode_vm(vm_record const& vm)
 {
-    auto vms = nlohmann::ordered_json::array();
-    for (auto const& it : view.vms)
-        vms.push_back({{"vm", it.vm.text()}, {"peers", it.peers_address},
-            {"callers", it.callers_address},
-            {"incarnation", hexadecimal(it.incarnation)},
-            {"standing", to_name(it.standing)}});
-    return nlohmann::ordered_json{{"data_centre", view.data_centre.text()},
-        {"epoch", view.epoch}, {"writer", writer}, {"vms", std::move(vms)}}
+    return nlohmann::ordered_json{{"vm", vm.vm.text()},
+        {"data_centre", vm.data_centre.text()}, {"peers", vm.peers_address},
+        {"callers", vm.callers_address}, {"cores", vm.cores},
+        {"link_mbps", vm.link_mbps}}
         .dump();
 }
 
-std::optional<data_centre_view> decode_view(
-    std::string_view text, findings& found)
+std::optional<vm_record> decode_vm(std::string_view text, findings& found)
 {
     auto const before = found.items().size();
     auto const document = parse_json_text(text, found);
     if (!document)
         return std::nullopt;
-    data_centre_view view;
+    vm_record vm;
+    std::string name;
     std::string data_centre;
-    std::int64_t epoch = 0;
     object_reader reader(*document, "", found);
+    reader.text("vm", name);
     reader.text("data_centre", data_centre);
-    reader.integer("epoch", epoch, 1, std::numeric_limits<std::int64_t>::max());
-    reader.accept("writer");
-    reader.accept("vms");
+    reader.text("peers", vm.peers_address);
+    reader.text("callers", vm.callers_address);
+    reader.number("cores", vm.cores, 0, most_cores);
+    reader.number("link_mbps", vm.link_mbps, 0, most_mbps);
     reader.finish();
-    view.data_centre = data_centre_id(data_centre);
-    view.epoch = static_cast<std::uint64_t>(epoch);
-    auto const vms = document->value.find("vms");
-    if (vms == document->value.end() || !vms->is_array())
-        reader.add("vms", "a list of VMs is expected");
-    else
-        for (std::size_t n = 0; n < vms->size(); ++n) {
-            view.vms.push_back(
-                read_vm(*document, fmt::format("/vms/{}", n), found));
-            view.vms.back().data_centre = view.data_centre;
-        }
+    vm.vm = vm_id(std::move(name));
+    vm.data_centre = data_centre_id(std::move(data_centre));
     if (found.items().size() != before)
         return std::nullopt;
-    return view;
+    return vm;
+}
+
+std::string encode_record(idempotency_record const& record)
+{
+    return nlohmann::ordered_json{{"print", hexadecimal(record.print)},
+        {"state", to_name(record.state)}, {"ends_at_ms", record.ends_at_ms},
+        {"status", record.answer.status},
+        {"content_type", record.answer.content_type},
+        {"body", to_base64(record.answer.body)}}
+        .dump();
 }
 
-std::uint64_t epoch_of(stored_object const& object)
+std::optional<idempotency_record> decode_record(
+    std::string_view text, findings& found)
 {
-    if (object.version == 0)
-        return 0;
-    findings found(object.name);
-    auto const view = decode_view(object.value, found);
-    return view ? view->epoch : 0;
+    auto const before = found.items().size();
+    auto const document = parse_json_text(text, found);
+    if (!document)
+        return std::nullopt;
+    idempotency_record record;
+    std::string print;
+    std::string body;
+    std::int64_t status = 0;
+    constexpr auto latest = std::numeric_limits<std::int64_t>::max();
+    constexpr std::int64_t last_status = 999;
+    object_reader reader(*document, "", found);
+    reader.text("print", print);
+    reader.name("state", record.state);
+    reader.integer("ends_at_ms", record.ends_at_ms, 0, latest);
+    reader.integer("status", status, 0, last_status);
+    reader.text("content_type", record.answer.content_type);
+    reader.text("body", body);
+    reader.finish();
+    record.print = from_hexadecimal(print);
+    record.answer.status = static_cast<int>(status);
+    if (!from_base64(body, record.answer.body))
+        reader.add("body", "base64 is expected");
+    if (found.items().size() != before)
+        return std::nullopt;
+    return record;
 }
 
 } // namespace pomelohinge
--- a/drivers/platform/stored_form.hpp
+++ b/drivers/platform/stored_form.hpp
@@ -3,7 +3,8 @@
 
 #include "config/configuration_text.hpp"
 #include "drivers/platform/object_store.hpp"
-#include "servers/membership/view.hpp"
+#include "servers/idempotency/record.hpp"
+#include "servers/membership/vm_record.hpp"
 
 #include <optional>
 #include <string>
@@ -22,9 +23,11 @@
 
 std::string journal_name(std::uint64_t version);
 std::string part_name(std::string const& write_id, std::size_t part);
-std::string view_name(data_centre_id const& data_centre);
-bool is_journal(std::string_view name);
-bool is_view(std::string_view name);
+std::string vm_name(vm_id const& vm);
+std::string record_name(idempotency_record const& record);
+
+inline constexpr std::string_view journal_prefix = "config/journal/";
+inline constexpr std::string_view vms_prefix = "vms/";
 
 /// The entry in parts of a bounded size; one part if it is small.
 std::vector<std::string> split_entry(journal_entry const& entry);
@@ -35,15 +38,14 @@
 /// Reads `encode_parts`; empty if the value is an entry itself.
 std::optional<split_reference> parts_of(std::string_view value);
 
-/// The stored form of a view. `writer` tells two writers of the same epoch
-/// apart.
-std::string encode_view(
-    data_centre_view const& view, std::string const& writer);
-std::optional<data_centre_view> decode_view(
-    std::string_view text, findings& found);
+/// The stored form of a VM.
+std::string encode_vm(vm_record const& vm);
+std::optional<vm_record> decode_vm(std::string_view text, findings& found);
 
-/// The epoch of a stored view; 0 if there is none.
-std::uint64_t epoch_of(stored_object const& object);
+/// The stored form of an idempotency record.
+std::string encode_record(idempotency_record const& record);
+std::optional<idempotency_record> decode_record(
+    std::string_view text, findings& found);
 
 } // namespace pomelohinge
 
--- /dev/null
+++ b/drivers/upstream/product_upstream_dialect.cpp
@@ -0,0 +1,40 @@
+#include "drivers/http/curl_loop.hpp"
+#include "drivers/http/header_names.hpp"
+#include "drivers/upstream/upstream_dialect.hpp"
+#include "servers/requests/refusal.hpp"
+
+#include <fmt/format.h>
+
+namespace pomelohinge {
+
+std::string product_upstream_dialect::own_headers(
+    target_record const&, upstream_order const& order)
+{
+    auto text = fmt::format("{}: {}\r\n{}: {}\r\n", header::request_id,
+        order.request_id, header::deadline, to_milliseconds(order.time_limit));
+    if (!order.organisation.empty())
+        text += fmt::format(
+            "{}: {}\r\n", header::organisation, order.organisation.text());
+    return text;
+}
+
+bool product_upstream_dialect::belongs(
+    upstream_answer const& answer, upstream_order const& order)
+{
+    auto const echo = find_header(answer.headers, header::request_id);
+    return echo.empty() ? !order.echoes_request_id : echo == order.request_id;
+}
+
+attempt_result product_upstream_dialect::judge(upstream_answer const& answer)
+{
+    constexpr int service_unavailable = 503;
+    constexpr int first_server_error = 500;
+    if (answer.status == service_unavailable &&
+        find_header(answer.headers, header::outcome) ==
+            to_name(outcome::not_run))
+        return attempt_result::shed;
+    return answer.status >= first_server_error ? attempt_result::server_error
+                                               : attempt_result::answered;
+}
+
+} // namespace pomelohinge
--- a/main/cli/blocking_platform.cpp
+++ b/main/cli/blocking_platform.cpp
@@ -21,23 +21,20 @@
 
 absl::StatusOr<stored_configuration> blocking_platform::read()
 {
-    store_changes changes;
-    platform_.changes_after(0, duration::zero(),
-        [&](store_changes reply) { changes = std::move(reply); });
+    journal_reading reading;
+    platform_.entries_after(0, duration::zero(),
+        [&](journal_reading reply) { reading = std::move(reply); });
     run();
-    if (changes.status != store_status::done)
+    if (reading.status != store_status::done)
         return absl::UnavailableError("the platform does not answer");
     stored_configuration stored;
-    for (auto& it : changes.changes) {
-        auto* const entry = std::get_if<journal_entry>(&it);
-        if (entry == nullptr)
-            continue;
-        if (entry->version != stored.version + 1)
+    for (auto& it : reading.entries) {
+        if (it.version != stored.version + 1)
             return absl::DataLossError(
                 fmt::format("the journal has no entry {}", stored.version + 1));
-        stored.version = entry->version;
-        stored.current = stored.current.with(entry->changes);
-        stored.journal.push_back(std::move(*entry));
+        stored.version = it.version;
+        stored.current = stored.current.with(it.changes);
+        stored.journal.push_back(std::move(it));
     }
     return stored;
 }
@@ -52,6 +49,7 @@
         return absl::OkStatus();
     case store_status::conflict:
         return absl::AbortedError("another operator was first");
+    case store_status::history_gone:
     case store_status::unavailable:
         break;
     }
--- a/main/pomelohinge.cpp
+++ b/main/pomelohinge.cpp
@@ -47,7 +47,6 @@
 
 int main(int argc, char** argv)
 {
-    configure_log(log_format::text, log_level::error);
     cxxopts::Options options("pomelohinge", "The operators' command line");
     options.add_options()("command", command_names(),
         cxxopts::value<std::string>())("arguments", "What the command is for",
@@ -69,7 +68,10 @@
                     ? command_exit::done
                     : command_exit::refused);
         }
-        return run(parsed);
+        configure_log({log_format::text, log_level::error});
+        auto const exit = run(parsed);
+        close_log();
+        return exit;
     } catch (cxxopts::exceptions::exception const& error) {
         std::cerr << error.what() << "\n";
         return static_cast<int>(command_exit::refused);
--- a/main/status_page.cpp
+++ b/main/status_page.cpp
@@ -1,36 +1,31 @@
 #include "main/status_page.hpp"
 
 #include "core/invariant.hpp"
+#include "core/log.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace pomelohinge {
 namespace {
 
-nlohmann::ordered_json view_json(fleet_view const& view)
+nlohmann::ordered_json members_json(fleet_members const& members)
 {
     auto data_centres = nlohmann::ordered_json::object();
-    for (auto const& [name, it] : view.data_centres()) {
-        auto vms = nlohmann::ordered_json::array();
-        for (auto const& vm : it.vms)
-            vms.push_back(
-                {{"vm", vm.vm.text()}, {"callers", vm.callers_address},
-                    {"standing", to_name(vm.standing)}});
-        data_centres[name.text()] = {
-            {"epoch", it.epoch}, {"vms", std::move(vms)}};
-    }
+    for (auto const& it : members)
+        data_centres[it.record.data_centre.text()].push_back(
+            {{"vm", it.record.vm.text()},
+                {"callers", it.record.callers_address},
+                {"standing", to_name(it.record.standing)}, {"alive", it.alive},
+                {"entry", it.entry}});
     return data_centres;
 }
 
-nlohmann::ordered_json targets_json(std::vector<target_status> const& targets)
+void print_gauge(std::string& text, std::string_view name, double value)
 {
-    auto rows = nlohmann::ordered_json::array();
-    for (auto const& it : targets)
-        rows.push_back(
-            {{"target", it.target.text()}, {"state", to_name(it.state)},
-                {"limit", it.limit}, {"score", it.score}});
-    return rows;
+    text += fmt::format(
+        "# TYPE pomelohinge_{} gauge\npomelohinge_{} {}\n", name, name, value);
 }
 
 } // namespace
@@ -38,16 +33,16 @@
 std::string to_json(
     control_status const& status, vm_id const& vm, bool stopping)
 {
-    bool const never_read = status.read_age == duration::max();
     nlohmann::ordered_json body{{"vm", vm.text()},
-        {"phase", to_name(status.phase)}, {"stopping", stopping},
+        {"standing", to_name(status.standing)}, {"stopping", stopping},
         {"configuration_version", status.configuration_version},
-        {"view_digest", fmt::format("{:016x}", status.view_digest)},
-        {"lease_holds", status.lease_holds}, {"watcher", status.watcher}};
-    if (!never_read)
-        body["store_read_age_ms"] = to_milliseconds(status.read_age);
-    body["data_centres"] = view_json(status.view);
-    body["targets"] = targets_json(status.targets);
+        {"targets_revision", status.targets_revision},
+        {"targets", status.targets},
+        {"hub", status.hub.empty() ? vm.text() : status.hub},
+        {"reads_store", status.reads_store}};
+    if (status.read_age != duration::max())
+        body["read_age_ms"] = to_milliseconds(status.read_age);
+    body["data_centres"] = members_json(status.members);
     body["invariant_violations"] = invariant_violations();
     return body.dump();
 }
@@ -55,14 +50,28 @@
 std::string control_metrics(control_status const& status)
 {
     std::string text;
-    text += "# TYPE pomelohinge_configuration_version gauge\n";
-    text += fmt::format(
-        "pomelohinge_configuration_version {}\n", status.configuration_version);
-    text += "# TYPE pomelohinge_view_vms gauge\n";
-    text += fmt::format("pomelohinge_view_vms {}\n", status.view.size());
-    text += "# TYPE pomelohinge_lease_holds gauge\n";
-    text +=
-        fmt::format("pomelohinge_lease_holds {}\n", status.lease_holds ? 1 : 0);
+    auto const& members = status.members;
+    auto const count = [&](auto which) {
+        return static_cast<double>(
+            std::count_if(members.begin(), members.end(), which));
+    };
+    print_gauge(text, "configuration_version",
+        static_cast<double>(status.configuration_version));
+    print_gauge(text, "targets", static_cast<double>(status.targets));
+    print_gauge(text, "members", static_cast<double>(members.size()));
+    print_gauge(
+        text, "members_alive", count([](auto const& it) { return it.alive; }));
+    print_gauge(
+        text, "entries", count([](auto const& it) { return it.entry; }));
+    print_gauge(text, "reads_store", status.reads_store ? 1 : 0);
+    if (status.read_age != duration::max())
+        print_gauge(text, "read_age_seconds", to_seconds(status.read_age));
+    text += "# TYPE pomelohinge_log_lines_dropped_total counter\n";
+    for (auto const& it : name_table<log_event>)
+        if (auto const n = dropped_lines(it.value); n > 0)
+            text += fmt::format(
+                "pomelohinge_log_lines_dropped_total{{event=\"{}\"}} {}\n",
+                it.name, n);
     text += "# TYPE pomelohinge_invariant_violations_total counter\n";
     for (auto const& it : name_table<invariant>)
         text += fmt::format(
--- a/main/traffic_metrics.hpp
+++ b/main/traffic_metrics.hpp
@@ -1,7 +1,7 @@
 #ifndef POMELOHINGE_MAIN_TRAFFIC_METRICS_HPP
 #define POMELOHINGE_MAIN_TRAFFIC_METRICS_HPP
 
-#include "servers/requests/entry_request.hpp"
+#include "servers/requests/entry_environment.hpp"
 
 #include <array>
 #include <boost/histogram.hpp>
--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -2,148 +2,272 @@
 #define POMELOHINGE_MAIN_TRAFFIC_THREAD_HPP
 
 #include "charts/chart_list.hpp"
-#include "config/settings.hpp"
-#include "core/timer_service.hpp"
 #include "drivers/front/front.hpp"
-#include "drivers/http/curl_loop.hpp"
-#include "drivers/peers/peer_client.hpp"
+#include "drivers/pages/page_port.hpp"
 #include "drivers/upstream/upstream_client.hpp"
+#include "main/fleet_platform.hpp"
 #include "main/traffic_metrics.hpp"
-#include "servers/dispatch/target_owner.hpp"
-#include "servers/limits/organisation_owner.hpp"
 #include "servers/requests/entry_request.hpp"
 
 #include <asio/executor_work_guard.hpp>
-#include <asio/io_context.hpp>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
-#include <functional>
-#include <memory>
-#include <string_view>
 #include <thread>
-#include <vector>
 
 namespace pomelohinge {
 
-class traffic_thread;
-
-/// All traffic threads of the daemon. Each target and each organisation
-/// falls to one of them.
-using traffic_threads = std::vector<std::unique_ptr<traffic_thread>>;
-
-/// Position of the thread that a target or an organisation falls to.
-std::size_t thread_of(std::string_view name, std::size_t threads);
-
-/// One traffic thread: callers' connections, their requests, and the targets
-/// and organisations that fall to it. All of it runs on this thread; others
-/// come in by `post`.
+/// One traffic thread: callers' connections, their requests and the
+/// connections to upstreams. All of it runs on this thread; others come in
+/// by `post`.
+template <FleetPlatform Platform>
 class traffic_thread
 {
 public:
-    using attempt_callback =
-        std::function<void(target_id const&, attempt_report const&)>;
-
-    traffic_thread(settings const& configured, chart_list const& rules,
-        traffic_threads const& all, attempt_callback on_attempt);
-    ~traffic_thread();
+    traffic_thread(settings const& configured, chart_list const& rules)
+        : settings_(configured), rules_(rules),
+          upstreams_(
+              context_, static_cast<std::size_t>(configured.answer_body_bytes)),
+          entry_(
+              rules.target, configured.data_centre, std::random_device{}(),
+              [this](std::string const& address) {
+                  return upstreams_.is_connected(address);
+              },
+              configured.bounds),
+          front_(context_, make_handlers(),
+              front_limits{
+                  static_cast<std::size_t>(configured.request_body_bytes)}),
+          directory_(context_,
+              [this](std::string const& target,
+                  std::function<void(page_reply)> reply) {
+                  reply(entry_page(target));
+              }),
+          tick_timer_(context_), work_(context_.get_executor())
+    {
+    }
 
-    /// Listens and starts the thread.
-    absl::Status start();
+    /// Listens and starts the thread. The first thread also answers entry
+    /// questions at an address of their own, if there is one.
+    absl::Status start(bool is_first)
+    {
+        if (auto status = front_.listen(settings_.callers_address);
+            !status.ok())
+            return status;
+        if (is_first && !settings_.directory_address.empty())
+            if (auto status = directory_.listen(settings_.directory_address);
+                !status.ok())
+                return status;
+        tick();
+        thread_ = std::thread([this] { context_.run(); });
+        return absl::OkStatus();
+    }
 
     /// Ends the thread and waits for it.
-    void stop();
+    void stop()
+    {
+        context_.stop();
+        if (thread_.joinable())
+            thread_.join();
+    }
 
     /// Runs `work` on this thread; safe from every thread.
-    void post(std::function<void()> work);
+    void post(std::function<void()> work)
+    {
+        asio::post(context_, std::move(work));
+    }
 
     // On this thread.
 
-    organisation_hand_over set_policy(policy_pointer next);
-    void set_lease_end(time_point end) { lease_end_ = end; }
-    organisation_owner<traffic_thread>& organisations()
+    void set_policy(policy_pointer next)
     {
-        return organisations_;
+        policy_ = std::move(next);
+        entry_.adopt(policy_, now());
     }
-    target_owner<traffic_thread>& targets() { return targets_; }
-    front& callers() { return front_; }
+    void set_read_at(time_point at) { read_at_ = at; }
+    void hear(traffic_report const& others) { entry_.hear(others, now()); }
+    traffic_report make_report() { return entry_.make_report(now()); }
+    front<typename Platform::front_dialect>& callers() { return front_; }
     traffic_metrics& metrics() { return metrics_; }
+    void stop_directory() { directory_.stop(); }
 
-    /// Requests that entered or are dispatched here and have not ended.
-    std::size_t open_work() const
-    {
-        return front_.open_requests() + targets_.orders();
-    }
+    /// Requests that are not answered yet.
+    std::size_t open_work() const { return front_.open_requests(); }
 
-    // What decisions need; see the concepts of servers/.
+    // What requests need; see `EntryEnvironment`.
 
-    time_point now() const { return std::chrono::steady_clock::now(); }
+    time_point now() const { return machine_clock::now(); }
+    std::int64_t unix_now_ms() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    }
     policy_pointer const& current_policy() const { return policy_; }
-    time_point lease_end() const { return lease_end_; }
+    time_point read_at() const { return read_at_; }
     entry_state& state() { return entry_; }
-    data_centre_id const& data_centre() const { return settings_.data_centre; }
-    void ask_charge(vm_record const& vm, charge_question const& question,
-        std::function<void(charge_reply)> done);
-    void ask_record(vm_record const& vm, record_question const& question,
-        std::function<void(record_reply)> done);
-    void tell_poison(vm_record const& vm, poison_notice const& notice);
-    std::uint64_t send_order(vm_record const& vm, dispatch_order order,
-        std::function<void(dispatch_answer)> done);
-    void cancel_order(std::uint64_t call);
-    void after(duration wait, std::function<void()> run);
-    std::uint64_t send_upstream(target_object const& target,
-        dispatch_order const& order, std::function<void(attempt_end)> done);
+
+    std::uint64_t send_upstream(target_record const& target,
+        upstream_order order, std::function<void(attempt_end)> done)
+    {
+        return upstreams_.send(target, std::move(order), std::move(done));
+    }
     void cancel_upstream(std::uint64_t attempt) { upstreams_.cancel(attempt); }
-    void report_attempt(target_id const& target, attempt_report const& report);
+
+    void after(duration wait, std::function<void()> run)
+    {
+        auto const timer = std::make_shared<asio::steady_timer>(context_, wait);
+        timer->async_wait([timer, run = std::move(run)](asio::error_code ec) {
+            if (!ec)
+                run();
+        });
+    }
+
+    void create_record(idempotency_record const& record,
+        std::function<void(record_outcome, idempotency_record)> done)
+    {
+        records().create(record, std::move(done));
+    }
+    void write_record(idempotency_record const& record)
+    {
+        records().write(record);
+    }
+    void remove_record(idempotency_record const& record)
+    {
+        records().remove(record);
+    }
 
 private:
-    /// An order that this VM owns itself.
-    struct local_order
+    using request = entry_request<traffic_thread>;
+
+    /// How often what waits is looked at, and idle connections are swept.
+    static constexpr duration busy_tick = std::chrono::milliseconds(50);
+    static constexpr duration idle_tick = std::chrono::milliseconds(500);
+    static constexpr duration sweep_period = std::chrono::seconds(1);
+
+    /// The store is only reached for records when a request needs one.
+    struct record_client
     {
-        traffic_thread* owner = nullptr;
-        std::shared_ptr<ticket> id;
+        record_client(asio::io_context& context, std::string const& address)
+            : http(context), records(http, address)
+        {
+        }
+
+        curl_loop http;
+        typename Platform::records records;
     };
 
-    bool is_self(vm_record const& vm) const { return vm.vm == settings_.vm; }
-    traffic_thread& owner_of(std::string_view name) const;
+    typename Platform::records& records()
+    {
+        if (records_ == nullptr)
+            records_ = std::make_unique<record_client>(
+                context_, settings_.platform_address);
+        return records_->records;
+    }
+
+    front_handlers make_handlers()
+    {
+        front_handlers handlers;
+        handlers.request = [this](entry_message message,
+                               std::function<void(entry_result)> done) {
+            return begin_request(std::move(message), std::move(done));
+        };
+        handlers.entries = [this](data_centre_id const& asked) {
+            return answer_entry_question(asked);
+        };
+        return handlers;
+    }
+
     std::function<void()> begin_request(
-        entry_message message, std::function<void(entry_result)> done);
-    std::variant<entry_answer, refusal> answer_entries(
-        std::optional<key_hash> const& key);
-    void send_local(std::uint64_t call, dispatch_order order,
-        std::function<void(dispatch_answer)> done);
-    void keep_time();
-    void sweep();
-    void run();
+        entry_message message, std::function<void(entry_result)> done)
+    {
+        auto const began = now();
+        auto const it = std::make_shared<std::shared_ptr<request>>();
+        *it =
+            std::make_shared<request>(rules_.request, *this, std::move(message),
+                [this, began, it, done = std::move(done)](entry_result result) {
+                    auto const ended = std::exchange(*it, nullptr);
+                    auto const& seen = ended->seen();
+                    metrics_.ended(seen.organisation, seen.service, result,
+                        now() - began, seen.upstream_time, seen.queue_time,
+                        seen.attempts);
+                    done(std::move(result));
+                    // Destroyed once its own code has returned.
+                    post([ended] {});
+                });
+        auto const started = *it;
+        started->start();
+        return [this, weak = std::weak_ptr(started), it] {
+            if (auto const held = weak.lock()) {
+                held->caller_gone();
+                *it = nullptr;
+                post([held] {});
+            }
+        };
+    }
 
-    settings const& settings_;
-    chart_list const& rules_;
-    traffic_threads const& all_;
-    attempt_callback on_attempt_;
+    entry_answer answer_entry_question(data_centre_id const& asked)
+    {
+        entry_answer answer;
+        answer.time_to_live = entry_time_to_live;
+        if (policy_ == nullptr)
+            return answer;
+        answer = answer_entries(
+            *policy_->members, asked.empty() ? settings_.data_centre : asked);
+        bool const alone =
+            answer.addresses.empty() && policy_->ready && !policy_->leaving;
+        if (alone)
+            answer.addresses.push_back(settings_.callers_address);
+        return answer;
+    }
 
-    asio::io_context context_;
-    asio::executor_work_guard<asio::io_context::executor_type> work_;
-    asio::steady_timer clock_;
-    timer_service timers_;
-    timer_service::subscription sweep_timer_;
-    unsigned sweeps_ = 0;
+    page_reply entry_page(std::string const& target)
+    {
+        auto const asked = Platform::front_dialect::entry_question(target);
+        if (!asked)
+            return {404, "text/plain", "there is no such page\n"};
+        auto const answer = answer_entry_question(*asked);
+        if (answer.addresses.empty())
+            return {503, "text/plain", "no VM is known to serve\n"};
+        return {200, "application/json",
+            Platform::front_dialect::entry_body(answer)};
+    }
 
-    curl_loop http_;
-    upstream_client upstreams_;
-    peer_client peers_;
-    front front_;
+    void tick()
+    {
+        auto const at = now();
+        entry_.tick(at);
+        if (at - swept_at_ >= sweep_period) {
+            swept_at_ = at;
+            upstreams_.sweep();
+        }
+        bool const busy = front_.open_requests() > 0;
+        tick_timer_.expires_after(busy ? busy_tick : idle_tick);
+        tick_timer_.async_wait([this](asio::error_code ec) {
+            if (!ec)
+                tick();
+        });
+    }
 
-    policy_pointer policy_;
-    time_point lease_end_{};
+    settings const& settings_;
+    chart_list const& rules_;
+    asio::io_context context_{1};
+    upstream_client<typename Platform::upstream_dialect> upstreams_;
     entry_state entry_;
-    organisation_owner<traffic_thread> organisations_;
-    target_owner<traffic_thread> targets_;
     traffic_metrics metrics_;
-
-    std::uint64_t last_call_ = 0;
-    absl::flat_hash_map<std::uint64_t, local_order> local_orders_;
-    absl::flat_hash_map<std::uint64_t, std::uint64_t> remote_orders_;
+    policy_pointer policy_;
+    time_point read_at_{};
+    std::unique_ptr<record_client> records_;
+    front<typename Platform::front_dialect> front_;
+    page_port directory_;
+    asio::steady_timer tick_timer_;
+    time_point swept_at_{};
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
     std::thread thread_;
 };
 
+/// All traffic threads of the daemon.
+template <FleetPlatform Platform>
+using traffic_threads = std::vector<std::unique_ptr<traffic_thread<Platform>>>;
+
 } // namespace pomelohinge
 
 #endif
--- /dev/null
+++ b/servers/control/fleet_knowledge.cpp
@@ -0,0 +1,44 @@
+#include "servers/control/fleet_knowledge.hpp"
+
+#include "core/invariant.hpp"
+
+#include <fmt/format.h>
+
+namespace pomelohinge {
+
+void fleet_knowledge::set_configuration(
+    configuration_document document, configuration const& read)
+{
+    assert_invariant(invariant::configuration_never_reverts,
+        document.version > document_.version,
+        fmt::format("{} after {}", document.version, document_.version));
+    document_ = std::move(document);
+    index_ = std::make_shared<configuration_index>(read, document_.version);
+}
+
+void fleet_knowledge::confirm(std::uint64_t version, time_point read_at)
+{
+    // A read of an older version was overtaken by a change; one of a newer
+    // version, which could not be read, says that this one is not in force.
+    if (version == document_.version && read_at > read_at_)
+        read_at_ = read_at;
+}
+
+bool fleet_knowledge::take_targets(target_changes changes)
+{
+    if (!targets_.take(std::move(changes)))
+        return false;
+    catalogue_ = std::make_shared<target_catalogue>(targets_.catalogue());
+    return true;
+}
+
+bool fleet_knowledge::take_closures(data_centre_closures closures)
+{
+    if (closures.revision < closures_.revision)
+        return false;
+    bool const changed = closures.closed != closures_.closed;
+    closures_ = std::move(closures);
+    return changed;
+}
+
+} // namespace pomelohinge
--- /dev/null
+++ b/servers/control/hub_desk.cpp
@@ -0,0 +1,124 @@
+#include "servers/control/hub_desk.hpp"
+
+#include "core/log.hpp"
+
+#include <algorithm>
+
+namespace pomelohinge {
+namespace {
+
+/// A VM or hub that reports nothing for so long is not counted any more.
+constexpr duration report_patience = std::chrono::milliseconds(2500);
+
+bool is_distant(sync_relation relation)
+{
+    return relation == sync_relation::hub;
+}
+
+} // namespace
+
+void hub_desk::answer(
+    sync_question question, time_point now, reply_callback reply)
+{
+    if (!is_distant(question.relation))
+        last_asked_ = now;
+    members_.heard(question.from, question.report.load, question.patience, now);
+    ledger_.take(question.from.vm.text(), is_distant(question.relation),
+        std::move(question.report), now);
+    question.report = {};
+    if (question.wait <= duration::zero() || has_news(question))
+        return reply(make_reply(question, now));
+    auto const due = now + question.wait;
+    waiting_.push_back({std::move(question), due, std::move(reply)});
+}
+
+bool hub_desk::has_news(sync_question const& question) const
+{
+    return question.configuration_version < knowledge_.document().version ||
+        question.targets_revision < knowledge_.targets().revision() ||
+        question.closures_revision < knowledge_.closures().revision ||
+        question.members_source != self_.incarnation ||
+        question.members_sequence < members_.sequence();
+}
+
+sync_reply hub_desk::make_reply(sync_question const& question, time_point now)
+{
+    sync_reply reply;
+    reply.reached = true;
+    reply.members_source = self_.incarnation;
+    reply.members_sequence = members_.sequence();
+    if (question.members_source != self_.incarnation ||
+        question.members_sequence < members_.sequence())
+        reply.members = members_.members();
+    auto const& document = knowledge_.document();
+    reply.configuration.version = document.version;
+    if (question.configuration_version < document.version)
+        reply.configuration.text = document.text;
+    reply.read_age = knowledge_.read_age(now);
+    reply.targets =
+        knowledge_.targets().changes_after(question.targets_revision);
+    if (question.closures_revision < knowledge_.closures().revision)
+        reply.closures = knowledge_.closures();
+    reply.others = ledger_.for_reader(
+        question.from.vm.text(), is_distant(question.relation));
+    return reply;
+}
+
+void hub_desk::answer_waiting(time_point now)
+{
+    std::list<waiting> ready;
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+        auto const next = std::next(it);
+        if (it->due <= now || has_news(it->question))
+            ready.splice(ready.end(), waiting_, it);
+        it = next;
+    }
+    for (auto& it : ready)
+        it.reply(make_reply(it.question, now));
+}
+
+time_point hub_desk::next_due() const
+{
+    auto due = time_point::max();
+    for (auto const& it : waiting_)
+        due = std::min(due, it.due);
+    return due;
+}
+
+traffic_report hub_desk::exchange_own(traffic_report report, time_point now)
+{
+    auto const& name = self_.vm.text();
+    ledger_.take(name, false, std::move(report), now);
+    return ledger_.for_reader(name, false);
+}
+
+traffic_report hub_desk::for_distant(std::string const& hub)
+{
+    return ledger_.for_reader(hub, true);
+}
+
+void hub_desk::take_distant(
+    std::string const& hub, traffic_report report, time_point now)
+{
+    ledger_.take(hub, true, std::move(report), now);
+}
+
+void hub_desk::choose_entries(time_point now)
+{
+    auto const members = members_.members();
+    auto const chosen =
+        entries_.choose(hub_order(members, self_.data_centre), now);
+    if (!members_.set_entries(self_.data_centre, chosen))
+        return;
+    std::string names;
+    for (auto const& it : chosen)
+        names += (names.empty() ? "" : " ") + it.text();
+    log(log_event::entries_chosen, {{"entries", names}});
+}
+
+void hub_desk::expire(time_point now)
+{
+    ledger_.expire(report_patience, now);
+}
+
+} // namespace pomelohinge
--- /dev/null
+++ b/servers/control/hub_desk.hpp
@@ -0,0 +1,81 @@
+#ifndef POMELOHINGE_SERVERS_CONTROL_HUB_DESK_HPP
+#define POMELOHINGE_SERVERS_CONTROL_HUB_DESK_HPP
+
+#include "servers/control/fleet_knowledge.hpp"
+#include "servers/entries/entry_selection.hpp"
+#include "servers/membership/hub_rank.hpp"
+#include "servers/membership/member_table.hpp"
+
+#include <functional>
+#include <list>
+
+namespace pomelohinge {
+
+/// Answers the VMs that take this one for their hub.
+class hub_desk
+{
+public:
+    using reply_callback = std::function<void(sync_reply)>;
+
+    hub_desk(vm_record const& self, fleet_knowledge const& knowledge,
+        member_table& members)
+        : self_(self), knowledge_(knowledge), members_(members)
+    {
+    }
+
+    /// Answers now if the asker lacks anything or does not wait, else once
+    /// there are news or its wait is over.
+    void answer(sync_question question, time_point now, reply_callback reply);
+
+    /// Answers who waits: those for whom there are news, and those whose
+    /// wait is over.
+    void answer_waiting(time_point now);
+
+    /// Takes this VM's own report and returns what others have said.
+    traffic_report exchange_own(traffic_report report, time_point now);
+
+    /// What the VMs of this data centre report, for another one's hub.
+    traffic_report for_distant(std::string const& hub);
+
+    /// Takes what another data centre's hub reports.
+    void take_distant(
+        std::string const& hub, traffic_report report, time_point now);
+
+    /// Chooses the entries of this VM's data centre.
+    void choose_entries(time_point now);
+
+    /// Whether anybody has asked within `span`.
+    bool asked_within(duration span, time_point now) const
+    {
+        return last_asked_ != time_point{} && now - last_asked_ < span;
+    }
+
+    /// When the next wait is over; maximum if nobody waits.
+    time_point next_due() const;
+
+    /// Forgets reports of those who have fallen silent.
+    void expire(time_point now);
+
+private:
+    struct waiting
+    {
+        sync_question question;
+        time_point due;
+        reply_callback reply;
+    };
+
+    bool has_news(sync_question const& question) const;
+    sync_reply make_reply(sync_question const& question, time_point now);
+
+    vm_record const& self_;
+    fleet_knowledge const& knowledge_;
+    member_table& members_;
+    report_ledger ledger_;
+    entry_selection entries_;
+    std::list<waiting> waiting_;
+    time_point last_asked_{};
+};
+
+} // namespace pomelohinge
+
+#endif
--- /dev/null
+++ b/servers/control/store_readings.hpp
@@ -0,0 +1,97 @@
+#ifndef POMELOHINGE_SERVERS_CONTROL_STORE_READINGS_HPP
+#define POMELOHINGE_SERVERS_CONTROL_STORE_READINGS_HPP
+
+#include "core/name_table.hpp"
+#include "servers/exchange/sync.hpp"
+
+#include <functional>
+#include <vector>
+
+namespace pomelohinge {
+
+/// How a call to the store ended.
+enum class store_status {
+    done,
+    /// The object is not as the call expected.
+    conflict,
+    /// The store has forgotten what changed since the revision asked for.
+    history_gone,
+    /// Refused, or not answered: a write may have taken effect.
+    unavailable,
+};
+
+template <>
+inline constexpr auto name_table<store_status> = make_name_table<store_status>({
+    {store_status::done, "done"},
+    {store_status::conflict, "conflict"},
+    {store_status::history_gone, "history_gone"},
+    {store_status::unavailable, "unavailable"},
+});
+static_assert(is_ordered<store_status>());
+
+/// What is followed in the store.
+enum class store_topic { configuration, targets, closures };
+
+template <>
+inline constexpr auto name_table<store_topic> = make_name_table<store_topic>({
+    {store_topic::configuration, "configuration"},
+    {store_topic::targets, "targets"},
+    {store_topic::closures, "closures"},
+});
+static_assert(is_ordered<store_topic>());
+
+/// A read that shows the configuration in force when it was made.
+struct configuration_reading
+{
+    store_status status = store_status::unavailable;
+    /// The store's revision, from which changes can be watched.
+    std::uint64_t revision = 0;
+    configuration_document document;
+};
+
+struct targets_reading
+{
+    store_status status = store_status::unavailable;
+    target_changes changes;
+};
+
+struct closures_reading
+{
+    store_status status = store_status::unavailable;
+    data_centre_closures closures;
+};
+
+/// The end of a watch: up to which revision it heard, and whether anything
+/// changed. It proves nothing about what was not heard.
+struct watch_reading
+{
+    store_status status = store_status::unavailable;
+    std::uint64_t revision = 0;
+    bool changed = false;
+};
+
+struct vms_reading
+{
+    store_status status = store_status::unavailable;
+    std::vector<vm_record> vms;
+};
+
+/// The store as control needs it. Replies come once, later, on the thread
+/// that asked.
+template <class Store>
+concept FleetStore = requires(Store& store, std::uint64_t revision,
+    duration wait, store_topic topic, vm_record const& vm)
+{
+    store.read_configuration(std::function<void(configuration_reading)>());
+    store.list_targets(std::function<void(targets_reading)>());
+    store.watch_targets(revision, wait, std::function<void(targets_reading)>());
+    store.list_closures(std::function<void(closures_reading)>());
+    store.watch(topic, revision, wait, std::function<void(watch_reading)>());
+    store.list_vms(std::function<void(vms_reading)>());
+    store.register_vm(vm, std::function<void(store_status)>());
+    store.remove_vm(vm.vm, std::function<void(store_status)>());
+};
+
+} // namespace pomelohinge
+
+#endif
--- /dev/null
+++ b/servers/dispatch/dispatcher.cpp
@@ -0,0 +1,430 @@
+#include "servers/dispatch/dispatcher.hpp"
+
+#include "core/log.hpp"
+
+#include <algorithm>
+
+namespace pomelohinge {
+namespace {
+
+/// Assumed time of an answer until enough were seen.
+constexpr duration assumed_latency = std::chrono::milliseconds(250);
+
+/// Late attempts at one target at a time that speak against it.
+constexpr std::int64_t late_attempts_for_doubt = 2;
+
+/// Bounds of what a refusal says about another try.
+constexpr duration shortest_retry_after = std::chrono::milliseconds(100);
+constexpr duration longest_retry_after = std::chrono::seconds(5);
+
+/// When a service without any target is worth another try.
+constexpr duration no_target_retry_after = std::chrono::seconds(1);
+
+bool was_tried(placement_question const& question, target_id const& target)
+{
+    return std::find(question.tried.begin(), question.tried.end(), target) !=
+        question.tried.end();
+}
+
+target_event event_of(attempt_result result)
+{
+    switch (result) {
+    case attempt_result::answered:
+        return target_event::answered;
+    case attempt_result::connect_failed:
+    case attempt_result::timed_out:
+        return target_event::silent;
+    default:
+        return target_event::faulted;
+    }
+}
+
+/// Whether the end of an attempt says anything about the target.
+bool is_evidence(attempt_result result)
+{
+    return result != attempt_result::cancelled &&
+        result != attempt_result::misdirected &&
+        result != attempt_result::too_large &&
+        result != attempt_result::kept_connection_lost;
+}
+
+} // namespace
+
+dispatcher::dispatcher(chart<target_chart> const& rules,
+    data_centre_id data_centre, std::uint64_t seed, connected_check connected)
+    : rules_(rules), data_centre_(std::move(data_centre)),
+      connected_(std::move(connected)), random_(seed)
+{
+}
+
+// Following the targets.
+
+void dispatcher::adopt(policy_pointer const& next, time_point now)
+{
+    policy_ = next;
+    std::map<target_id, std::unique_ptr<traffic_target>> targets;
+    for (auto const& record : next->targets->records()) {
+        auto const held = targets_.find(record.id);
+        bool const same = held != targets_.end() &&
+            held->second->record().incarnation == record.incarnation;
+        auto it = same ? std::move(held->second)
+                       : std::make_unique<traffic_target>(record, rules_);
+        it->set_record(record);
+        it->set_open(next->is_open(record));
+        targets.emplace(record.id, std::move(it));
+    }
+    targets_ = std::move(targets);
+    rebuild_services();
+    near_entries_ = static_cast<std::size_t>(std::count_if(
+        next->members->begin(), next->members->end(), [&](auto const& it) {
+            return it.entry && it.alive &&
+                it.record.data_centre == data_centre_;
+        }));
+    set_cold_rates(now);
+    for (auto& [service, it] : services_)
+        pump(service_id(service), now);
+}
+
+void dispatcher::rebuild_services()
+{
+    for (auto& [name, it] : services_)
+        it.targets.clear();
+    for (auto& [id, it] : targets_)
+        state_of(it->record().service).targets.push_back(it.get());
+    for (auto& [name, it] : services_)
+        check_floor(it);
+}
+
+/// The rate that a cold target bears is divided among the entries of its
+/// data centre; others use it only when they know of no other.
+void dispatcher::set_cold_rates(time_point now)
+{
+    auto const& configured = policy_->index->source;
+    for (auto& [id, it] : targets_) {
+        auto const* const service =
+            configured.find<service_object>(it->record().service.text());
+        if (service == nullptr || service->cold_requests_per_second <= 0) {
+            it->set_cold_rate(std::nullopt, now);
+            continue;
+        }
+        bool const near = it->record().data_centre == data_centre_;
+        constexpr double far_part = 0.1;
+        auto const share = near
+            ? 1.0 / static_cast<double>(std::max<std::size_t>(near_entries_, 1))
+            : far_part;
+        it->set_cold_rate(service->cold_requests_per_second * share, now);
+    }
+}
+
+traffic_target* dispatcher::current(target_record const& target)
+{
+    auto const it = targets_.find(target.id);
+    if (it == targets_.end() ||
+        it->second->record().incarnation != target.incarnation)
+        return nullptr;
+    return it->second.get();
+}
+
+traffic_target const* dispatcher::find(target_id const& id) const
+{
+    auto const it = targets_.find(id);
+    return it == targets_.end() ? nullptr : it->second.get();
+}
+
+void dispatcher::hear(traffic_report const& others, time_point now)
+{
+    for (auto& [id, it] : targets_) {
+        auto const said = others.targets.find(id.text());
+        if (said == others.targets.end()) {
+            it->set_others(0);
+            continue;
+        }
+        it->set_others(said->second.in_flight);
+        auto const before = it->health().state();
+        it->health().reported(said->second, now);
+        if (it->health().state() != before)
+            log(log_event::target_state_changed,
+                {{"target", id.text()},
+                    {"state", to_name(it->health().state())},
+                    {"source", "report"}, {"faults", said->second.faults},
+                    {"silences", said->second.silences}});
+    }
+    for (auto& [service, it] : services_) {
+        check_floor(it);
+        pump(service_id(service), now);
+    }
+}
+
+// Evidence.
+
+void dispatcher::note(
+    traffic_target& target, target_event event, time_point now)
+{
+    auto const before = target.health().state();
+    target.health().attempted(event, now);
+    switch (event) {
+    case target_event::answered:
+        ++target.news().answers;
+        break;
+    case target_event::faulted:
+        ++target.news().faults;
+        break;
+    case target_event::silent:
+        ++target.news().silences;
+        break;
+    case target_event::rested:
+        break;
+    }
+    if (target.health().state() == before)
+        return;
+    log(log_event::target_state_changed,
+        {{"target", target.record().id.text()},
+            {"state", to_name(target.health().state())}, {"source", "attempt"},
+            {"event", to_name(event)}});
+    check_floor(state_of(target.record().service));
+}
+
+void dispatcher::check_floor(service_state& service)
+{
+    std::size_t open = 0;
+    std::size_t trusted = 0;
+    std::size_t ejected = 0;
+    for (auto const* it : service.targets) {
+        if (!it->open())
+            continue;
+        ++open;
+        if (it->health().state() == target_state::trusted)
+            ++trusted;
+        if (it->health().state() == target_state::ejected)
+            ++ejected;
+    }
+    service.none_usable = ejected == open;
+    service.floor_reached =
+        static_cast<double>(trusted) < floor_ * static_cast<double>(open);
+}
+
+void dispatcher::ended(target_record const& target, attempt_result result,
+    duration latency, time_point now)
+{
+    auto& service = state_of(target.service);
+    service.ends.add(now);
+    if (auto* const it = current(target)) {
+        it->ended();
+        if (is_evidence(result))
+            note(*it, event_of(result), now);
+    }
+    if (result == attempt_result::answered)
+        latencies_.add(target.service, latency, false);
+    pump(target.service, now);
+}
+
+void dispatcher::late(target_record const& target, time_point now)
+{
+    auto* const it = current(target);
+    if (it == nullptr)
+        return;
+    it->became_late();
+    if (it->late() >= late_attempts_for_doubt)
+        note(*it, target_event::silent, now);
+}
+
+void dispatcher::late_ended(target_record const& target)
+{
+    if (auto* const it = current(target))
+        it->late_ended();
+}
+
+void dispatcher::overdue(target_record const& target, time_point now)
+{
+    if (auto* const it = current(target))
+        note(*it, target_event::silent, now);
+}
+
+// Choosing.
+
+bool dispatcher::has_any(
+    service_state const& service, placement_question const& question) const
+{
+    return std::any_of(
+        service.targets.begin(), service.targets.end(), [&](auto const* it) {
+            return it->open() && !was_tried(question, it->record().id);
+        });
+}
+
+traffic_target* dispatcher::choose_suspect(
+    service_state& service, placement_question const& question, time_point now)
+{
+    if (!question.repeatable)
+        return nullptr;
+    traffic_target* found = nullptr;
+    for (auto* it : service.targets) {
+        bool const wants = it->open() && it->in_flight() == 0 &&
+            it->health().state() == target_state::suspect &&
+            !was_tried(question, it->record().id) && it->has_room(now);
+        if (!wants)
+            continue;
+        bool const near = it->record().data_centre == data_centre_;
+        if (near)
+            return it;
+        found = found == nullptr ? it : found;
+    }
+    // Another data centre's suspects are found out about over there.
+    return near_entries_ == 0 ? found : nullptr;
+}
+
+traffic_target* dispatcher::choose_up_to(target_state worst,
+    service_state& service, placement_question const& question, time_point now)
+{
+    candidates_.clear();
+    eligible_.clear();
+    for (auto* it : service.targets) {
+        if (it->health().state() > worst || !it->open() ||
+            was_tried(question, it->record().id) || !it->has_room(now))
+            continue;
+        candidates_.push_back({eligible_.size(), it->load_with_one_more(now),
+            it->record().data_centre == data_centre_,
+            now - it->health().answered_at(),
+            connected_(it->record().address)});
+        eligible_.push_back(it);
+    }
+    auto const at =
+        picker_.pick(candidates_, picking{question.repeatable}, random_);
+    return at ? eligible_[*at] : nullptr;
+}
+
+traffic_target* dispatcher::choose(
+    service_state& service, placement_question const& question, time_point now)
+{
+    if (auto* const it = choose_suspect(service, question, now))
+        return it;
+    auto worst = target_state::trusted;
+    if (service.floor_reached)
+        worst =
+            service.none_usable ? target_state::ejected : target_state::suspect;
+    return choose_up_to(worst, service, question, now);
+}
+
+placement dispatcher::place(traffic_target& target, service_state& service,
+    placement_question const& question, time_point now)
+{
+    placement_reason const reason{target.health().state(), target.in_flight(),
+        target.others(), service.targets.size(),
+        target.record().data_centre == data_centre_};
+    target.began(now);
+    service.line.note_started(question.priority, now);
+    return {target.record(), reason};
+}
+
+duration dispatcher::expected_wait(service_state const& service,
+    service_id const& name, std::size_t ahead, time_point now) const
+{
+    double slots = 0;
+    for (auto const* it : service.targets)
+        if (it->open() && it->health().state() != target_state::ejected)
+            slots += static_cast<double>(it->record().slots);
+    auto const typical = typical_latency(name);
+    auto const latency = typical > duration::zero() ? typical : assumed_latency;
+    // This thread gets at least what it got lately, or its part of all.
+    auto const entries =
+        static_cast<double>(std::max<std::size_t>(near_entries_, 1));
+    auto const even = slots / to_seconds(latency) / entries / 2;
+    auto const starts = std::max(service.ends.per_second(now), even);
+    if (starts <= 0)
+        return longest_retry_after;
+    return from_seconds(static_cast<double>(ahead + 1) / starts);
+}
+
+std::variant<placement_decision, ticket> dispatcher::submit(
+    placement_question question, decision_callback later, time_point now)
+{
+    auto& service = state_of(question.service);
+    service.line.note_asked(question.priority, now);
+    if (!has_any(service, question))
+        return placement_decision(placement_denial{
+            placement_refusal::no_target, no_target_retry_after});
+    auto const ahead = service.line.ahead_of(question.priority);
+    if (ahead == 0)
+        if (auto* const it = choose(service, question, now))
+            return placement_decision(place(*it, service, question, now));
+    auto const wait = expected_wait(service, question.service, ahead, now);
+    if (now + wait > question.start_by)
+        return placement_decision(
+            placement_denial{placement_refusal::overloaded,
+                std::clamp(wait, shortest_retry_after, longest_retry_after)});
+    auto const id = ++last_ticket_;
+    service.line.add({id, question.priority, now, question.start_by});
+    questions_.emplace(
+        id, waiting_question{std::move(question), std::move(later)});
+    return id;
+}
+
+void dispatcher::withdraw(ticket id)
+{
+    auto const it = questions_.find(id);
+    if (it == questions_.end())
+        return;
+    state_of(it->second.question.service).line.remove(id);
+    questions_.erase(it);
+}
+
+void dispatcher::refuse_late(service_state& service, time_point now)
+{
+    for (auto const& it : service.line.take_late(now)) {
+        auto waiting = questions_.extract(it.id);
+        waiting.mapped().later(placement_denial{
+            placement_refusal::overloaded, shortest_retry_after});
+    }
+}
+
+void dispatcher::pump(service_id const& name, time_point now)
+{
+    auto& service = state_of(name);
+    if (service.line.empty())
+        return;
+    refuse_late(service, now);
+    for (auto const& it : service.line.ordered(now)) {
+        auto const waiting = questions_.find(it.id);
+        if (waiting == questions_.end())
+            continue;
+        auto* const target = choose(service, waiting->second.question, now);
+        if (target == nullptr) {
+            // Who has tried targets may find none where others do.
+            if (waiting->second.question.tried.empty())
+                return;
+            continue;
+        }
+        auto decision = place(*target, service, waiting->second.question, now);
+        service.line.remove(it.id);
+        auto held = questions_.extract(waiting);
+        held.mapped().later(std::move(decision));
+    }
+}
+
+void dispatcher::tick(time_point now)
+{
+    for (auto& [id, it] : targets_) {
+        auto const before = it->health().state();
+        it->health().tick(now);
+        if (it->health().state() != before)
+            check_floor(state_of(it->record().service));
+    }
+    std::vector<std::string> names;
+    for (auto const& [name, it] : services_)
+        if (!it.line.empty())
+            names.push_back(name);
+    for (auto const& it : names)
+        pump(service_id(it), now);
+}
+
+text_map<target_report> dispatcher::take_reports()
+{
+    text_map<target_report> reports;
+    for (auto& [id, it] : targets_) {
+        auto report = it->take_report();
+        if (!report.empty())
+            reports.emplace(id.text(), report);
+    }
+    return reports;
+}
+
+} // namespace pomelohinge
--- a/servers/entries/entry_answer.cpp
+++ b/servers/entries/entry_answer.cpp
@@ -1,31 +1,36 @@
 #include "servers/entries/entry_answer.hpp"
 
-#include "servers/limits/organisation_shares.hpp"
-
-#include <algorithm>
-
 namespace pomelohinge {
 namespace {
 
-/// Addresses behind those of the share owners.
-constexpr std::size_t fallback_addresses = 2;
+/// With fewer entries near, callers also get those of other data centres.
+constexpr std::size_t enough_near_entries = 2;
+
+/// Addresses in one answer.
+constexpr std::size_t most_addresses = 64;
+
+bool is_usable(fleet_member const& it)
+{
+    return it.alive && it.entry && it.record.standing == vm_standing::serving;
+}
 
 } // namespace
 
-entry_answer answer_entries(ownership const& owners,
-    organisation_id const& organisation, rate_object const& rate,
-    std::mt19937_64& random)
+entry_answer answer_entries(
+    fleet_members const& members, data_centre_id const& data_centre)
 {
-    auto const shares = share_count(rate);
-    owned_key const key{owned_kind::organisation, organisation.text(), nullptr,
-        shares + fallback_addresses};
-    auto ranked = owners.owners(key);
-    auto const preferred =
-        static_cast<std::ptrdiff_t>(std::min(shares, ranked.size()));
-    std::shuffle(ranked.begin(), ranked.begin() + preferred, random);
     entry_answer answer;
-    for (auto const* it : ranked)
-        answer.addresses.push_back(it->callers_address);
+    answer.time_to_live = entry_time_to_live;
+    auto const add = [&](bool near) {
+        for (auto const& it : members)
+            if (is_usable(it) &&
+                (it.record.data_centre == data_centre) == near &&
+                answer.addresses.size() < most_addresses)
+                answer.addresses.push_back(it.record.callers_address);
+    };
+    add(true);
+    if (answer.addresses.size() < enough_near_entries)
+        add(false);
     return answer;
 }
 
--- a/servers/entries/entry_answer.hpp
+++ b/servers/entries/entry_answer.hpp
@@ -1,29 +1,28 @@
 #ifndef POMELOHINGE_SERVERS_ENTRIES_ENTRY_ANSWER_HPP
 #define POMELOHINGE_SERVERS_ENTRIES_ENTRY_ANSWER_HPP
 
-#include "config/objects.hpp"
-#include "servers/ownership/ownership.hpp"
+#include "core/clock.hpp"
+#include "servers/membership/vm_record.hpp"
 
-#include <chrono>
-#include <random>
 #include <string>
 #include <vector>
 
 namespace pomelohinge {
 
-/// Which addresses a caller should use, best first, and for how long.
+/// Which addresses a caller should use, and for how long.
 struct entry_answer
 {
     std::vector<std::string> addresses;
-    std::chrono::seconds ttl{10};
+    duration time_to_live{};
 };
 
-/// Answers an organisation's caller: first the VMs that hold shares of its
-/// rate, in an order drawn anew so that none is crowded, then further ones
-/// that a caller can fall back to. VMs that leave are never named.
-entry_answer answer_entries(ownership const& owners,
-    organisation_id const& organisation, rate_object const& rate,
-    std::mt19937_64& random);
+/// How long callers keep an answer at most.
+inline constexpr duration entry_time_to_live = std::chrono::milliseconds(1000);
+
+/// Answers a caller of `data_centre`: the entries there, or those of all
+/// data centres if it has too few or is not known.
+entry_answer answer_entries(
+    fleet_members const& members, data_centre_id const& data_centre);
 
 } // namespace pomelohinge
 
--- /dev/null
+++ b/servers/exchange/fleet_reports.cpp
@@ -0,0 +1,89 @@
+#include "servers/exchange/fleet_reports.hpp"
+
+#include <algorithm>
+
+namespace pomelohinge {
+namespace {
+
+/// Suspects in one report; the latest are kept.
+constexpr std::size_t most_suspects = 64;
+
+void add_suspect(std::vector<poison_suspect>& to, poison_suspect const& it)
+{
+    auto const same = std::find_if(to.begin(), to.end(),
+        [&](auto const& held) { return held.print == it.print; });
+    if (same == to.end()) {
+        if (to.size() < most_suspects)
+            to.push_back(it);
+        return;
+    }
+    same->crashes = std::max(same->crashes, it.crashes);
+    same->age = std::min(same->age, it.age);
+}
+
+} // namespace
+
+void traffic_report::add(traffic_report const& other)
+{
+    for (auto const& [target, it] : other.targets) {
+        auto& mine = targets[target];
+        mine.in_flight += it.in_flight;
+        mine.add_news(it);
+    }
+    for (auto const& [organisation, rate] : other.organisations)
+        organisations[organisation] += rate;
+    for (auto const& it : other.suspects)
+        add_suspect(suspects, it);
+    load += other.load;
+    entries += other.entries;
+}
+
+void report_ledger::take(std::string const& source, bool distant,
+    traffic_report report, time_point now)
+{
+    auto& it = sources_[source];
+    it.distant = distant;
+    it.heard_at = now;
+    it.last = std::move(report);
+    spread(source, it);
+    // The news have been spread; what remains are counts.
+    for (auto& [target, counts] : it.last.targets)
+        counts = target_report{counts.in_flight, 0, 0, 0};
+}
+
+void report_ledger::spread(std::string const& from, source_entry const& entry)
+{
+    for (auto& [name, it] : sources_) {
+        if (name == from || (it.distant && entry.distant))
+            continue;
+        for (auto const& [target, counts] : entry.last.targets)
+            if (counts.has_news())
+                it.untold[target].add_news(counts);
+    }
+}
+
+traffic_report report_ledger::for_reader(
+    std::string const& reader, bool distant)
+{
+    traffic_report told;
+    for (auto const& [name, it] : sources_)
+        if (name != reader && !(distant && it.distant))
+            told.add(it.last);
+    auto const own = sources_.find(reader);
+    if (own != sources_.end()) {
+        for (auto const& [target, news] : own->second.untold)
+            told.targets[target].add_news(news);
+        own->second.untold.clear();
+    }
+    absl::erase_if(
+        told.targets, [](auto const& it) { return it.second.empty(); });
+    return told;
+}
+
+void report_ledger::expire(duration patience, time_point now)
+{
+    absl::erase_if(sources_,
+        [&](auto const& it) { return now - it.second.heard_at > patience; });
+}
+
+} // namespace pomelohinge
--- /dev/null
+++ b/servers/exchange/fleet_reports.hpp
@@ -0,0 +1,98 @@
+#ifndef POMELOHINGE_SERVERS_EXCHANGE_FLEET_REPORTS_HPP
+#define POMELOHINGE_SERVERS_EXCHANGE_FLEET_REPORTS_HPP
+
+#include "core/clock.hpp"
+#include "core/text_map.hpp"
+#include "servers/poison/poison_guard.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// What VMs tell each other of the traffic they carry.
+namespace pomelohinge {
+
+/// What was seen of one target.
+struct target_report
+{
+    /// Requests under way there now.
+    std::uint32_t in_flight = 0;
+    /// Since the last report: whole answers, faults that only the target can
+    /// have caused, and attempts without any answer, which the way to the
+    /// target may have caused as well.
+    std::uint32_t answers = 0;
+    std::uint32_t faults = 0;
+    std::uint32_t silences = 0;
+
+    bool empty() const
+    {
+        return in_flight == 0 && answers == 0 && faults == 0 && silences == 0;
+    }
+    bool has_news() const
+    {
+        return answers != 0 || faults != 0 || silences != 0;
+    }
+    void add_news(target_report const& other)
+    {
+        answers += other.answers;
+        faults += other.faults;
+        silences += other.silences;
+    }
+
+    friend bool operator==(
+        target_report const&, target_report const&) = default;
+};
+
+/// What one VM, or all VMs of a data centre, report.
+struct traffic_report
+{
+    text_map<target_report> targets;
+    /// Requests a second that each active organisation asks for.
+    text_map<double> organisations;
+    std::vector<poison_suspect> suspects;
+    /// Requests a second from callers.
+    double load = 0;
+    /// VMs that take requests from callers; 1 for a VM, 0 if it takes none.
+    std::uint32_t entries = 0;
+
+    /// Takes over counts, and news since the last report.
+    void add(traffic_report const& other);
+};
+
+/// Keeps what several sources report and works out for each of them what
+/// the others have said.
+class report_ledger
+{
+public:
+    /// Takes the newest report of `source`. Its news go to all other
+    /// sources, but between two that are `distant` (hubs of other data
+    /// centres), which tell each other themselves.
+    void take(std::string const& source, bool distant, traffic_report report,
+        time_point now);
+
+    /// What the others have said to `reader`; their news are told once.
+    traffic_report for_reader(std::string const& reader, bool distant);
+
+    /// Forgets sources that have been silent for `patience`.
+    void expire(duration patience, time_point now);
+
+    void forget(std::string const& source) { sources_.erase(source); }
+
+private:
+    struct source_entry
+    {
+        bool distant = false;
+        traffic_report last;
+        /// News of others that this source has not been told yet.
+        text_map<target_report> untold;
+        time_point heard_at{};
+    };
+
+    void spread(std::string const& from, source_entry const& entry);
+
+    text_map<source_entry> sources_;
+};
+
+} // namespace pomelohinge
+
+#endif
--- /dev/null
+++ b/servers/idempotency/record.cpp
@@ -0,0 +1,22 @@
+#include "servers/idempotency/record.hpp"
+
+namespace pomelohinge {
+
+record_outcome judge_record(idempotency_record const& found,
+    fingerprint repeated, std::int64_t unix_now_ms)
+{
+    if (found.print != repeated)
+        return record_outcome::differs;
+    switch (found.state) {
+    case record_state::done:
+        return record_outcome::done;
+    case record_state::started:
+        return unix_now_ms < found.ends_at_ms ? record_outcome::running
+                                              : record_outcome::unknown;
+    case record_state::unknown:
+        break;
+    }
+    return record_outcome::unknown;
+}
+
+} // namespace pomelohinge
--- a/servers/poison/poison_guard.cpp
+++ b/servers/poison/poison_guard.cpp
@@ -6,20 +6,34 @@
 namespace pomelohinge {
 namespace {
 
-/// A trial whose end is never told is taken as over after this time.
-constexpr duration longest_trial = std::chrono::minutes(10);
+/// Lost targets from which on a request is held back. One loss happens to
+/// any request whose target crashes.
+constexpr std::uint32_t crashes_to_hold = 2;
 
-/// How long a request is held back after its second crash; it doubles with
-/// each further one.
-constexpr duration first_hold = std::chrono::minutes(10);
-constexpr duration longest_hold = std::chrono::hours(24);
+/// How long a request is held back; it doubles with each further crash.
+constexpr duration first_hold = std::chrono::minutes(1);
+constexpr duration longest_hold = std::chrono::hours(1);
 
-/// A suspect that caused nothing for so long is forgotten.
-constexpr duration memory = std::chrono::hours(24);
+/// A suspect that has cost one target is forgotten after this time: random
+/// losses of repeated requests must not add up.
+constexpr duration memory = std::chrono::seconds(30);
 
-/// More suspects than this are not remembered; the oldest go first.
+/// More suspects than this are not remembered.
 constexpr std::size_t most_suspects = 4096;
 
+/// Suspects in one report.
+constexpr std::size_t most_told = 64;
+
+duration hold_after(std::uint32_t crashes)
+{
+    if (crashes < crashes_to_hold)
+        return duration::zero();
+    duration hold = first_hold;
+    for (auto it = crashes_to_hold; it < crashes && hold < longest_hold; ++it)
+        hold *= 2;
+    return std::min(hold, longest_hold);
+}
+
 std::uint64_t hash_part(std::string_view text, std::uint64_t seed)
 {
     auto const state = XXH64(text.data(), text.size(), seed);
@@ -38,69 +52,60 @@
     return state;
 }
 
-poison_verdict poison_guard::ask(fingerprint print, time_point now)
-{
-    auto const it = suspects_.find(print);
-    if (it == suspects_.end())
-        return poison_verdict::clear;
-    auto& held = it->second;
-    bool const busy = held.on_trial && now < held.trial_until;
-    if (busy || now < held.held_until)
-        return poison_verdict::held_back;
-    held.on_trial = true;
-    held.trial_until = now + longest_trial;
-    return poison_verdict::trial;
-}
-
-void poison_guard::crashed(fingerprint print, time_point now)
+void poison_guard::crashed(
+    fingerprint print, std::string_view target, time_point now)
 {
+    auto const name = hash_part(target, 0);
     forget_old(now);
-    auto& held = suspects_[print];
-    ++held.crashes;
-    held.on_trial = false;
-    held.forget_at = now + memory;
-    if (held.crashes < 2)
+    auto& it = suspects_[print];
+    if (it.crashes > 0 && it.last_target == name && now - it.at < memory)
         return;
-    auto hold = first_hold;
-    for (std::size_t it = 2; it < held.crashes && hold < longest_hold; ++it)
-        hold *= 2;
-    held.held_until = now + std::min(hold, longest_hold);
+    ++it.crashes;
+    it.last_target = name;
+    it.at = now;
 }
 
-void poison_guard::survived(fingerprint print)
+void poison_guard::told(poison_suspect const& suspect, time_point now)
 {
-    suspects_.erase(print);
+    auto const at = now - suspect.age;
+    if (suspect.age > memory + hold_after(suspect.crashes))
+        return;
+    auto& it = suspects_[suspect.print];
+    // Two VMs may each have seen one crash.
+    it.crashes = std::max(it.crashes, suspect.crashes);
+    it.at = std::max(it.at, at);
 }
 
-void poison_guard::trial_unused(fingerprint print)
+duration poison_guard::held_for(fingerprint print, time_point now) const
 {
     auto const it = suspects_.find(print);
-    if (it != suspects_.end())
-        it->second.on_trial = false;
+    if (it == suspects_.end())
+        return duration::zero();
+    auto const left = it->second.at + hold_after(it->second.crashes) - now;
+    return std::max(left, duration::zero());
 }
 
-duration poison_guard::wait(fingerprint print, time_point now) const
+std::vector<poison_suspect> poison_guard::suspects(time_point now) const
 {
-    auto const it = suspects_.find(print);
-    if (it == suspects_.end())
-        return duration::zero();
-    constexpr duration shortest_wait = std::chrono::seconds(1);
-    return std::max(it->second.held_until - now, shortest_wait);
+    std::vector<poison_suspect> told;
+    for (auto const& [print, it] : suspects_)
+        told.push_back({print, it.crashes, now - it.at});
+    std::sort(
+        told.begin(), told.end(), [](auto const& left, auto const& right) {
+            return left.age < right.age;
+        });
+    if (told.size() > most_told)
+        told.resize(most_told);
+    return told;
 }
 
 void poison_guard::forget_old(time_point now)
 {
-    if (suspects_.size() < most_suspects)
-        return;
-    absl::erase_if(
-        suspects_, [&](auto const& it) { return it.second.forget_at <= now; });
-    if (suspects_.size() < most_suspects)
-        return;
-    auto const oldest = std::min_element(suspects_.begin(), suspects_.end(),
-        [](auto const& left, auto const& right) {
-            return left.second.forget_at < right.second.forget_at;
-        });
-    suspects_.erase(oldest);
+    absl::erase_if(suspects_, [&](auto const& it) {
+        return now - it.second.at > memory + hold_after(it.second.crashes);
+    });
+    if (suspects_.size() >= most_suspects)
+        suspects_.clear();
 }
 
 } // namespace pomelohinge
--- a/servers/poison/poison_guard.hpp
+++ b/servers/poison/poison_guard.hpp
@@ -2,11 +2,11 @@
 #define POMELOHINGE_SERVERS_POISON_POISON_GUARD_HPP
 
 #include "core/clock.hpp"
-#include "core/name_table.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
 namespace pomelohinge {
 
@@ -16,63 +16,50 @@
 fingerprint fingerprint_of(std::string_view organisation,
     std::string_view method, std::string_view path, std::string_view body);
 
-/// Whether a request may go to an upstream.
-enum class poison_verdict {
-    clear,
-    /// It was in flight at one crash: it may go, alone; its end must be
-    /// told.
-    trial,
-    held_back,
+/// A suspect as it is told to other VMs.
+struct poison_suspect
+{
+    fingerprint print = 0;
+    /// Targets that it has cost.
+    std::uint32_t crashes = 0;
+    /// Time since the last of them.
+    duration age{};
+
+    friend bool operator==(
+        poison_suspect const&, poison_suspect const&) = default;
 };
 
-template <>
-inline constexpr auto
-    name_table<poison_verdict> = make_name_table<poison_verdict>({
-        {poison_verdict::clear, "clear"},
-        {poison_verdict::trial, "trial"},
-        {poison_verdict::held_back, "held_back"},
-    });
-static_assert(is_ordered<poison_verdict>());
-
-/// Remembers requests that were in flight when their upstream crashed. After
-/// one crash a repeat goes alone; after the second it is held back, longer
-/// with each further crash, so that two upstreams are lost at most.
+/// Remembers requests that were under way when their target's connection
+/// was lost. One that has cost several targets is held back, longer with
+/// each further one.
 class poison_guard
 {
 public:
-    /// Asks for a request with this fingerprint.
-    poison_verdict ask(fingerprint print, time_point now);
-
-    /// An upstream crashed while the request was in flight.
-    void crashed(fingerprint print, time_point now);
+    /// A target was lost while the request was under way there.
+    void crashed(fingerprint print, std::string_view target, time_point now);
 
-    /// A trial ended without a crash: the request is cleared.
-    void survived(fingerprint print);
+    /// Takes what another VM knows of a suspect.
+    void told(poison_suspect const& suspect, time_point now);
 
-    /// A trial ended before it reached an upstream: another may follow.
-    void trial_unused(fingerprint print);
-
-    /// Whether the request is suspected.
-    bool knows(fingerprint print) const { return suspects_.contains(print); }
+    /// How long the request is held back; zero if it may go.
+    duration held_for(fingerprint print, time_point now) const;
 
     /// Whether nothing is remembered, so that asking can be skipped.
     bool empty() const { return suspects_.empty(); }
 
-    /// How long a held back request has to wait.
-    duration wait(fingerprint print, time_point now) const;
+    /// What others should know, the latest first.
+    std::vector<poison_suspect> suspects(time_point now) const;
+
+    void forget_old(time_point now);
 
 private:
     struct suspect
     {
-        std::size_t crashes = 0;
-        bool on_trial = false;
-        time_point trial_until{};
-        time_point held_until{};
-        time_point forget_at{};
+        std::uint32_t crashes = 0;
+        std::uint64_t last_target = 0;
+        time_point at{};
     };
 
-    void forget_old(time_point now);
-
     absl::flat_hash_map<fingerprint, suspect> suspects_;
 };
 
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -3,89 +3,28 @@
 
 #include "core/chart.hpp"
 #include "core/invariant.hpp"
-#include "servers/peers/messages.hpp"
-#include "servers/requests/policy.hpp"
+#include "core/log.hpp"
+#include "servers/requests/entry_environment.hpp"
+#include "servers/requests/repeat_guard.hpp"
 #include "servers/requests/request_chart.hpp"
-#include "servers/retries/retry_policy.hpp"
-#include "servers/selection/picker.hpp"
-#include "servers/selection/service_latency.hpp"
-#include "servers/selection/target_table.hpp"
 
 #include <algorithm>
-#include <functional>
-#include <random>
-#include <string>
-#include <utility>
-#include <vector>
+#include <memory>
 
 namespace pomelohinge {
 
-/// What the requests of one traffic thread share.
-struct entry_state
-{
-    target_hints hints;
-    service_latencies latencies;
-    retry_budget retries;
-    std::mt19937_64 random;
-};
-
-/// A request with all that is passed on.
-struct entry_message
-{
-    request_head head;
-    std::vector<header_field> headers;
-    std::string body;
-};
-
-/// How the system ends a request.
-using entry_result = std::variant<upstream_answer, recorded_answer, refusal>;
-
-/// What a request needs of its surroundings: a daemon with sockets or a
-/// test without. Replies come through the callbacks, on the same thread,
-/// and not before the call returns.
-template <class Environment>
-concept EntryEnvironment = requires(Environment& environment,
-    vm_record const& vm, charge_question const& charge,
-    record_question const& record, poison_notice const& notice,
-    dispatch_order order, entry_result result, duration after,
-    std::uint64_t call)
-{
-    {
-        environment.now()
-        } -> std::same_as<time_point>;
-    {
-        environment.current_policy()
-        } -> std::same_as<policy_pointer const&>;
-    {
-        environment.state()
-        } -> std::same_as<entry_state&>;
-    {
-        environment.data_centre()
-        } -> std::same_as<data_centre_id const&>;
-    environment.ask_charge(vm, charge, std::function<void(charge_reply)>());
-    environment.ask_record(vm, record, std::function<void(record_reply)>());
-    environment.tell_poison(vm, notice);
-    {
-        environment.send_order(
-            vm, std::move(order), std::function<void(dispatch_answer)>())
-        } -> std::same_as<std::uint64_t>;
-    environment.cancel_order(call);
-    environment.after(after, std::function<void()>());
-};
-
 /// One request on its entry VM, from its head to its end. It follows
 /// charts/request.jsonc; guards and actions are here. The environment must
 /// outlive it, and it must not be destroyed before `on_end` was called, but
 /// for a callback that holds it by `weak_ptr`.
-template <EntryEnvironment Environment,
-    TargetPicker<std::mt19937_64> Picker = power_of_two_picker>
+template <class Environment>
 class entry_request
-    : public std::enable_shared_from_this<entry_request<Environment, Picker>>
+    : public std::enable_shared_from_this<entry_request<Environment>>
 {
 public:
     using end_callback = std::function<void(entry_result)>;
 
-    /// What was seen of the request, for metrics and `explain`.
+    /// What was seen of the request, for metrics.
     struct trace
     {
         organisation_id organisation;
@@ -105,11 +44,17 @@
     /// Starts the request; it may end within the call.
     void start()
     {
+        // The environment may name this class and is complete only here.
+        static_assert(EntryEnvironment<Environment>);
+        started_at_ = environment_.now();
+        state().load.add(started_at_);
         auto const& policy = environment_.current_policy();
         if (policy == nullptr || !policy->ready)
-            return refuse(refusal_kind::not_ready, outcome::not_run,
-                "no configuration is known yet", std::chrono::seconds(1));
-        auto admitted = policy->index->routes.admit(message_.head);
+            return refuse(refusal_kind::not_ready,
+                "no configuration is known yet", short_wait);
+        std::uniform_real_distribution<double> draw(0, 1);
+        auto admitted =
+            policy->index->routes.admit(message_.head, draw(state().random));
         if (auto* const it = std::get_if<refusal>(&admitted)) {
             refusal_ = std::move(*it);
             return fire(request_event::refused);
@@ -117,11 +62,13 @@
         admitted_ = std::get<admitted_request>(std::move(admitted));
         trace_.organisation = admitted_.organisation;
         trace_.service = admitted_.service;
-        deadline_ = environment_.now() + admitted_.deadline;
-        print_ = fingerprint_of(admitted_.organisation.text(),
-            to_name(message_.head.method), admitted_.path, message_.body);
-        environment_.state().retries.request_began();
-        environment_.after(admitted_.deadline,
+        deadline_ = started_at_ + admitted_.time_limit;
+        if (!is_key_reliable())
+            return refuse_stale();
+        if (!passes_poison_guard())
+            return;
+        state().retries.request_began(admitted_.service.text(), started_at_);
+        environment_.after(admitted_.time_limit,
             guarded([this] { fire(request_event::deadline); }));
         fire(request_event::admitted);
     }
@@ -139,13 +86,10 @@
         case request_guard::has_repeat_key:
             return !message_.head.repeat_key.empty() &&
                 !admitted_.organisation.empty() && !admitted_.idempotent;
-        case request_guard::is_open:
-            return admitted_.organisation.empty();
-        case request_guard::may_retry_on_trial:
-            return crashed_ && !admitted_.organisation.empty() &&
-                !was_on_trial_ && retry_allowed();
         case request_guard::may_retry:
-            return !crashed_ && retry_allowed();
+            return may_retry();
+        case request_guard::may_move:
+            return may_move();
         }
         return false;
     }
@@ -157,21 +101,23 @@
         case request_action::ask_record:
             return ask_record();
         case request_action::ask_charge:
-            return begin_charge();
-        case request_action::ask_trial:
-            return ask_trial();
-        case request_action::choose_target:
-            return choose_target();
-        case request_action::send_to_owner:
-            return send_to_owner();
-        case request_action::cancel_dispatch:
-            return environment_.cancel_order(call_);
+            return ask_charge();
+        case request_action::ask_place:
+            return ask_place();
+        case request_action::send:
+            return send();
+        case request_action::cancel_attempt:
+            return cancel_attempt();
+        case request_action::leave_line:
+            return leave_line();
+        case request_action::refund_charge:
+            return refund_charge();
         case request_action::finish_record:
-            return finish_record();
+            return repeat_.finish(environment_, final_record_state(), answer_);
         case request_action::answer_upstream:
-            return end(std::move(answer_.answer));
+            return end(std::move(answer_));
         case request_action::answer_recorded:
-            return end(recorded_);
+            return end(repeat_.recorded());
         case request_action::answer_refusal:
             return end(refusal_);
         case request_action::answer_deadline:
@@ -180,11 +126,29 @@
     }
 
 private:
-    /// Waits between two rounds of asking while owners change.
-    static constexpr duration ask_again_after = std::chrono::milliseconds(100);
+    static constexpr duration short_wait = std::chrono::seconds(1);
 
     /// What is kept back of the deadline for the way of the answer.
-    static constexpr duration answer_reserve = std::chrono::milliseconds(2);
+    static constexpr duration answer_reserve = std::chrono::milliseconds(15);
+
+    /// A request waits this long for a token of its organisation's rate,
+    /// which smooths what several VMs count apart.
+    static constexpr duration longest_charge_wait =
+        std::chrono::milliseconds(150);
+
+    /// Multiples of the typical time of an answer: when an attempt that can
+    /// be repeated is moved to another target, when an attempt is late, and
+    /// when it alone speaks against its target.
+    static constexpr int move_factor = 5;
+    static constexpr int late_factor = 3;
+    static constexpr int overdue_factor = 7;
+    static constexpr duration shortest_move_wait =
+        std::chrono::milliseconds(400);
+
+    /// Attempts that reached nothing may follow those that a route allows.
+    static constexpr std::size_t extra_unsent_attempts = 3;
+
+    entry_state& state() { return environment_.state(); }
 
     /// Wraps a callback so that it does nothing once the request is gone.
     template <class Callback>
@@ -201,21 +165,45 @@
 
     void end(entry_result result)
     {
-        settle_trial();
         auto const* const refused = std::get_if<refusal>(&result);
         assert_invariant(invariant::not_run_is_true,
             refused == nullptr || refused->result != outcome::not_run ||
                 !(may_have_run_ || under_way_),
             message_.head.request_id);
+        log_end(result);
         if (auto const callback = std::exchange(on_end_, nullptr))
             callback(std::move(result));
     }
 
-    void refuse(refusal_kind kind, outcome result, std::string detail,
+    void log_end(entry_result const& result)
+    {
+        auto const ms = to_milliseconds(environment_.now() - started_at_);
+        if (auto const* const it = std::get_if<refusal>(&result)) {
+            log(log_event::request_refused,
+                {{"request", message_.head.request_id},
+                    {"kind", to_name(it->kind)},
+                    {"outcome", to_name(it->result)}, {"detail", it->detail},
+                    {"organisation", admitted_.organisation.text()},
+                    {"service", admitted_.service.text()},
+                    {"attempts", trace_.attempts}, {"ms", ms},
+                    {"limit_ms", to_milliseconds(admitted_.time_limit)}});
+            return;
+        }
+        if (auto const* const it = std::get_if<upstream_answer>(&result))
+            log(log_event::request_answered,
+                {{"request", message_.head.request_id}, {"status", it->status},
+                    {"target", target_.id.text()},
+                    {"organisation", admitted_.organisation.text()},
+                    {"service", admitted_.service.text()},
+                    {"attempts", trace_.attempts}, {"ms", ms},
+                    {"goal_ms", to_milliseconds(admitted_.goal)}});
+    }
+
+    void refuse(refusal_kind kind, std::string detail,
         std::optional<duration> retry_after = {})
     {
         // A request that is tried again may have run at its first try.
-        auto const known = may_have_run_ ? outcome::unknown : result;
+        auto const known = may_have_run_ ? outcome::unknown : outcome::not_run;
         refusal_ = {kind, known, std::move(detail), {}};
         if (retry_after)
             refusal_.retry_after =
@@ -223,493 +211,447 @@
         fire(request_event::refused);
     }
 
-    // Idempotency records.
+    // Keys.
 
-    std::vector<vm_record const*> record_owners() const
+    /// Whether the key is in force as far as can be known now. A key that a
+    /// later configuration has taken away stops a waiting request, too.
+    bool is_key_reliable()
     {
-        return environment_.current_policy()->owners.owners(
-            records_key(admitted_.organisation.text()));
+        if (admitted_.organisation.empty() || !message_.head.key)
+            return true;
+        return state().is_fresh(environment_.read_at(), environment_.now());
     }
 
-    record_question record_step_of(record_step step) const
+    bool is_key_in_force()
     {
-        record_question question;
-        question.step = step;
-        question.record.organisation = admitted_.organisation.text();
-        question.record.repeat_key = message_.head.repeat_key;
-        question.record.print = print_;
-        question.record.run_limit = admitted_.deadline;
-        return question;
+        return admitted_.organisation.empty() || !message_.head.key ||
+            environment_.current_policy()->index->routes.key_in_force(
+                *message_.head.key, admitted_.organisation);
     }
 
+    void refuse_stale()
+    {
+        log(log_event::configuration_stale,
+            {{"request", message_.head.request_id},
+                {"read_age_ms",
+                    to_milliseconds(
+                        environment_.now() - environment_.read_at())}});
+        refuse(refusal_kind::not_ready,
+            "the configuration was not confirmed for too long", short_wait);
+    }
+
+    bool passes_poison_guard()
+    {
+        auto& guard = state().poison;
+        print_ = fingerprint_of(admitted_.organisation.text(),
+            message_.head.method, admitted_.path, message_.body);
+        if (guard.empty())
+            return true;
+        auto const hold = guard.held_for(print_, environment_.now());
+        if (hold <= duration::zero())
+            return true;
+        refuse(refusal_kind::held_back,
+            "targets were lost while they ran this request", hold);
+        return false;
+    }
+
+    // Idempotency records.
+
     void ask_record()
     {
-        auto const owners = record_owners();
-        if (owners.empty())
-            return refuse(refusal_kind::not_ready, outcome::not_run,
-                "no VM keeps records", std::chrono::seconds(1));
-        environment_.ask_record(*owners.front(),
-            record_step_of(record_step::begin),
-            guarded([this](record_reply reply) {
-                record_replied(std::move(reply));
-            }));
+        repeat_.begin(environment_, message_.head, admitted_, print_,
+            guarded([this](record_outcome result) { record_replied(result); }));
     }
 
-    void record_replied(record_reply reply)
+    void record_replied(record_outcome result)
     {
-        switch (reply.result) {
+        switch (result) {
         case record_outcome::accepted:
-            record_begun_ = true;
             return fire(request_event::record_begun);
         case record_outcome::done:
-            recorded_ = std::move(reply.answer);
             return fire(request_event::record_found);
         case record_outcome::running:
-            return refuse(refusal_kind::repeat_running, outcome::unknown,
-                "a request with this key is running", std::chrono::seconds(1));
+            may_have_run_ = true;
+            return refuse(refusal_kind::repeat_running,
+                "a request with this key is running", short_wait);
         case record_outcome::unknown:
-            return refuse(refusal_kind::repeat_unknown, outcome::unknown,
+            may_have_run_ = true;
+            return refuse(refusal_kind::repeat_unknown,
                 "a request with this key may have run");
         case record_outcome::differs:
-            return refuse(refusal_kind::repeat_differs, outcome::not_run,
+            return refuse(refusal_kind::repeat_differs,
                 "the key was used for another request");
-        case record_outcome::full:
-            return refuse(refusal_kind::overloaded, outcome::not_run,
-                "there is no room for a further record",
-                std::chrono::seconds(10));
-        case record_outcome::not_ready:
-        case record_outcome::unreachable:
-            return ask_again([this] { ask_record(); }, "the owner of records");
+        case record_outcome::unavailable:
+            return refuse(refusal_kind::not_ready, "the store does not answer",
+                short_wait);
         }
     }
 
-    void finish_record()
+    record_state final_record_state() const
     {
-        if (under_way_ || !std::exchange(record_begun_, false))
-            return;
-        auto const owners = record_owners();
-        if (owners.empty())
-            return;
-        auto question = record_step_of(final_record_step());
-        if (question.step == record_step::finish)
-            question.record.answer = recordable(answer_.answer);
-        environment_.ask_record(*owners.front(), question, [](record_reply) {});
+        if (has_answer(last_result_) && trace_.attempts > 0)
+            return record_state::done;
+        return may_have_run_ || under_way_ ? record_state::unknown
+                                           : record_state::started;
     }
 
-    record_step final_record_step() const
+    // Limits.
+
+    void ask_charge()
     {
-        if (answer_.result == dispatch_outcome::answered && attempted_)
-            return record_step::finish;
-        return may_have_run_ ? record_step::lose : record_step::withdraw;
+        auto const* const rate =
+            environment_.current_policy()->index->routes.rate_of(
+                admitted_.organisation);
+        if (admitted_.organisation.empty() || rate == nullptr)
+            return fire(request_event::charged);
+        auto const now = environment_.now();
+        auto const verdict =
+            state().limits.charge(admitted_.organisation.text(), *rate, now);
+        if (verdict.granted) {
+            is_charged_ = true;
+            return fire(request_event::charged);
+        }
+        bool const waits = !std::exchange(has_waited_for_charge_, true) &&
+            verdict.retry_after <= longest_charge_wait;
+        if (waits)
+            return environment_.after(verdict.retry_after, guarded([this] {
+                if (life_.state() == request_state::charging)
+                    ask_charge();
+            }));
+        refuse(refusal_kind::rate_exceeded,
+            "the organisation's rate and burst are used up",
+            verdict.retry_after);
     }
 
-    static recorded_answer recordable(upstream_answer const& answer)
+    void refund_charge()
     {
-        recorded_answer kept{answer.status, {}, answer.body};
-        for (auto const& it : answer.headers)
-            if (it.name == "Content-Type" || it.name == "content-type")
-                kept.content_type = it.value;
-        return kept;
+        if (std::exchange(is_charged_, false) && !may_have_run_ && !under_way_)
+            state().limits.refund(
+                admitted_.organisation.text(), environment_.now());
     }
 
-    // Charges.
+    // Placing.
 
-    std::vector<vm_record const*> share_owners()
+    /// A start later than this leaves too little time for the answer. An
+    /// answer within the goal is what the wait is for.
+    time_point start_by()
     {
-        auto const& policy = environment_.current_policy();
-        auto const* const rate =
-            policy->index->source.template find<rate_object>(
-                admitted_.organisation.text());
-        if (rate == nullptr)
-            return {};
-        return policy->owners.owners(shares_key(admitted_.organisation, *rate));
-    }
-
-    void begin_charge()
-    {
-        auto const owners = share_owners();
-        charge_order_.clear();
-        for (auto const* it : owners)
-            charge_order_.push_back(*it);
-        if (charge_order_.empty())
-            return refuse(refusal_kind::not_ready, outcome::not_run,
-                "no VM keeps the organisation's rate", std::chrono::seconds(1));
-        first_owner_ = charge_order_.front();
-        auto const self = std::find_if(charge_order_.begin(),
-            charge_order_.end(), [&](vm_record const& it) {
-                return it.vm == environment_.current_policy()->owners.self();
-            });
-        auto const start = self != charge_order_.end() ? self
-                                                       : charge_order_.begin() +
-                static_cast<std::ptrdiff_t>(
-                    environment_.state().random() % charge_order_.size());
-        std::rotate(charge_order_.begin(), start, charge_order_.end());
-        charge_position_ = 0;
-        all_exhausted_ = true;
-        shortest_wait_ = duration::max();
-        ask_next_charge();
-    }
-
-    void ask_next_charge()
-    {
-        if (charge_position_ < charge_order_.size())
-            return ask_charge(charge_order_[charge_position_++]);
-        if (all_exhausted_)
-            return refuse(refusal_kind::rate_exceeded, outcome::not_run,
-                "the organisation's rate and burst are used up",
-                shortest_wait_);
-        ask_again(
-            [this] { begin_charge(); }, "an owner of the organisation's rate");
-    }
-
-    void ask_charge(vm_record const& owner)
-    {
-        environment_.ask_charge(owner,
-            charge_question{admitted_.organisation, print_,
-                std::exchange(crash_to_tell_, false)},
-            guarded([this](charge_reply reply) { charge_replied(reply); }));
-    }
-
-    void charge_replied(charge_reply reply)
-    {
-        if (life_.state() != request_state::charging)
-            return unused_charge(reply);
-        switch (reply.result) {
-        case charge_outcome::granted_on_trial:
-            on_trial_ = true;
-            was_on_trial_ = true;
-            return fire(request_event::charged);
-        case charge_outcome::granted:
-            return fire(request_event::charged);
-        case charge_outcome::exhausted:
-            shortest_wait_ = std::min(shortest_wait_, reply.retry_after);
-            return ask_next_charge();
-        case charge_outcome::held_back:
-            return refuse(refusal_kind::held_back, outcome::not_run,
-                "upstreams crashed while they ran this request",
-                reply.retry_after);
-        case charge_outcome::ask_first_owner:
-            charge_position_ = charge_order_.size();
-            all_exhausted_ = false;
-            return ask_charge(first_owner_);
-        case charge_outcome::not_owner:
-        case charge_outcome::unreachable:
-            all_exhausted_ = false;
-            return ask_next_charge();
-        }
+        auto const typical = state().targets.typical_latency(admitted_.service);
+        auto const limit = admitted_.goal > duration::zero()
+            ? std::min(admitted_.goal, admitted_.time_limit)
+            : admitted_.time_limit;
+        auto const wait = std::max<duration>(limit - typical, limit / 4);
+        return std::min(started_at_ + wait,
+            deadline_ - std::min<duration>(typical, admitted_.time_limit / 2));
     }
 
-    /// After a crash only the first owner may let the request go again.
-    void ask_trial()
+    bool has_attempts_left() const
     {
-        crashed_ = false;
-        crash_to_tell_ = true;
-        charge_position_ = charge_order_.size();
-        all_exhausted_ = false;
-        ask_charge(first_owner_);
+        return sent_attempts_ < admitted_.attempts &&
+            trace_.attempts < admitted_.attempts + extra_unsent_attempts;
     }
 
-    /// A grant came after the request had ended.
-    void unused_charge(charge_reply reply)
+    bool is_repeatable()
     {
-        if (reply.result != charge_outcome::granted_on_trial)
-            return;
-        on_trial_ = true;
-        settle_trial();
+        return admitted_.idempotent &&
+            sent_attempts_ + 1 < admitted_.attempts &&
+            state().retries.allows(
+                admitted_.service.text(), environment_.now());
     }
 
-    /// Asks again a little later, while there is time.
-    template <class Callback>
-    void ask_again(Callback callback, std::string_view what)
-    {
-        auto const state = life_.state();
-        if (environment_.now() + ask_again_after + answer_reserve >= deadline_)
-            return refuse(refusal_kind::not_ready, outcome::not_run,
-                std::string(what) + " is not reached", std::chrono::seconds(1));
-        environment_.after(ask_again_after,
-            guarded([this, state, callback = std::move(callback)] {
-                if (life_.state() == state)
-                    callback();
-            }));
+    void ask_place()
+    {
+        placing_since_ = environment_.now();
+        placement_question question{admitted_.service, admitted_.priority,
+            is_repeatable(), tried_, start_by()};
+        auto decided = state().targets.submit(std::move(question),
+            guarded([this](placement_decision decision) {
+                ticket_ = 0;
+                decide(std::move(decision));
+            }),
+            placing_since_);
+        if (auto* const it = std::get_if<placement_decision>(&decided))
+            return decide(std::move(*it));
+        ticket_ = std::get<ticket>(decided);
     }
 
-    // Dispatch.
+    void leave_line()
+    {
+        if (ticket_ != 0)
+            state().targets.withdraw(std::exchange(ticket_, 0));
+    }
 
-    void choose_target()
+    void decide(placement_decision decision)
+    {
+        trace_.queue_time += environment_.now() - placing_since_;
+        if (auto* const it = std::get_if<placement>(&decision)) {
+            reason_ = it->reason;
+            target_ = std::move(it->target);
+            return fire(request_event::placed);
+        }
+        auto const& denial = std::get<placement_denial>(decision);
+        bool const full = denial.why == placement_refusal::overloaded;
+        if (has_answer(last_result_))
+            return fire(request_event::answer);
+        refuse(full ? refusal_kind::overloaded : refusal_kind::no_upstream,
+            full ? "all targets are at their limit"
+                 : "the service has no target that may get it",
+            denial.retry_after);
+    }
+
+    // One attempt.
+
+    void send()
     {
-        auto const& policy = environment_.current_policy();
         auto const now = environment_.now();
-        auto const& targets = policy->index->targets.of(admitted_.service);
-        auto& state = environment_.state();
-        candidates_.clear();
-        for (auto const& it : targets)
-            candidates_.push_back({state.hints.load(it.id, now),
-                it.object.data_centre == environment_.data_centre(),
-                was_tried(it.id) || state.hints.is_closed(it.id, now)});
-        auto const picked = picker_.pick(candidates_, state.random);
-        if (!picked)
-            return nothing_to_choose(!targets.empty());
-        auto const& target = targets[*picked];
-        auto const owners =
-            policy->owners.owners(target_key(target.id, target.object));
-        if (owners.empty())
-            return nothing_to_choose(true);
-        target_ = target.id;
-        owner_ = *owners.front();
-        fire(request_event::chosen);
-    }
-
-    bool was_tried(target_id const& target) const
-    {
-        return std::find(tried_.begin(), tried_.end(), target) != tried_.end();
-    }
-
-    /// All targets are barred. Tried ones may be tried again after a wait,
-    /// as long as nothing has run.
-    void nothing_to_choose(bool any_usable)
-    {
-        bool const wait =
-            any_usable && !may_have_run_ && rounds_waited_ < most_rounds_waited;
-        if (!wait)
-            return refuse(any_usable ? refusal_kind::overloaded
-                                     : refusal_kind::no_upstream,
-                may_have_run_ ? outcome::unknown : outcome::not_run,
-                any_usable ? "no upstream takes more work now"
-                           : "no upstream of the service may get work",
-                std::chrono::seconds(1));
-        ++rounds_waited_;
-        tried_.clear();
-        ask_again([this] { choose_target(); }, "an upstream with room");
-    }
-
-    void send_to_owner()
-    {
-        assert_invariant(invariant::non_idempotent_runs_once,
-            admitted_.idempotent || !may_have_run_, "second dispatch");
+        auto const left = deadline_ - now;
+        // What was true when the request came may have changed while it
+        // waited.
+        if (!is_key_reliable() || !is_key_in_force()) {
+            give_target_back(now);
+            if (is_key_in_force())
+                return refuse_stale();
+            return refuse(refusal_kind::key_unknown, "the key is not in force");
+        }
+        if (left <= answer_reserve) {
+            give_target_back(now);
+            return fire(request_event::deadline);
+        }
         ++trace_.attempts;
-        tried_.push_back(target_);
+        tried_.push_back(target_.id);
         under_way_ = true;
-        // The record of a request is settled by the end of its dispatch,
-        // which may come after the caller has gone.
-        call_ = environment_.send_order(owner_, make_order(),
-            [self = this->shared_from_this()](dispatch_answer answer) {
-                self->dispatch_ended(std::move(answer));
-            });
+        is_late_ = false;
+        sent_at_ = now;
+        auto const number = trace_.attempts;
+        log_sent(left);
+        attempt_ = environment_.send_upstream(target_,
+            make_order(left - answer_reserve),
+            guarded([this, number](attempt_end it) {
+                if (number == trace_.attempts)
+                    attempt_ended(std::move(it));
+            }));
+        watch_attempt(number);
     }
 
-    dispatch_order make_order()
+    void log_sent(duration left)
     {
-        dispatch_order order;
-        order.target = target_;
-        order.service = admitted_.service;
-        order.organisation = admitted_.organisation;
-        order.key =
-            admitted_.organisation.empty() ? std::nullopt : message_.head.key;
+        log(log_event::request_sent,
+            {{"request", message_.head.request_id},
+                {"attempt", trace_.attempts}, {"target", target_.id.text()},
+                {"target_revision", target_.revision},
+                {"state", to_name(reason_.state)},
+                {"in_flight", reason_.in_flight},
+                {"in_flight_elsewhere", reason_.in_flight_elsewhere},
+                {"candidates", reason_.candidates},
+                {"near", reason_.near ? 1 : 0},
+                {"configuration",
+                    environment_.current_policy()->index->version},
+                {"read_age_ms",
+                    to_milliseconds(sent_at_ - environment_.read_at())},
+                {"queued_ms", to_milliseconds(trace_.queue_time)},
+                {"left_ms", to_milliseconds(left)}});
+    }
+
+    void give_target_back(time_point now)
+    {
+        state().targets.ended(
+            target_, attempt_result::cancelled, duration::zero(), now);
+    }
+
+    upstream_order make_order(duration time_limit)
+    {
+        upstream_order order;
+        order.request_id = message_.head.request_id;
         order.method = message_.head.method;
+        order.host = message_.head.host;
         order.path = admitted_.path;
-        order.headers = message_.headers;
-        order.body = message_.body;
-        order.request_id = message_.head.request_id;
-        order.remaining = deadline_ - environment_.now() - answer_reserve;
+        order.organisation = admitted_.organisation;
+        order.time_limit = time_limit;
         order.idempotent = admitted_.idempotent;
         order.echoes_request_id = admitted_.echoes_request_id;
-        order.baseline =
-            environment_.state().latencies.baseline(admitted_.service);
+        order.headers = message_.headers;
+        order.body = message_.body;
         return order;
     }
 
-    void dispatch_ended(dispatch_answer answer)
+    /// Plans what follows while the target does not answer.
+    void watch_attempt(std::size_t number)
     {
-        learn(answer);
+        auto const typical = state().targets.typical_latency(admitted_.service);
+        if (typical <= duration::zero())
+            return;
+        auto const after = [&](duration wait, auto what) {
+            if (sent_at_ + wait < deadline_)
+                environment_.after(wait, guarded([this, number, what] {
+                    if (number == trace_.attempts && under_way_)
+                        what();
+                }));
+        };
+        after(typical * late_factor, [this] { became_late(); });
+        after(typical * overdue_factor,
+            [this] { state().targets.overdue(target_, environment_.now()); });
+        if (is_repeatable())
+            after(std::max<duration>(typical * move_factor, shortest_move_wait),
+                [this] { fire(request_event::impatient); });
+    }
+
+    void became_late()
+    {
+        is_late_ = true;
+        state().targets.late(target_, environment_.now());
+    }
+
+    void settle_attempt(attempt_result result)
+    {
+        auto const now = environment_.now();
         under_way_ = false;
-        if (life_.state() != request_state::dispatched)
-            return ended_late(std::move(answer));
-        answer_ = std::move(answer);
-        if (answer_.result == dispatch_outcome::answered) {
-            attempted_ = true;
-            assert_invariant(invariant::answer_belongs_to_request,
-                answers_this(answer_.answer), message_.head.request_id);
-            return fire(request_event::answer);
-        }
-        if (!proves_not_run(answer_))
-            may_have_run_ = true;
-        note_crash();
-        refusal_ = refusal_of(answer_);
-        fire(request_event::failed);
+        if (std::exchange(is_late_, false))
+            state().targets.late_ended(target_);
+        trace_.upstream_time += now - sent_at_;
+        state().targets.ended(target_, result, now - sent_at_, now);
     }
 
-    /// Whether the request id that an answer brings back, if any, is ours.
-    bool answers_this(upstream_answer const& answer) const
+    void attempt_ended(attempt_end it)
     {
-        return std::all_of(answer.headers.begin(), answer.headers.end(),
-            [&](header_field const& it) {
-                return it.name != "X-Request-Id" ||
-                    it.value == message_.head.request_id;
-            });
+        if (!under_way_)
+            return;
+        auto const now = environment_.now();
+        log(log_event::attempt_ended,
+            {{"request", message_.head.request_id},
+                {"attempt", trace_.attempts}, {"target", target_.id.text()},
+                {"result", to_name(it.result)}, {"status", it.answer.status},
+                {"reused", it.reused ? 1 : 0},
+                {"ms", to_milliseconds(now - sent_at_)}});
+        last_result_ = it.result;
+        note_end(it.result);
+        answer_ = std::move(it.answer);
+        settle_attempt(it.result);
+        if (last_result_ == attempt_result::answered)
+            return fire(request_event::answer);
+        plan_refusal();
+        fire(check_answer_is_final() ? request_event::answer
+                                     : request_event::failed);
     }
 
-    /// The dispatch ended after the request: only its record is settled.
-    void ended_late(dispatch_answer answer)
+    void note_end(attempt_result result)
     {
-        answer_ = std::move(answer);
-        attempted_ = answer_.result == dispatch_outcome::answered;
-        if (!attempted_ && !proves_not_run(answer_))
+        bool const lost = result == attempt_result::connection_lost;
+        if (lost)
+            state().poison.crashed(
+                print_, target_.id.text(), environment_.now());
+        if (result != attempt_result::connect_failed)
+            ++sent_attempts_;
+        if (!proves_not_run(result))
             may_have_run_ = true;
-        note_crash();
-        finish_record();
     }
 
-    /// Takes what an answer tells of target and service.
-    void learn(dispatch_answer const& answer)
+    /// A server error that cannot be made good by another attempt is passed
+    /// on as it is.
+    bool check_answer_is_final()
     {
-        auto& state = environment_.state();
-        auto const now = environment_.now();
-        trace_.upstream_time = answer.service_time;
-        trace_.queue_time += answer.queue_time;
-        switch (answer.result) {
-        case dispatch_outcome::not_taken:
-        case dispatch_outcome::not_owner:
-        case dispatch_outcome::unreachable:
-        case dispatch_outcome::lost:
-            return state.hints.closed(target_, now);
-        case dispatch_outcome::key_withdrawn:
-            return;
-        case dispatch_outcome::answered:
-        case dispatch_outcome::attempt_failed:
-            state.hints.heard(target_, answer.load, now);
-            bool const failed =
-                is_bad({answer.attempt, answer.service_time, {}, 0});
-            bool const tells = answer.attempt != attempt_result::cancelled &&
-                answer.attempt != attempt_result::shed;
-            if (tells)
-                state.latencies.add(
-                    admitted_.service, answer.service_time, failed);
-        }
+        return last_result_ == attempt_result::server_error &&
+            !(admitted_.idempotent && has_attempts_left() &&
+                state().retries.allows(
+                    admitted_.service.text(), environment_.now()));
     }
 
-    refusal refusal_of(dispatch_answer const& answer) const
+    /// What is answered if the attempt is not repeated.
+    void plan_refusal()
     {
-        auto const result = may_have_run_ ? outcome::unknown : outcome::not_run;
-        constexpr std::chrono::seconds soon(1);
-        switch (answer.result) {
-        case dispatch_outcome::key_withdrawn:
-            return {refusal_kind::key_unknown, result,
-                "the key is not in force any more", {}};
-        case dispatch_outcome::not_taken:
-            return {refusal_kind::overloaded, result,
-                "no upstream takes more work now", soon};
-        case dispatch_outcome::not_owner:
-        case dispatch_outcome::unreachable:
-            return {refusal_kind::not_ready, result,
-                "the owner of the upstream is not reached", soon};
-        case dispatch_outcome::lost:
-            return {refusal_kind::upstream_failed, result,
-                "the way to the upstream was lost", soon};
-        case dispatch_outcome::attempt_failed:
-            if (answer.attempt == attempt_result::too_large)
-                return {refusal_kind::answer_too_large, outcome::unknown,
-                    "the answer is larger than is passed on", {}};
-            return {refusal_kind::upstream_failed, result,
-                "the upstream failed: " + std::string(to_name(answer.attempt)),
-                soon};
-        case dispatch_outcome::answered:
-            break;
+        if (last_result_ == attempt_result::timed_out) {
+            refusal_ = {refusal_kind::deadline_passed, outcome::unknown,
+                "the target did not answer in time", {}};
+        } else if (may_have_run_) {
+            refusal_ = {refusal_kind::upstream_failed, outcome::unknown,
+                "the attempt ended as " + std::string(to_name(last_result_)),
+                {}};
+        } else {
+            refusal_ = {refusal_kind::overloaded, outcome::not_run,
+                "the attempt ended as " + std::string(to_name(last_result_)),
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    short_wait)};
         }
-        return {};
     }
 
-    bool retry_allowed()
+    bool may_retry()
     {
-        if (answer_.result == dispatch_outcome::key_withdrawn ||
-            answer_.attempt == attempt_result::too_large)
+        bool const harmless =
+            admitted_.idempotent || proves_not_run(last_result_);
+        if (!harmless || (may_have_run_ && !admitted_.idempotent) ||
+            !has_attempts_left())
+            return false;
+        auto const now = environment_.now();
+        auto const typical = state().targets.typical_latency(admitted_.service);
+        if (deadline_ - now < std::max<duration>(typical / 2, answer_reserve))
             return false;
-        failed_attempt const failed{
-            may_have_run_ ? outcome::unknown : outcome::not_run,
-            admitted_.idempotent, trace_.attempts, deadline_};
-        return may_retry(
-            failed, environment_.state().retries, environment_.now());
+        // A request that reached no target burdens none a second time.
+        if (sent_attempts_ == 0)
+            return true;
+        return state().retries.take(admitted_.service.text(), now);
     }
 
-    /// An upstream that lost its connection in mid-request may have crashed
-    /// by it. The owners are told before the caller can send it again.
-    void note_crash()
+    /// Whether an attempt that has not been answered is given up for
+    /// another target.
+    bool may_move()
     {
-        bool const crash = answer_.result == dispatch_outcome::attempt_failed &&
-            answer_.attempt == attempt_result::connection_lost;
-        if (!crash || admitted_.organisation.empty())
-            return;
-        on_trial_ = false;
-        crashed_ = true;
-        // The first owner learns of it with the question for a trial.
-        bool const asks_trial = check(request_guard::may_retry_on_trial);
-        for (auto const* it : share_owners())
-            if (!asks_trial || it->vm != first_owner_.vm)
-                environment_.tell_poison(*it,
-                    {admitted_.organisation, print_, poison_report::crashed});
+        auto const now = environment_.now();
+        auto const typical = state().targets.typical_latency(admitted_.service);
+        if (!under_way_ || !is_repeatable() || deadline_ - now < typical * 2)
+            return false;
+        return state().retries.take(admitted_.service.text(), now);
     }
 
-    void settle_trial()
+    void cancel_attempt()
     {
-        if (!std::exchange(on_trial_, false))
+        if (!under_way_)
             return;
-        bool const ran = attempted_ || may_have_run_ || under_way_;
-        auto const report =
-            ran ? poison_report::survived : poison_report::trial_unused;
-        for (auto const* it : share_owners())
-            environment_.tell_poison(
-                *it, {admitted_.organisation, print_, report});
+        environment_.cancel_upstream(attempt_);
+        ++sent_attempts_;
+        may_have_run_ = true;
+        last_result_ = attempt_result::cancelled;
+        settle_attempt(attempt_result::cancelled);
     }
 
     void answer_deadline()
     {
-        // A dispatch may be at the upstream, and its end is not awaited.
-        auto const result =
-            may_have_run_ || under_way_ ? outcome::unknown : outcome::not_run;
-        end(refusal{refusal_kind::deadline_passed, result,
-            "the deadline has passed", std::chrono::seconds(1)});
+        auto const result = may_have_run_ ? outcome::unknown : outcome::not_run;
+        end(refusal{result == outcome::unknown ? refusal_kind::deadline_passed
+                                               : refusal_kind::overloaded,
+            result, "the time for the request is over", {}});
     }
 
-    static constexpr std::size_t most_rounds_waited = 20;
-
     chart_instance<request_chart> life_;
     Environment& environment_;
     entry_message message_;
     end_callback on_end_;
-    Picker picker_;
 
     admitted_request admitted_;
+    time_point started_at_{};
     time_point deadline_{};
     fingerprint print_ = 0;
     refusal refusal_;
-    recorded_answer recorded_;
-    dispatch_answer answer_;
+    upstream_answer answer_;
+    repeat_guard<Environment> repeat_;
     trace trace_;
 
-    bool record_begun_ = false;
-    bool on_trial_ = false;
-    bool was_on_trial_ = false;
-    /// The last attempt ended with a crash.
-    bool crashed_ = false;
-    bool crash_to_tell_ = false;
-    /// A dispatch has not ended yet.
+    bool is_charged_ = false;
+    bool has_waited_for_charge_ = false;
+
+    ticket ticket_ = 0;
+    time_point placing_since_{};
+    std::vector<target_id> tried_;
+    target_record target_;
+    placement_reason reason_;
+
+    std::uint64_t attempt_ = 0;
+    std::size_t sent_attempts_ = 0;
+    time_point sent_at_{};
+    /// An attempt has not ended yet.
     bool under_way_ = false;
-    /// An upstream has answered.
-    bool attempted_ = false;
+    bool is_late_ = false;
     /// An attempt ended without proof that nothing ran.
     bool may_have_run_ = false;
-
-    std::vector<vm_record> charge_order_;
-    vm_record first_owner_;
-    std::size_t charge_position_ = 0;
-    bool all_exhausted_ = true;
-    duration shortest_wait_ = duration::max();
-
-    std::vector<candidate> candidates_;
-    std::vector<target_id> tried_;
-    std::size_t rounds_waited_ = 0;
-    target_id target_;
-    vm_record owner_;
-    std::uint64_t call_ = 0;
+    attempt_result last_result_ = attempt_result::cancelled;
 };
 
 } // namespace pomelohinge
--- /dev/null
+++ b/servers/requests/entry_state.cpp
@@ -0,0 +1,61 @@
+#include "servers/requests/entry_state.hpp"
+
+#include <algorithm>
+
+namespace pomelohinge {
+namespace {
+
+/// Kept back of the time for which a read of the configuration counts: the
+/// clocks of two VMs run apart by less, and a request that passed the check
+/// is on its way by then.
+constexpr duration freshness_margin = std::chrono::milliseconds(500);
+
+} // namespace
+
+void entry_state::adopt(policy_pointer const& next, time_point now)
+{
+    auto const& members = *next->members;
+    auto const entries = static_cast<std::size_t>(std::count_if(members.begin(),
+        members.end(), [](auto const& it) { return it.entry; }));
+    auto const n = entries > 0 ? entries : members.size();
+    limits.expect_entries(n);
+    retries.set_entries(n);
+    targets.adopt(next, now);
+}
+
+void entry_state::hear(traffic_report const& others, time_point now)
+{
+    limits.others(others.organisations, others.entries + 1, now);
+    for (auto const& it : others.suspects)
+        poison.told(it, now);
+    targets.hear(others, now);
+}
+
+traffic_report entry_state::make_report(time_point now)
+{
+    traffic_report report;
+    report.targets = targets.take_reports();
+    report.organisations = limits.demands(now);
+    report.suspects = poison.suspects(now);
+    report.load = load.per_second(now);
+    constexpr double busy = 0.5;
+    report.entries = report.load > busy ? 1 : 0;
+    return report;
+}
+
+void entry_state::tick(time_point now)
+{
+    targets.tick(now);
+    limits.forget_idle(now);
+    poison.forget_old(now);
+}
+
+bool entry_state::is_fresh(time_point read_at, time_point now) const
+{
+    if (bounds.revocation <= duration::zero())
+        return true;
+    return read_at != time_point{} &&
+        now - read_at < bounds.revocation - freshness_margin;
+}
+
+} // namespace pomelohinge
