--- a/servers/requests/request_chart.hpp
+++ b/servers/requests/request_chart.hpp
@@ -10,8 +10,8 @@
     received,
     recording,
     charging,
-    choosing,
-    dispatched,
+    placing,
+    sent,
     answered,
     abandoned,
 };
@@ -22,8 +22,8 @@
         {request_state::received, "received"},
         {request_state::recording, "recording"},
         {request_state::charging, "charging"},
-        {request_state::choosing, "choosing"},
-        {request_state::dispatched, "dispatched"},
+        {request_state::placing, "placing"},
+        {request_state::sent, "sent"},
         {request_state::answered, "answered"},
         {request_state::abandoned, "abandoned"},
     });
@@ -35,9 +35,10 @@
     record_begun,
     record_found,
     charged,
-    chosen,
+    placed,
     answer,
     failed,
+    impatient,
     deadline,
     caller_gone,
 };
@@ -50,9 +51,10 @@
         {request_event::record_begun, "record_begun"},
         {request_event::record_found, "record_found"},
         {request_event::charged, "charged"},
-        {request_event::chosen, "chosen"},
+        {request_event::placed, "placed"},
         {request_event::answer, "answer"},
         {request_event::failed, "failed"},
+        {request_event::impatient, "impatient"},
         {request_event::deadline, "deadline"},
         {request_event::caller_gone, "caller_gone"},
     });
@@ -60,28 +62,27 @@
 
 enum class request_guard {
     has_repeat_key,
-    is_open,
-    may_retry_on_trial,
-    may_retry
+    may_retry,
+    may_move,
 };
 
 template <>
 inline constexpr auto
     name_table<request_guard> = make_name_table<request_guard>({
         {request_guard::has_repeat_key, "has_repeat_key"},
-        {request_guard::is_open, "is_open"},
-        {request_guard::may_retry_on_trial, "may_retry_on_trial"},
         {request_guard::may_retry, "may_retry"},
+        {request_guard::may_move, "may_move"},
     });
 static_assert(is_ordered<request_guard>());
 
 enum class request_action {
     ask_record,
     ask_charge,
-    ask_trial,
-    choose_target,
-    send_to_owner,
-    cancel_dispatch,
+    ask_place,
+    send,
+    cancel_attempt,
+    leave_line,
+    refund_charge,
     finish_record,
     answer_upstream,
     answer_recorded,
@@ -94,10 +95,11 @@
     name_table<request_action> = make_name_table<request_action>({
         {request_action::ask_record, "ask_record"},
         {request_action::ask_charge, "ask_charge"},
-        {request_action::ask_trial, "ask_trial"},
-        {request_action::choose_target, "choose_target"},
-        {request_action::send_to_owner, "send_to_owner"},
-        {request_action::cancel_dispatch, "cancel_dispatch"},
+        {request_action::ask_place, "ask_place"},
+        {request_action::send, "send"},
+        {request_action::cancel_attempt, "cancel_attempt"},
+        {request_action::leave_line, "leave_line"},
+        {request_action::refund_charge, "refund_charge"},
         {request_action::finish_record, "finish_record"},
         {request_action::answer_upstream, "answer_upstream"},
         {request_action::answer_recorded, "answer_recorded"},
--- /dev/null
+++ b/servers/retries/retry_budget.cpp
@@ -0,0 +1,69 @@
+#include "servers/retries/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace pomelohinge {
+namespace {
+
+/// The window is counted in this many slices.
+constexpr int slices_per_window = 20;
+
+/// Part of the bound that is used: requests that are counted here may lie
+/// just outside of a window that holds their retries.
+constexpr double used_part = 0.85;
+
+} // namespace
+
+retry_budget::slice& retry_budget::current(
+    std::string const& service, time_point now)
+{
+    auto& it = services_[service];
+    drop_old(it, now);
+    auto const length = bounds_.retry_window / slices_per_window;
+    if (it.slices.empty() || now - it.slices.back().began >= length)
+        it.slices.push_back({now, 0, 0});
+    return it.slices.back();
+}
+
+void retry_budget::drop_old(history& it, time_point now) const
+{
+    while (!it.slices.empty() &&
+        now - it.slices.front().began > bounds_.retry_window)
+        it.slices.pop_front();
+}
+
+void retry_budget::request_began(std::string const& service, time_point now)
+{
+    current(service, now).requests += 1;
+}
+
+bool retry_budget::allows(std::string const& service, time_point now)
+{
+    auto& it = services_[service];
+    drop_old(it, now);
+    double requests = 0;
+    double retries = 0;
+    for (auto const& slice : it.slices) {
+        requests += slice.requests;
+        retries += slice.retries;
+    }
+    auto const allowed =
+        (bounds_.retry_ratio * requests + bounds_.retry_extra / entries_) *
+        used_part;
+    return retries + 1 <= allowed;
+}
+
+bool retry_budget::take(std::string const& service, time_point now)
+{
+    if (!allows(service, now))
+        return false;
+    current(service, now).retries += 1;
+    return true;
+}
+
+void retry_budget::set_entries(std::size_t entries)
+{
+    entries_ = static_cast<double>(std::max<std::size_t>(entries, 1));
+}
+
+} // namespace pomelohinge
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -34,31 +34,58 @@
         (path.size() == prefix.size() || path[prefix.size()] == '/');
 }
 
-bool allows(route_object const& route, http_method method)
+bool allows(route_object const& route, std::string_view method)
 {
-    return std::find(route.methods.begin(), route.methods.end(), method) !=
-        route.methods.end();
+    return route.methods.empty() ||
+        std::any_of(route.methods.begin(), route.methods.end(),
+            [&](auto it) { return to_name(it) == method; });
 }
 
-bool may_repeat(route_object const& route, http_method method)
+bool may_repeat(route_object const& route, std::string_view method)
 {
-    if (route.repeat == idempotency::by_method)
-        return is_idempotent(method);
-    return route.repeat == idempotency::idempotent;
+    if (route.repeat != idempotency::by_method)
+        return route.repeat == idempotency::idempotent;
+    auto const known = from_name<http_method>(method);
+    return known && is_idempotent(*known);
 }
 
-} // namespace
+/// The part of a split that `draw` falls into.
+service_id const& drawn_service(route_object const& route, split_draw draw)
+{
+    double sum = 0;
+    for (auto const& it : route.split)
+        sum += it.weight;
+    auto left = draw * sum;
+    for (auto const& it : route.split) {
+        if (it.weight > 0 && left < it.weight)
+            return it.service;
+        left -= it.weight;
+    }
+    return route.split.back().service;
+}
 
-router::router(configuration const& from) : configuration_(from)
+template <class Routes>
+void sort_by_prefix(Routes& routes)
 {
-    for (auto const& [name, it] : from.table<route_object>())
-        routes_[it.service.text()].push_back({route_id(name), it});
-    for (auto& [service, entries] : routes_)
+    for (auto& [name, entries] : routes)
         std::stable_sort(entries.begin(), entries.end(),
             [](auto const& left, auto const& right) {
                 return left.route.path_prefix.size() >
                     right.route.path_prefix.size();
             });
+}
+
+} // namespace
+
+router::router(configuration const& from) : configuration_(from)
+{
+    for (auto const& [name, it] : from.table<route_object>()) {
+        auto& routes =
+            it.host.empty() ? routes_[it.service.text()] : hosts_[it.host];
+        routes.push_back({route_id(name), it});
+    }
+    sort_by_prefix(hosts_);
+    sort_by_prefix(routes_);
     auto const& keys = configuration_.table<key_object>();
     keys_.reserve(keys.size());
     for (auto const& [name, it] : keys)
@@ -78,21 +105,66 @@
     return it != nullptr && *it == organisation;
 }
 
-router::route_entry const* router::find_route(std::string_view service,
-    std::string_view path, http_method method, refusal_kind& reason) const
+rate_object const* router::rate_of(organisation_id const& organisation) const
+{
+    auto const* const it =
+        configuration_.find<rate_object>(organisation.text());
+    return it != nullptr && it->requests_per_second > 0 ? it : nullptr;
+}
+
+router::match router::find(request_head const& head) const
+{
+    auto const host = hosts_.find(head.host);
+    if (host != hosts_.end())
+        return find_by_host(host->second, head);
+    return find_by_service(head);
+}
+
+router::match router::find_by_host(
+    std::vector<route_entry> const& routes, request_head const& head) const
+{
+    match found;
+    found.by_host = true;
+    found.path = head.target;
+    auto const path =
+        std::string_view(head.target).substr(0, head.target.find('?'));
+    for (auto const& it : routes) {
+        if (!path.starts_with(it.route.path_prefix))
+            continue;
+        if (allows(it.route, head.method)) {
+            found.entry = &it;
+            return found;
+        }
+        found.reason = refusal_kind::method_not_allowed;
+    }
+    return found;
+}
+
+router::match router::find_by_service(request_head const& head) const
 {
-    reason = refusal_kind::no_route;
-    auto const it = routes_.find(service);
-    if (it == routes_.end())
-        return nullptr;
-    for (auto const& entry : it->second) {
-        if (!is_under(path.empty() ? "/" : path, entry.route.path_prefix))
+    auto const parts = split_target(head.target);
+    match found;
+    found.service = std::string(parts.service);
+    if (auto const* const it =
+            configuration_.find<correction_object>(found.service))
+        found.service = it->service.text();
+    found.path = std::string(parts.path_and_query);
+    if (!found.path.starts_with('/'))
+        found.path.insert(0, "/");
+    auto const routes = routes_.find(found.service);
+    if (routes == routes_.end())
+        return found;
+    for (auto const& it : routes->second) {
+        if (!is_under(
+                parts.path.empty() ? "/" : parts.path, it.route.path_prefix))
             continue;
-        if (allows(entry.route, method))
-            return &entry;
-        reason = refusal_kind::method_not_allowed;
+        if (allows(it.route, head.method)) {
+            found.entry = &it;
+            return found;
+        }
+        found.reason = refusal_kind::method_not_allowed;
     }
-    return nullptr;
+    return found;
 }
 
 refusal router::refuse_service(std::string_view name) const
@@ -104,58 +176,81 @@
     return {refusal_kind::unknown_service, outcome::not_run, detail, {}};
 }
 
-admission router::admit(request_head const& head) const
+std::variant<organisation_id, refusal> router::identify(
+    request_head const& head, bool is_open) const
 {
-    auto const parts = split_target(head.target);
-    auto service = std::string(parts.service);
-    if (auto const* const it = configuration_.find<correction_object>(service))
-        service = it->service.text();
+    if (!head.key) {
+        if (is_open)
+            return organisation_id();
+        return refusal{refusal_kind::key_missing, outcome::not_run,
+            "the route needs a key", {}};
+    }
+    auto const* const it = organisation_of(*head.key);
+    if (it != nullptr)
+        return *it;
+    if (is_open)
+        return organisation_id();
+    return refusal{refusal_kind::key_unknown, outcome::not_run,
+        "the key is not in force", {}};
+}
 
-    auto reason = refusal_kind::no_route;
-    auto const* const entry =
-        find_route(service, parts.path, head.method, reason);
+admission router::admit(request_head const& head, split_draw draw) const
+{
+    auto const found = find(head);
+    auto const* const entry = found.entry;
+    if (entry == nullptr && found.by_host)
+        return refuse_route(found, head);
     bool const is_open =
         entry != nullptr && entry->route.access == route_access::open;
+    auto identified = identify(head, is_open);
+    if (auto* const it = std::get_if<refusal>(&identified))
+        return std::move(*it);
 
-    organisation_id organisation;
-    if (head.key) {
-        auto const* const it = organisation_of(*head.key);
-        if (it == nullptr && !is_open)
-            return refusal{refusal_kind::key_unknown, outcome::not_run,
-                "the key is not in force", {}};
-        if (it != nullptr)
-            organisation = *it;
-    } else if (!is_open) {
-        return refusal{refusal_kind::key_missing, outcome::not_run,
-            "the route needs \"Authorization: Bearer KEY\"", {}};
-    }
-
+    auto const service = entry != nullptr && !entry->route.split.empty()
+        ? drawn_service(entry->route, draw).text()
+        : entry != nullptr ? entry->route.service.text()
+                           : found.service;
     auto const* const object = configuration_.find<service_object>(service);
     if (object == nullptr)
-        return refuse_service(parts.service);
+        return refuse_service(service);
     if (entry == nullptr)
-        return refusal{reason, outcome::not_run,
-            fmt::format("service \"{}\" has no route for {} {}", service,
-                to_name(head.method), parts.path),
-            {}};
+        return refuse_route(found, head);
     if (head.deadline && head.deadline->count() <= 0)
         return refusal{refusal_kind::deadline_passed, outcome::not_run,
             "the deadline has passed already", {}};
 
+    auto const& route = entry->route;
     admitted_request admitted;
-    admitted.organisation = std::move(organisation);
-    admitted.service = service_id(std::move(service));
+    admitted.organisation = std::get<organisation_id>(std::move(identified));
+    admitted.service = service_id(service);
     admitted.route = entry->id;
-    admitted.path = std::string(parts.path_and_query);
-    if (!admitted.path.starts_with('/'))
-        admitted.path.insert(0, "/");
-    admitted.deadline = std::min(
-        head.deadline.value_or(entry->route.deadline), entry->route.deadline);
-    admitted.idempotent = may_repeat(entry->route, head.method);
+    admitted.path = found.path;
+    admitted.time_limit =
+        std::min(head.deadline.value_or(route.deadline), route.deadline);
+    admitted.goal = route.goal;
+    admitted.idempotent = may_repeat(route, head.method);
     admitted.echoes_request_id = object->echoes_request_id;
+    admitted.attempts = static_cast<std::size_t>(route.attempts);
+    admitted.priority = priority_of(route, admitted.organisation);
     return admitted;
 }
 
+refusal router::refuse_route(match const& found, request_head const& head)
+{
+    return {found.reason, outcome::not_run,
+        fmt::format("there is no route for {} {}", head.method,
+            found.path.substr(0, found.path.find('?'))),
+        {}};
+}
+
+std::int64_t router::priority_of(
+    route_object const& route, organisation_id const& organisation) const
+{
+    auto const* const it =
+        configuration_.find<organisation_object>(organisation.text());
+    return it != nullptr && it->priority ? *it->priority : route.priority;
+}
+
 std::vector<std::string> router::closest_services(std::string_view name) const
 {
     constexpr std::size_t most_names = 3;
--- a/servers/selection/picker.hpp
+++ b/servers/selection/picker.hpp
@@ -3,6 +3,7 @@
 
 #include "core/clock.hpp"
 
+#include <algorithm>
 #include <concepts>
 #include <cstddef>
 #include <optional>
@@ -15,68 +16,108 @@
 /// One target as a picker sees it.
 struct candidate
 {
-    /// Work per slot as last heard; 1 is full.
+    /// Position among the targets of the service.
+    std::size_t position = 0;
+    /// Work per slot with one more request; 1 is full.
     double load = 0;
     /// In the data centre of the entry VM.
     bool near = false;
-    /// Already tried by this request, or known to take no work.
-    bool barred = false;
+    /// Time since a whole answer last came from it, anywhere.
+    duration unproved{};
+    /// An idle connection to it is open.
+    bool connected = false;
 };
 
-/// Chooses among targets. Returns the position, or nothing if all are
-/// barred.
+/// What is known of the request that is to be placed.
+struct picking
+{
+    /// A failure can be made good by another attempt.
+    bool repeatable = false;
+};
+
+/// Chooses among targets that have room. Returns a position in `candidates`,
+/// or nothing if there are none.
 template <class Picker, class Random>
-concept TargetPicker = std::uniform_random_bit_generator<Random> && requires(
-    Picker& picker, std::span<candidate const> candidates, Random& random)
+concept TargetPicker = std::uniform_random_bit_generator<Random> &&
+    requires(Picker& picker, std::span<candidate const> candidates,
+        picking what, Random& random)
 {
     {
-        picker.pick(candidates, random)
+        picker.pick(candidates, what, random)
         } -> std::same_as<std::optional<std::size_t>>;
 };
 
-/// Takes the less loaded of two at random (Mitzenmacher, 2001), near ones
-/// first until both drawn are loaded beyond the spill-over limit.
-class power_of_two_picker
+/// Takes the least loaded near target, and another data centre's only if no
+/// near one has room. A request that cannot be repeated rather goes where an
+/// answer has come from lately, one that can be goes where none has, so that
+/// it finds out about failures that others would suffer from.
+class proven_load_picker
 {
 public:
     template <std::uniform_random_bit_generator Random>
     std::optional<std::size_t> pick(
-        std::span<candidate const> candidates, Random& random)
+        std::span<candidate const> candidates, picking what, Random& random)
     {
-        collect(candidates, true);
-        auto const near = pick_of(candidates, random);
-        if (near && candidates[*near].load < spill_over_load)
-            return near;
-        collect(candidates, false);
-        auto const far = pick_of(candidates, random);
-        if (!near)
-            return far;
-        if (far &&
-            candidates[*far].load + spill_over_cost < candidates[*near].load)
-            return far;
-        return near;
+        std::optional<std::size_t> best;
+        double best_cost = 0;
+        for (std::size_t it = 0; it < candidates.size(); ++it) {
+            auto const cost = cost_of(candidates[it], what, random);
+            if (!best || cost < best_cost) {
+                best = it;
+                best_cost = cost;
+            }
+        }
+        return best;
     }
 
 private:
-    /// Load at which targets in other data centres are considered, and how
-    /// much less loaded one of them must be.
-    static constexpr double spill_over_load = 0.8;
-    static constexpr double spill_over_cost = 0.25;
+    /// More than any load, so that distance counts first.
+    static constexpr double distance_cost = 10;
+    /// What an answer that is `longest_unproved` old counts against load.
+    static constexpr double unproved_cost = 0.25;
+    static constexpr duration longest_unproved =
+        std::chrono::milliseconds(1500);
+    static constexpr double connect_cost = 0.05;
+    /// Breaks ties, and keeps threads from choosing alike.
+    static constexpr double noise = 0.08;
 
-    void collect(std::span<candidate const> candidates, bool near)
+    template <class Random>
+    static double cost_of(candidate const& it, picking what, Random& random)
+    {
+        std::uniform_real_distribution<double> draw(0, noise);
+        auto const unproved = std::min(it.unproved, longest_unproved);
+        auto const doubt =
+            unproved_cost * to_seconds(unproved) / to_seconds(longest_unproved);
+        return it.load + (it.near ? 0 : distance_cost) +
+            (what.repeatable ? -doubt : doubt) +
+            (it.connected ? 0 : connect_cost) + draw(random);
+    }
+};
+
+/// Takes the less loaded of two at random (Mitzenmacher, 2001), near ones
+/// first; what the picker above is measured against.
+class power_of_two_picker
+{
+public:
+    template <std::uniform_random_bit_generator Random>
+    std::optional<std::size_t> pick(
+        std::span<candidate const> candidates, picking, Random& random)
     {
-        eligible_.clear();
-        for (std::size_t it = 0; it < candidates.size(); ++it)
-            if (candidates[it].near == near && !candidates[it].barred)
-                eligible_.push_back(it);
+        for (bool const near : {true, false}) {
+            eligible_.clear();
+            for (std::size_t it = 0; it < candidates.size(); ++it)
+                if (candidates[it].near == near)
+                    eligible_.push_back(it);
+            if (!eligible_.empty())
+                return pick_of(candidates, random);
+        }
+        return std::nullopt;
     }
 
+private:
     template <class Random>
-    std::optional<std::size_t> pick_of(
-        std::span<candidate const> candidates, Random& random)
+    std::size_t pick_of(std::span<candidate const> candidates, Random& random)
     {
-        if (eligible_.empty())
-            return std::nullopt;
         std::uniform_int_distribution<std::size_t> draw(
             0, eligible_.size() - 1);
         auto const first = eligible_[draw(random)];
@@ -88,48 +129,23 @@
     std::vector<std::size_t> eligible_;
 };
 
-/// Takes one after the other; the baseline that others are measured
-/// against.
+/// Takes one after the other; a baseline.
 class round_robin_picker
 {
 public:
     template <std::uniform_random_bit_generator Random>
     std::optional<std::size_t> pick(
-        std::span<candidate const> candidates, Random&)
+        std::span<candidate const> candidates, picking, Random&)
     {
-        for (std::size_t it = 0; it < candidates.size(); ++it) {
-            auto const at = (next_ + it) % candidates.size();
-            if (candidates[at].barred)
-                continue;
-            next_ = at + 1;
-            return at;
-        }
-        return std::nullopt;
+        if (candidates.empty())
+            return std::nullopt;
+        return next_++ % candidates.size();
     }
 
 private:
     std::size_t next_ = 0;
 };
 
-/// Takes the least loaded of all; a baseline.
-class least_load_picker
-{
-public:
-    template <std::uniform_random_bit_generator Random>
-    std::optional<std::size_t> pick(
-        std::span<candidate const> candidates, Random&)
-    {
-        std::optional<std::size_t> best;
-        for (std::size_t it = 0; it < candidates.size(); ++it) {
-            if (candidates[it].barred)
-                continue;
-            if (!best || candidates[it].load < candidates[*best].load)
-                best = it;
-        }
-        return best;
-    }
-};
-
 } // namespace pomelohinge
 
 #endif
--- /dev/null
+++ b/tests/servers/control_test.cpp
@@ -0,0 +1,365 @@
+#include "servers/control/hub_choice.hpp"
+#include "servers/control/hub_desk.hpp"
+
+#include <gtest/gtest.h>
+
+namespace pomelohinge {
+namespace {
+
+using namespace std::chrono_literals;
+
+vm_record make_vm(
+    std::string name, std::string data_centre = "east", double cores = 0.2)
+{
+    vm_record it;
+    it.vm = vm_id(name);
+    it.data_centre = data_centre_id(std::move(data_centre));
+    it.callers_address = name + ":80";
+    it.standing = vm_standing::serving;
+    it.cores = cores;
+    it.incarnation = 1;
+    return it;
+}
+
+target_record make_target(std::string name, std::uint64_t revision)
+{
+    target_record it;
+    it.id = target_id(std::move(name));
+    it.service = service_id("shop");
+    it.revision = revision;
+    return it;
+}
+
+class target_mirror_test : public testing::Test
+{
+protected:
+    void list(std::uint64_t revision, std::vector<target_record> records)
+    {
+        mirror_.take({revision, true, std::move(records), {}});
+    }
+
+    std::vector<std::string> names() const
+    {
+        std::vector<std::string> all;
+        auto const catalogue = mirror_.catalogue();
+        for (auto const& it : catalogue.records())
+            all.push_back(it.id.text());
+        return all;
+    }
+
+    target_mirror mirror_;
+};
+
+TEST_F(target_mirror_test, older_list_does_not_bring_a_removed_target_back)
+{
+    list(5, {make_target("a", 1), make_target("b", 2)});
+    mirror_.take({6, false, {}, {target_id("a")}});
+    list(5, {make_target("a", 1), make_target("b", 2)});
+    EXPECT_EQ(names(), std::vector<std::string>{"b"});
+}
+
+TEST_F(target_mirror_test, later_list_removes_what_it_does_not_name)
+{
+    list(5, {make_target("a", 1), make_target("b", 2)});
+    list(9, {make_target("b", 2)});
+    EXPECT_EQ(names(), std::vector<std::string>{"b"});
+}
+
+TEST_F(target_mirror_test, older_record_does_not_replace_a_later_one)
+{
+    auto draining = make_target("a", 7);
+    draining.standing = target_standing::draining;
+    list(5, {make_target("a", 1)});
+    mirror_.take({8, false, {draining}, {}});
+    mirror_.take({9, false, {make_target("a", 1)}, {}});
+    auto const catalogue = mirror_.catalogue();
+    EXPECT_EQ(catalogue.find("a")->standing, target_standing::draining);
+}
+
+TEST_F(target_mirror_test, changes_after_a_revision_lead_another_mirror_there)
+{
+    list(5, {make_target("a", 1), make_target("b", 2)});
+    target_mirror other;
+    other.take(*mirror_.changes_after(0));
+    mirror_.take({8, false, {make_target("c", 7)}, {target_id("a")}});
+    auto const changes = mirror_.changes_after(5);
+    ASSERT_TRUE(changes);
+    EXPECT_FALSE(changes->whole);
+    other.take(*changes);
+    EXPECT_EQ(other.catalogue().records().size(), 2u);
+    EXPECT_EQ(other.catalogue().find("a"), nullptr);
+    EXPECT_FALSE(mirror_.changes_after(8));
+}
+
+TEST_F(target_mirror_test, changes_before_what_is_remembered_come_whole)
+{
+    list(5, {make_target("a", 1)});
+    EXPECT_TRUE(mirror_.changes_after(3)->whole);
+}
+
+class hub_test : public testing::Test
+{
+protected:
+    hub_test()
+    {
+        for (auto const* it : {"a", "b", "c", "d", "e"})
+            members_.push_back({make_vm(it), true, false, 0});
+    }
+
+    vm_id rank(std::size_t n) const
+    {
+        return hub_order(members_, data_centre_id("east"))[n]->record.vm;
+    }
+
+    fleet_member& member(vm_id const& vm)
+    {
+        return *std::find_if(members_.begin(), members_.end(),
+            [&](auto const& it) { return it.record.vm == vm; });
+    }
+
+    std::optional<vm_id> chosen(vm_id const& self)
+    {
+        auto const it = choice_.choose(
+            members_, data_centre_id("east"), self, clock_.now());
+        return it ? std::optional(it->vm) : std::nullopt;
+    }
+
+    manual_clock clock_;
+    fleet_members members_;
+    hub_choice choice_;
+};
+
+TEST_F(hub_test, order_is_the_same_whoever_asks)
+{
+    auto const first = rank(0);
+    std::reverse(members_.begin(), members_.end());
+    EXPECT_EQ(rank(0), first);
+}
+
+TEST_F(hub_test, order_begins_with_vms_that_bear_more)
+{
+    member(rank(4)).record.cores = 0.5;
+    EXPECT_EQ(member(rank(0)).record.cores, 0.5);
+}
+
+TEST_F(hub_test, order_ends_with_vms_that_leave)
+{
+    auto const first = rank(0);
+    member(first).record.standing = vm_standing::leaving;
+    EXPECT_EQ(rank(4), first);
+}
+
+TEST_F(hub_test, hub_that_does_not_answer_is_passed_over_for_a_while)
+{
+    EXPECT_EQ(chosen(rank(4)), rank(0));
+    choice_.failed(rank(0), clock_.now());
+    EXPECT_EQ(chosen(rank(4)), rank(1));
+    clock_.advance(2s);
+    EXPECT_EQ(chosen(rank(4)), rank(0));
+}
+
+TEST_F(hub_test, hub_that_knows_little_of_the_store_is_passed_over)
+{
+    choice_.answered(rank(0), 3s, clock_.now());
+    EXPECT_EQ(chosen(rank(4)), rank(1));
+    choice_.answered(rank(0), 100ms, clock_.now());
+    EXPECT_EQ(chosen(rank(4)), rank(0));
+}
+
+TEST_F(hub_test, first_that_answers_is_asked_when_none_reaches_the_store)
+{
+    for (std::size_t it = 0; it < hub_candidates; ++it)
+        choice_.answered(rank(it), duration::max(), clock_.now());
+    EXPECT_EQ(chosen(rank(4)), rank(0));
+}
+
+TEST_F(hub_test, first_in_order_is_its_own_hub)
+{
+    EXPECT_FALSE(chosen(rank(0)));
+}
+
+class entries_test : public hub_test
+{
+protected:
+    std::set<vm_id> choose()
+    {
+        auto const order = hub_order(members_, data_centre_id("east"));
+        auto const chosen = selection_.choose(order, clock_.now());
+        for (auto& it : members_)
+            it.entry = chosen.contains(it.record.vm);
+        return chosen;
+    }
+
+    entry_selection selection_;
+};
+
+TEST_F(entries_test, entries_without_load_are_two_and_not_the_hub)
+{
+    auto const chosen = choose();
+    EXPECT_EQ(chosen.size(), 2u);
+    EXPECT_FALSE(chosen.contains(rank(0)));
+}
+
+TEST_F(entries_test, entries_grow_with_the_load_and_shrink_later)
+{
+    choose();
+    for (auto& it : members_)
+        it.load = it.entry ? 80 : 0;
+    auto const capacity = entry_capacity(members_.front().record);
+    auto const needed = static_cast<std::size_t>(std::ceil(2 * 80 / capacity));
+    EXPECT_EQ(choose().size(), needed);
+    for (auto& it : members_)
+        it.load = 0;
+    EXPECT_EQ(choose().size(), needed);
+    clock_.advance(11s);
+    EXPECT_EQ(choose().size(), 2u);
+}
+
+TEST_F(entries_test, entry_that_dies_is_replaced_and_the_others_stay)
+{
+    auto const before = choose();
+    member(*before.begin()).alive = false;
+    auto const after = choose();
+    EXPECT_EQ(after.size(), 2u);
+    EXPECT_FALSE(after.contains(*before.begin()));
+    EXPECT_TRUE(after.contains(*before.rbegin()));
+}
+
+TEST_F(entries_test, entries_are_those_that_bear_more)
+{
+    member(vm_id("a")).record.cores = 0.5;
+    member(vm_id("d")).record.cores = 0.5;
+    EXPECT_EQ(choose(), (std::set<vm_id>{vm_id("a"), vm_id("d")}));
+}
+
+class ledger_test : public testing::Test
+{
+protected:
+    static traffic_report report(
+        std::uint32_t in_flight, std::uint32_t faults, double demand)
+    {
+        traffic_report it;
+        it.targets["t"] = target_report{in_flight, 0, faults, 0};
+        it.organisations["pub"] = demand;
+        return it;
+    }
+
+    manual_clock clock_;
+    report_ledger ledger_;
+};
+
+TEST_F(ledger_test, reader_gets_what_the_others_say_and_news_once)
+{
+    ledger_.take("a", false, report(1, 0, 10), clock_.now());
+    ledger_.take("b", false, report(2, 1, 20), clock_.now());
+    auto const first = ledger_.for_reader("a", false);
+    EXPECT_EQ(first.targets.at("t"), (target_report{2, 0, 1, 0}));
+    EXPECT_DOUBLE_EQ(first.organisations.at("pub"), 20);
+    auto const second = ledger_.for_reader("a", false);
+    EXPECT_EQ(second.targets.at("t"), (target_report{2, 0, 0, 0}));
+    EXPECT_EQ(ledger_.for_reader("b", false).targets.at("t"),
+        (target_report{1, 0, 0, 0}));
+}
+
+TEST_F(ledger_test, hubs_elsewhere_get_only_what_was_said_here)
+{
+    ledger_.take("east", true, report(5, 1, 50), clock_.now());
+    ledger_.take("west", true, report(7, 1, 70), clock_.now());
+    ledger_.take("a", false, report(1, 0, 10), clock_.now());
+    EXPECT_EQ(ledger_.for_reader("east", true).targets.at("t"),
+        (target_report{1, 0, 0, 0}));
+    EXPECT_EQ(ledger_.for_reader("a", false).targets.at("t").in_flight, 12u);
+}
+
+TEST_F(ledger_test, source_that_falls_silent_is_not_counted)
+{
+    ledger_.take("a", false, report(1, 0, 10), clock_.now());
+    clock_.advance(3s);
+    ledger_.expire(2500ms, clock_.now());
+    EXPECT_TRUE(ledger_.for_reader("b", false).targets.empty());
+}
+
+class desk_test : public testing::Test
+{
+protected:
+    desk_test()
+        : self_(make_vm("hub")), members_(self_),
+          desk_(self_, knowledge_, members_)
+    {
+    }
+
+    sync_question question(duration wait)
+    {
+        sync_question it;
+        it.from = make_vm("a");
+        it.members_source = self_.incarnation;
+        it.members_sequence = members_.sequence() + 1;
+        it.wait = wait;
+        it.patience = 1s;
+        return it;
+    }
+
+    vm_record self_;
+    manual_clock clock_;
+    fleet_knowledge knowledge_;
+    member_table members_;
+    hub_desk desk_;
+};
+
+TEST_F(desk_test, question_without_news_waits_and_is_answered_by_a_change)
+{
+    int answers = 0;
+    auto const count = [&](sync_reply const&) {
+        ++answers;
+    };
+    desk_.answer(question(900ms), clock_.now(), count);
+    EXPECT_EQ(answers, 0);
+    knowledge_.take_targets({3, true, {make_target("t", 2)}, {}});
+    desk_.answer_waiting(clock_.now());
+    EXPECT_EQ(answers, 1);
+}
+
+TEST_F(desk_test, question_is_answered_when_its_wait_is_over)
+{
+    int answers = 0;
+    desk_.answer(
+        question(900ms), clock_.now(), [&](sync_reply const&) { ++answers; });
+    clock_.advance(800ms);
+    desk_.answer_waiting(clock_.now());
+    EXPECT_EQ(answers, 0);
+    clock_.advance(200ms);
+    desk_.answer_waiting(clock_.now());
+    EXPECT_EQ(answers, 1);
+}
+
+class knowledge_test : public testing::Test
+{
+protected:
+    void apply(std::uint64_t version)
+    {
+        knowledge_.set_configuration(
+            {version, std::make_shared<std::string>("x")}, configuration());
+    }
+
+    manual_clock clock_;
+    fleet_knowledge knowledge_;
+};
+
+TEST_F(knowledge_test, read_of_another_version_does_not_vouch_for_this_one)
+{
+    apply(3);
+    knowledge_.confirm(4, clock_.now());
+    EXPECT_EQ(knowledge_.read_age(clock_.now()), duration::max());
+    knowledge_.confirm(3, clock_.now());
+    EXPECT_EQ(knowledge_.read_age(clock_.now()), duration::zero());
+}
+
+TEST_F(knowledge_test, older_closures_are_not_taken)
+{
+    knowledge_.take_closures({5, {data_centre_id("east")}});
+    EXPECT_FALSE(knowledge_.take_closures({4, {}}));
+    EXPECT_EQ(knowledge_.closures().closed.size(), 1u);
+}
+
+} // namespace
+} // namespace pomelohinge
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -7,6 +7,7 @@
 
 import pathlib
 import re
+import subprocess
 import sys
 
 #: Folders by layer; a file may include its own layer and those below.
@@ -17,6 +18,7 @@
     "charts": 2,
     "drivers": 3,
     "main": 4,
+    "platform": 5,
     "stand_ins": 5,
     "bench": 6,
     "tests": 6,
@@ -29,6 +31,17 @@
 NOT_FOR_DECISIONS = re.compile(
     r"#include <(restinio|curl|grpc|asio|nlohmann)")
 
+#: Names of the users' platform, which only its adapter may use.
+PLATFORM_NAMES = re.compile(
+    r"X-Api-Key|X-Deadline-Ms|X-Tenant|X-Target-Instance|X-Not-Executed"
+    r"|X-Response-Signature|X-Instance-Id|X-Warmup-Ms|pathPrefix|trafficSplit"
+    r"|warmupPerS|warmupLeftS|ratePerS|apiKeys|timeoutS|aimS|ttlS|allowStale"
+    r"|evacuations|non_idempotent_kind|/resolve")
+
+#: Where these names may stand.
+PLATFORM_FOLDERS = ("platform/", "deploy/", "docs/", "tests/platform/",
+                    "journal/", "tools/check_layers.py")
+
 INCLUDE = re.compile(r'#include "([a-z_]+)/')
 
 
@@ -49,9 +62,27 @@
     return found
 
 
+def platform_findings() -> list[str]:
+    """Returns a line for each name of the platform outside its adapter."""
+    files = subprocess.run(["git", "ls-files", "-co", "--exclude-standard"],
+                           check=True, capture_output=True,
+                           text=True).stdout.splitlines()
+    found = []
+    for name in files:
+        path = pathlib.Path(name)
+        if name.startswith(PLATFORM_FOLDERS) or not path.is_file():
+            continue
+        for number, line in enumerate(
+                path.read_text(encoding="utf-8", errors="replace")
+                .splitlines(), 1):
+            if match := PLATFORM_NAMES.search(line):
+                found.append(f"{name}:{number}: {match[0]} is the platform's")
+    return found
+
+
 def main() -> int:
     """Checks all files and prints what is wrong."""
-    found = []
+    found = platform_findings()
     for folder in LAYERS:
         for path in sorted(pathlib.Path(folder).rglob("*.[hc]pp")):
             found += findings_of(path)
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -9,6 +9,6 @@
 database=build/lint
 cmake -S . -B "$database" -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >/dev/null
 git ls-files 'core/*.cpp' 'config/*.cpp' 'charts/*.cpp' 'servers/*.cpp' \
-    'drivers/*.cpp' 'main/*.cpp' |
+    'drivers/*.cpp' 'main/*.cpp' 'platform/*.cpp' |
     xargs -P "$(nproc)" -n 2 clang-tidy -p "$database" --quiet 2>/dev/null
 echo "linter: no findings"
