Read the store for the fleet on one VM, and list beside watching

Change: one hub reads for the fleet, others when what they hear is stale or a hub says that it reads in vain. The configuration and the closures are read, not watched; targets are watched for two seconds at a time and listed every three. VMs go to the store themselves only when no hub answers.

Ruled out: shorter watches alone; a watch that answers in its deaf second skips what it has not heard.

--- a/drivers/peers/codec.cpp
+++ b/drivers/peers/codec.cpp
@@ -192,6 +192,7 @@
     if (reply.configuration.text != nullptr)
         to.set_configuration(*reply.configuration.text);
     to.set_read_age_us(age_to_wire(reply.read_age));
+    to.set_store_reached(reply.store_reached);
     if (reply.targets) {
         auto& changes = *to.mutable_targets();
         changes.set_revision(reply.targets->revision);
@@ -228,6 +229,7 @@
         reply.configuration.text = std::make_shared<std::string>(
             std::move(*from.mutable_configuration()));
     reply.read_age = age_from_wire(from.read_age_us());
+    reply.store_reached = from.store_reached();
     if (from.has_targets())
         reply.targets = from_wire(from.targets(), now);
     if (from.has_closures()) {
--- a/drivers/platform/product_store.cpp
+++ b/drivers/platform/product_store.cpp
@@ -57,10 +57,8 @@
     follow(duration::zero(), [this, done = std::move(done)](store_status it) {
         configuration_reading reading;
         reading.status = it;
-        reading.revision = revision_;
         if (it == store_status::done) {
             reading.document = {version_, text_};
-            told_[index_of(store_topic::configuration)] = version_;
         }
         done(std::move(reading));
     });
@@ -101,7 +99,7 @@
 void product_store::list_targets(std::function<void(targets_reading)> done)
 {
     follow(duration::zero(), [this, done = std::move(done)](store_status it) {
-        told_[index_of(store_topic::targets)] = version_;
+        targets_told_ = version_;
         done({it, configured_targets()});
     });
 }
@@ -109,10 +107,10 @@
 void product_store::watch_targets(
     std::uint64_t, duration wait, std::function<void(targets_reading)> done)
 {
-    auto const told = told_[index_of(store_topic::targets)];
+    auto const told = targets_told_;
     follow(told < version_ ? duration::zero() : wait,
         [this, told, done = std::move(done)](store_status it) {
-            told_[index_of(store_topic::targets)] = version_;
+            targets_told_ = version_;
             if (told < version_)
                 return done({it, configured_targets()});
             target_changes none;
@@ -124,21 +122,10 @@
 void product_store::list_closures(std::function<void(closures_reading)> done)
 {
     follow(duration::zero(), [this, done = std::move(done)](store_status it) {
-        told_[index_of(store_topic::closures)] = version_;
         done({it, configured_closures()});
     });
 }
 
-void product_store::watch(store_topic topic, std::uint64_t, duration wait,
-    std::function<void(watch_reading)> done)
-{
-    auto const told = told_[index_of(topic)];
-    follow(told < version_ ? duration::zero() : wait,
-        [this, told, done = std::move(done)](store_status it) {
-            done({it, revision_, told < version_});
-        });
-}
-
 void product_store::list_vms(std::function<void(vms_reading)> done)
 {
     store_.watch(std::string(vms_prefix), 0, duration::zero(),
--- a/drivers/platform/product_store.hpp
+++ b/drivers/platform/product_store.hpp
@@ -4,8 +4,6 @@
 #include "drivers/platform/http_object_store.hpp"
 #include "drivers/platform/platform_client.hpp"
 
-#include <array>
-
 namespace pomelohinge {
 
 /// The product's own way of keeping things in an object service: the
@@ -26,8 +24,6 @@
     void watch_targets(std::uint64_t revision, duration wait,
         std::function<void(targets_reading)> done);
     void list_closures(std::function<void(closures_reading)> done);
-    void watch(store_topic topic, std::uint64_t revision, duration wait,
-        std::function<void(watch_reading)> done);
     void list_vms(std::function<void(vms_reading)> done);
     void register_vm(
         vm_record const& vm, std::function<void(store_status)> done);
@@ -49,9 +45,9 @@
     std::uint64_t version_ = 0;
     std::uint64_t revision_ = 0;
     std::shared_ptr<std::string const> text_;
-    /// Version that each topic was last read at; a watch waits only while
-    /// there is nothing later.
-    std::array<std::uint64_t, enum_count<store_topic>> told_{};
+    /// Version whose targets were told last; a watch waits only while there
+    /// is nothing later.
+    std::uint64_t targets_told_ = 0;
 };
 
 /// Idempotency records as objects of the service.
--- a/main/control_thread.hpp
+++ b/main/control_thread.hpp
@@ -80,11 +80,6 @@
     {
         store_.list_closures(std::move(done));
     }
-    void watch(store_topic topic, std::uint64_t revision, duration wait,
-        std::function<void(watch_reading)> done)
-    {
-        store_.watch(topic, revision, wait, std::move(done));
-    }
     void list_vms(std::function<void(vms_reading)> done)
     {
         store_.list_vms(std::move(done));
--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -98,7 +98,10 @@
         std::chrono::milliseconds(1500);
     /// A VM that was asked lately goes on reading the store.
     static constexpr duration asked_memory = std::chrono::milliseconds(3000);
-    /// A VM without configuration goes to the store itself after so long.
+    /// A VM that began to read the store goes on for so long.
+    static constexpr duration read_memory = std::chrono::milliseconds(3000);
+    /// A VM without configuration goes to the store itself when no hub has
+    /// told it one for so long.
     static constexpr duration hub_patience_at_start =
         std::chrono::milliseconds(400);
     /// Pause after a failed sync.
@@ -123,6 +126,8 @@
         if (!registration_.known())
             return;
         auto const now = environment_.now();
+        if (hub_heard_at_ == time_point{})
+            hub_heard_at_ = now;
         auto const members = members_.members();
         note_own_freshness(now);
         auto const chosen =
@@ -134,15 +139,39 @@
             hub_ = hub;
             followed_ = true;
         }
-        bool const needs_store =
-            !knowledge_.ready() && now - started_at_ > hub_patience_at_start;
-        reader_.set_active(
-            is_hub() || desk_.asked_within(asked_memory, now) || needs_store);
+        reader_.set_active(needs_store(now));
+        desk_.set_store_reached(!reader_.active() || reader_.reached());
         if (!sync_under_way_ && !sync_planned_)
             sync_now();
         exchange_with_hubs();
     }
 
+    /// Whether this VM is to read the store: for the whole fleet as the first
+    /// hub, for those who ask it when what it hears is stale, and for itself
+    /// when nobody tells it anything.
+    bool needs_store(time_point now)
+    {
+        bool const serves_others =
+            is_hub() || desk_.asked_within(asked_memory, now);
+        bool const alone =
+            !knowledge_.ready() && now - hub_heard_at_ > hub_patience_at_start;
+        bool const stale = knowledge_.read_age(now) > stale_read_age ||
+            !other_hubs_reach_store_;
+        if (serves_others && stale)
+            read_until_ = now + read_memory;
+        return alone || now < read_until_ || (is_hub() && is_first_hub());
+    }
+
+    /// Whether no data centre before this one in order has a live VM.
+    bool is_first_hub() const
+    {
+        auto const members = members_.members();
+        return std::none_of(
+            members.begin(), members.end(), [&](auto const& it) {
+                return it.alive && it.record.data_centre < self_.data_centre;
+            });
+    }
+
     /// This VM's own reads count like those of another candidate.
     void note_own_freshness(time_point now)
     {
@@ -236,7 +265,9 @@
             plan_sync(sync_retry);
             return follow();
         }
+        hub_heard_at_ = now;
         choice_.answered(asked, reply.read_age, now);
+        other_hubs_reach_store_ = reply.store_reached;
         if (reply.members) {
             members_source_ = reply.members_source;
             members_sequence_ = reply.members_sequence;
@@ -330,6 +361,7 @@
         if (!reply.reached)
             return choice_.failed(hub, now);
         choice_.answered(hub, reply.read_age, now);
+        other_hubs_reach_store_ = reply.store_reached;
         if (reply.members) {
             distant_members_[data_centre] = {
                 reply.members_source, reply.members_sequence};
@@ -455,6 +487,9 @@
         distant_members_;
     std::set<data_centre_id> exchanging_;
     time_point next_exchange_{};
+    time_point hub_heard_at_{};
+    time_point read_until_{};
+    bool other_hubs_reach_store_ = true;
 
     policy_pointer policy_;
     std::uint64_t published_members_ = 0;
--- a/servers/control/hub_choice.hpp
+++ b/servers/control/hub_choice.hpp
@@ -39,9 +39,9 @@
     std::map<vm_id, experience> seen_;
 };
 
-/// Knowledge of the store that is older than this is stale: a hub reads it
-/// every second, so that another one is likely to know more.
-inline constexpr duration stale_read_age = std::chrono::milliseconds(2000);
+/// Knowledge of the store that is older than this is stale: the configuration
+/// is read every 0.8 s and reaches another hub within half a second.
+inline constexpr duration stale_read_age = std::chrono::milliseconds(1400);
 
 } // namespace pomelohinge
 
--- a/servers/control/hub_desk.cpp
+++ b/servers/control/hub_desk.cpp
@@ -55,6 +55,7 @@
     if (question.configuration_version < document.version)
         reply.configuration.text = document.text;
     reply.read_age = knowledge_.read_age(now);
+    reply.store_reached = store_reached_;
     reply.targets =
         knowledge_.targets().changes_after(question.targets_revision);
     if (question.closures_revision < knowledge_.closures().revision)
--- a/servers/control/hub_desk.hpp
+++ b/servers/control/hub_desk.hpp
@@ -41,6 +41,9 @@
     void take_distant(
         std::string const& hub, traffic_report report, time_point now);
 
+    /// Whether this VM reaches the store, as far as it tries.
+    void set_store_reached(bool reached) { store_reached_ = reached; }
+
     /// Chooses the entries of this VM's data centre.
     void choose_entries(time_point now);
 
@@ -74,6 +77,7 @@
     entry_selection entries_;
     std::list<waiting> waiting_;
     time_point last_asked_{};
+    bool store_reached_ = true;
 };
 
 } // namespace pomelohinge
--- a/servers/control/store_reader.hpp
+++ b/servers/control/store_reader.hpp
@@ -6,18 +6,17 @@
 #include "servers/control/control_environment.hpp"
 #include "servers/control/fleet_knowledge.hpp"
 
-#include <array>
-
 namespace pomelohinge {
 
-/// Follows the store for the VMs of a data centre: reads the configuration
-/// again and again, since only a read proves that it is in force, and
-/// watches for changes, so that they are known at once.
+/// Reads the store for the VMs that ask this one: the configuration and the
+/// closed data centres again and again, since only a read proves what is in
+/// force, and the targets by watching for changes and, in case the store
+/// tells a watch less than all, by a list now and then.
 template <class Environment>
 class store_reader
 {
 public:
-    /// `on_change` is called whenever the knowledge has changed.
+    /// `on_change` is called after each read that was answered.
     store_reader(Environment& environment, timer_service& timers,
         fleet_knowledge& knowledge, std::function<void()> on_change)
         : environment_(environment), timers_(timers), knowledge_(knowledge),
@@ -25,14 +24,19 @@
     {
     }
 
-    /// Starts or stops following.
+    /// Starts or stops reading.
     void set_active(bool active)
     {
-        if (std::exchange(active_, active) == active || !active)
+        if (std::exchange(active_, active) == active)
+            return;
+        log(log_event::store_reading, {{"active", active ? 1 : 0}});
+        if (!active)
             return;
+        configuration_.retry = targets_.retry = closures_.retry =
+            shortest_retry;
         read_configuration();
-        follow_targets();
-        follow_closures();
+        list_targets();
+        list_closures();
     }
 
     bool active() const { return active_; }
@@ -41,44 +45,66 @@
     bool reached() const { return reached_; }
 
 private:
-    /// Half of what freshness may need at the strictest: a read and the
-    /// way to every VM fit twice into the time for which a read counts.
-    static constexpr duration read_period = std::chrono::milliseconds(900);
-    /// How long the store may hold a watch; a watch over a connection that
+    /// A change is to be known everywhere within two seconds, and a VM
+    /// hears of it within half a second of the read.
+    static constexpr duration configuration_period =
+        std::chrono::milliseconds(800);
+    static constexpr duration closures_period = std::chrono::milliseconds(2000);
+    /// How long the store may hold a watch. A watch over a connection that
     /// has gone silent is noticed after it.
-    static constexpr duration watch_wait = std::chrono::seconds(8);
+    static constexpr duration watch_wait = std::chrono::milliseconds(2000);
     /// Changes that come close together are fetched by one watch.
     static constexpr duration gather_time = std::chrono::milliseconds(150);
+    /// Targets are listed this often, less often the more pages they fill.
+    static constexpr duration list_period = std::chrono::milliseconds(3000);
+    static constexpr std::size_t targets_per_page = 500;
     /// Shortest wait after a failed call; it doubles up to the longest.
     static constexpr duration shortest_retry = std::chrono::milliseconds(250);
     static constexpr duration longest_retry = std::chrono::milliseconds(1500);
 
-    struct topic_state
+    /// Calls of one kind.
+    struct calls
     {
         bool under_way = false;
-        std::uint64_t revision = 0;
         duration retry = shortest_retry;
         timer_service::subscription timer;
     };
 
-    topic_state& state(store_topic topic) { return topics_[index_of(topic)]; }
-
-    template <class Work>
-    void later(topic_state& it, duration wait, Work work)
+    /// Begins a call unless one is under way or nobody needs it.
+    bool begin(calls& it)
     {
-        it.timer = timers_.once(environment_.now(), wait, std::move(work));
+        if (!active_ || it.under_way)
+            return false;
+        it.under_way = true;
+        return true;
     }
 
-    /// Draws the wait after a failure, so that VMs do not come back to the
-    /// store all at once.
-    duration next_retry(topic_state& it)
+    /// Ends a call. Returns whether it was answered; if not, `again` follows
+    /// after a while, drawn so that VMs do not come back to the store all at
+    /// once.
+    template <class Again>
+    bool end(calls& it, store_status status, Again again)
     {
-        auto const wait = it.retry;
-        it.retry = std::min(it.retry * 2, longest_retry);
-        auto const spread = static_cast<std::uint64_t>(wait.count());
-        return wait +
+        it.under_way = false;
+        bool const done = status == store_status::done;
+        note_reached(done, status);
+        if (done) {
+            it.retry = shortest_retry;
+            return true;
+        }
+        auto const spread = static_cast<std::uint64_t>(it.retry.count());
+        auto const wait = it.retry +
             duration(
                 static_cast<duration::rep>(environment_.random() % spread));
+        it.retry = std::min(it.retry * 2, longest_retry);
+        later(it, wait, std::move(again));
+        return false;
+    }
+
+    template <class Work>
+    void later(calls& it, duration wait, Work work)
+    {
+        it.timer = timers_.once(environment_.now(), wait, std::move(work));
     }
 
     void note_reached(bool reached, store_status status)
@@ -95,39 +121,24 @@
 
     void read_configuration()
     {
-        if (!active_ || reading_)
+        if (!begin(configuration_))
             return;
-        reading_ = true;
         environment_.read_configuration([this, asked_at = environment_.now()](
                                             configuration_reading reading) {
-            reading_ = false;
-            configuration_read(std::move(reading), asked_at);
+            auto const again = [this] {
+                read_configuration();
+            };
+            if (!end(configuration_, reading.status, again))
+                return on_change_();
+            later(configuration_, configuration_period, again);
+            take_document(std::move(reading.document), asked_at);
         });
     }
 
-    void configuration_read(configuration_reading reading, time_point asked_at)
-    {
-        auto& it = state(store_topic::configuration);
-        bool const done = reading.status == store_status::done;
-        note_reached(done, reading.status);
-        if (!done) {
-            read_timer_ = timers_.once(environment_.now(), next_retry(it),
-                [this] { read_configuration(); });
-            return;
-        }
-        it.retry = shortest_retry;
-        it.revision = std::max(it.revision, reading.revision);
-        take_document(std::move(reading.document), asked_at);
-        read_timer_ = timers_.once(
-            environment_.now(), read_period, [this] { read_configuration(); });
-        watch_configuration();
-    }
-
     void take_document(configuration_document document, time_point read_at)
     {
         auto const version = document.version;
-        bool const news = knowledge_.lacks_configuration(version);
-        if (news)
+        if (knowledge_.lacks_configuration(version))
             decode(std::move(document));
         knowledge_.confirm(version, read_at);
         on_change_();
@@ -147,133 +158,87 @@
         knowledge_.set_configuration(std::move(document), *read);
     }
 
-    void watch_configuration()
-    {
-        watch(store_topic::configuration, [this] { read_configuration(); });
-    }
-
-    // A watch that only says that something changed.
-
-    template <class Changed>
-    void watch(store_topic topic, Changed changed)
-    {
-        auto& it = state(topic);
-        if (!active_ || it.under_way)
-            return;
-        it.under_way = true;
-        environment_.watch(topic, it.revision, watch_wait,
-            [this, topic, changed](
-                watch_reading reading) { watched(topic, reading, changed); });
-    }
-
-    template <class Changed>
-    void watched(
-        store_topic topic, watch_reading const& reading, Changed const& changed)
-    {
-        auto& it = state(topic);
-        it.under_way = false;
-        switch (reading.status) {
-        case store_status::done:
-            it.revision = std::max(it.revision, reading.revision);
-            if (reading.changed)
-                return changed();
-            return watch(topic, changed);
-        case store_status::history_gone:
-            return changed();
-        case store_status::conflict:
-        case store_status::unavailable:
-            return later(it, next_retry(it), changed);
-        }
-    }
-
     // Targets.
 
-    void follow_targets()
+    void list_targets()
     {
-        auto& it = state(store_topic::targets);
-        if (!active_ || it.under_way)
+        if (!begin(targets_))
             return;
-        it.under_way = true;
         environment_.list_targets([this](targets_reading reading) {
-            state(store_topic::targets).under_way = false;
-            targets_listed(std::move(reading));
+            if (!end(targets_, reading.status, [this] { list_targets(); }))
+                return;
+            auto const pages =
+                1 + reading.changes.put.size() / targets_per_page;
+            next_list_ = environment_.now() +
+                list_period * static_cast<duration::rep>(pages);
+            take_targets(std::move(reading.changes));
+            follow_targets();
         });
     }
 
-    void targets_listed(targets_reading reading)
-    {
-        auto& it = state(store_topic::targets);
-        if (reading.status != store_status::done)
-            return later(it, next_retry(it), [this] { follow_targets(); });
-        it.retry = shortest_retry;
-        take_targets(std::move(reading.changes));
-        watch_targets();
-    }
-
     void take_targets(target_changes changes)
     {
-        auto& it = state(store_topic::targets);
-        it.revision = std::max(it.revision, changes.revision);
+        auto const revision = changes.revision;
         auto const n = changes.put.size();
         auto const removed = changes.removed.size();
+        bool const whole = changes.whole;
         if (!knowledge_.take_targets(std::move(changes)))
             return;
         log(log_event::targets_changed,
-            {{"revision", it.revision}, {"put", n}, {"removed", removed},
+            {{"revision", revision}, {"whole", whole ? 1 : 0}, {"put", n},
+                {"removed", removed},
                 {"targets", knowledge_.targets().size()}});
         on_change_();
     }
 
-    void watch_targets()
+    void follow_targets()
     {
-        auto& it = state(store_topic::targets);
-        if (!active_ || it.under_way)
+        if (environment_.now() >= next_list_)
+            return list_targets();
+        if (!begin(targets_))
             return;
-        it.under_way = true;
-        environment_.watch_targets(
-            it.revision, watch_wait, [this](targets_reading reading) {
+        environment_.watch_targets(knowledge_.targets().revision(), watch_wait,
+            [this](targets_reading reading) {
                 targets_watched(std::move(reading));
             });
     }
 
     void targets_watched(targets_reading reading)
     {
-        auto& it = state(store_topic::targets);
-        it.under_way = false;
-        if (reading.status == store_status::history_gone)
-            return follow_targets();
-        if (reading.status != store_status::done)
-            return later(it, next_retry(it), [this] { follow_targets(); });
+        if (reading.status == store_status::history_gone) {
+            targets_.under_way = false;
+            return list_targets();
+        }
+        if (!end(targets_, reading.status, [this] { list_targets(); }))
+            return;
         bool const changed =
             !reading.changes.put.empty() || !reading.changes.removed.empty();
         take_targets(std::move(reading.changes));
         if (changed)
-            return later(it, gather_time, [this] { watch_targets(); });
-        watch_targets();
+            return later(targets_, gather_time, [this] { follow_targets(); });
+        follow_targets();
     }
 
     // Data centres that were taken out.
 
-    void follow_closures()
+    void list_closures()
     {
-        auto& it = state(store_topic::closures);
-        if (!active_ || it.under_way)
+        if (!begin(closures_))
             return;
-        it.under_way = true;
         environment_.list_closures([this](closures_reading reading) {
-            auto& it = state(store_topic::closures);
-            it.under_way = false;
-            if (reading.status != store_status::done)
-                return later(it, next_retry(it), [this] { follow_closures(); });
-            it.retry = shortest_retry;
-            it.revision = std::max(it.revision, reading.closures.revision);
-            if (knowledge_.take_closures(std::move(reading.closures))) {
-                log(log_event::closures_changed,
-                    {{"revision", it.revision},
-                        {"closed", knowledge_.closures().closed.size()}});
-                on_change_();
-            }
-            watch(store_topic::closures, [this] { follow_closures(); });
+            auto const again = [this] {
+                list_closures();
+            };
+            if (!end(closures_, reading.status, again))
+                return;
+            later(closures_, closures_period, again);
+            auto const revision = reading.closures.revision;
+            if (!knowledge_.take_closures(std::move(reading.closures)))
+                return;
+            log(log_event::closures_changed,
+                {{"revision", revision},
+                    {"closed", knowledge_.closures().closed.size()}});
+            on_change_();
         });
     }
 
@@ -283,9 +248,10 @@
     std::function<void()> on_change_;
     bool active_ = false;
     bool reached_ = true;
-    bool reading_ = false;
-    timer_service::subscription read_timer_;
-    std::array<topic_state, enum_count<store_topic>> topics_;
+    calls configuration_;
+    calls targets_;
+    calls closures_;
+    time_point next_list_{};
 };
 
 } // namespace pomelohinge
--- a/servers/control/store_readings.hpp
+++ b/servers/control/store_readings.hpp
@@ -29,23 +29,10 @@
 });
 static_assert(is_ordered<store_status>());
 
-/// What is followed in the store.
-enum class store_topic { configuration, targets, closures };
-
-template <>
-inline constexpr auto name_table<store_topic> = make_name_table<store_topic>({
-    {store_topic::configuration, "configuration"},
-    {store_topic::targets, "targets"},
-    {store_topic::closures, "closures"},
-});
-static_assert(is_ordered<store_topic>());
-
 /// A read that shows the configuration in force when it was made.
 struct configuration_reading
 {
     store_status status = store_status::unavailable;
-    /// The store's revision, from which changes can be watched.
-    std::uint64_t revision = 0;
     configuration_document document;
 };
 
@@ -61,15 +48,6 @@
     data_centre_closures closures;
 };
 
-/// The end of a watch: up to which revision it heard, and whether anything
-/// changed. It proves nothing about what was not heard.
-struct watch_reading
-{
-    store_status status = store_status::unavailable;
-    std::uint64_t revision = 0;
-    bool changed = false;
-};
-
 struct vms_reading
 {
     store_status status = store_status::unavailable;
@@ -79,14 +57,13 @@
 /// The store as control needs it. Replies come once, later, on the thread
 /// that asked.
 template <class Store>
-concept FleetStore = requires(Store& store, std::uint64_t revision,
-    duration wait, store_topic topic, vm_record const& vm)
+concept FleetStore = requires(
+    Store& store, std::uint64_t revision, duration wait, vm_record const& vm)
 {
     store.read_configuration(std::function<void(configuration_reading)>());
     store.list_targets(std::function<void(targets_reading)>());
     store.watch_targets(revision, wait, std::function<void(targets_reading)>());
     store.list_closures(std::function<void(closures_reading)>());
-    store.watch(topic, revision, wait, std::function<void(watch_reading)>());
     store.list_vms(std::function<void(vms_reading)>());
     store.register_vm(vm, std::function<void(store_status)>());
     store.remove_vm(vm.vm, std::function<void(store_status)>());
--- a/servers/entries/entry_selection.cpp
+++ b/servers/entries/entry_selection.cpp
@@ -1,6 +1,7 @@
 #include "servers/entries/entry_selection.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace pomelohinge {
 namespace {
@@ -55,16 +56,17 @@
     std::vector<fleet_member const*> const& hub_order, time_point now)
 {
     auto const wanted = wanted_capacity(hub_order, now);
-    // From the last of the hub order: the hub is needed for other work. VMs
-    // that bear more come first, and those that are entries already.
-    std::vector<fleet_member const*> order(
-        hub_order.rbegin(), hub_order.rend());
+    // VMs that bear more come first, then those that are not needed as hub,
+    // then those that are entries already.
+    auto order = hub_order;
+    auto const* const hub = hub_order.empty() ? nullptr : hub_order.front();
     std::stable_sort(
-        order.begin(), order.end(), [](auto const* left, auto const* right) {
-            auto const key = [](fleet_member const& it) {
-                return std::pair(-entry_capacity(it.record), !it.entry);
+        order.begin(), order.end(), [&](auto const* left, auto const* right) {
+            auto const key = [&](fleet_member const* it) {
+                return std::tuple(
+                    -entry_capacity(it->record), it == hub, !it->entry);
             };
-            return key(*left) < key(*right);
+            return key(left) < key(right);
         });
     std::set<vm_id> chosen;
     double capacity = 0;
--- a/servers/exchange/sync.hpp
+++ b/servers/exchange/sync.hpp
@@ -75,6 +75,8 @@
     /// Time since the store was read and held this configuration; maximum if
     /// never.
     duration read_age = duration::max();
+    /// False while the hub itself tries to read the store in vain.
+    bool store_reached = true;
     std::optional<target_changes> targets;
     std::optional<data_centre_closures> closures;
     traffic_report others;
