Judge targets by a probability that fades, and tell the others at once

Cause: about a third of the targets fail most of their requests for some seconds at any time. Suspects were taken like trusted targets once the floor was reached, and being idle they drew requests that cannot be repeated; a cleared target was known to another entry only by the next exchange.

Change: doubt by Bayes' rule with time decay, against what is usual for the service; it counts like load for requests that cannot be repeated. Single requests that may be repeated find out about suspects; where none come, the least urgent request does. A target that turns bad is told at once. Ejected targets are tried again within a second (FLOOR). VMs without traffic are told nothing of targets.

Ruled out: probes; health endpoints say that all is well. Fixed counts of failures; in services where many fail they condemn everybody.

--- a/drivers/peers/codec.cpp
+++ b/drivers/peers/codec.cpp
@@ -152,6 +152,7 @@
     to.set_closures_revision(question.closures_revision);
     to.set_members_source(question.members_source);
     to.set_members_sequence(question.members_sequence);
+    to.set_is_idle(question.is_idle);
     to.set_wait_us(to_microseconds(question.wait));
     to.set_patience_us(to_microseconds(question.patience));
     fill(*to.mutable_report(), question.report);
@@ -168,6 +169,7 @@
     question.closures_revision = from.closures_revision();
     question.members_source = from.members_source();
     question.members_sequence = from.members_sequence();
+    question.is_idle = from.is_idle();
     question.wait = from_microseconds(from.wait_us());
     question.patience = from_microseconds(from.patience_us());
     question.report = from_wire(from.report());
--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -26,8 +26,10 @@
           watch_(control_.context(), std::move(file))
     {
         for (std::int64_t it = 0; it < settings_.traffic_threads; ++it)
-            traffic_.push_back(
-                std::make_unique<traffic_thread<Platform>>(settings_, rules_));
+            traffic_.push_back(std::make_unique<traffic_thread<Platform>>(
+                settings_, rules_, [this] {
+                    control_.post([this] { control_.plane().alarm(); });
+                }));
     }
 
     /// Runs until a signal asks for the end and the planned stop is over.
--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -23,8 +23,10 @@
 class traffic_thread
 {
 public:
-    traffic_thread(settings const& configured, chart_list const& rules)
-        : settings_(configured), rules_(rules),
+    /// `on_alarm` is called when a target turns bad, on this thread.
+    traffic_thread(settings const& configured, chart_list const& rules,
+        std::function<void()> on_alarm)
+        : settings_(configured), rules_(rules), on_alarm_(std::move(on_alarm)),
           upstreams_(
               context_, static_cast<std::size_t>(configured.answer_body_bytes)),
           entry_(
@@ -108,7 +110,11 @@
     std::uint64_t send_upstream(target_record const& target,
         upstream_order order, std::function<void(attempt_end)> done)
     {
-        return upstreams_.send(target, std::move(order), std::move(done));
+        return upstreams_.send(target, std::move(order),
+            [this, done = std::move(done)](attempt_end end) {
+                done(std::move(end));
+                check_alarm();
+            });
     }
     void cancel_upstream(std::uint64_t attempt) { upstreams_.cancel(attempt); }
 
@@ -231,10 +237,17 @@
             Platform::front_dialect::entry_body(answer)};
     }
 
+    void check_alarm()
+    {
+        if (entry_.targets.take_alarm())
+            on_alarm_();
+    }
+
     void tick()
     {
         auto const at = now();
         entry_.tick(at);
+        check_alarm();
         if (at - swept_at_ >= sweep_period) {
             swept_at_ = at;
             upstreams_.sweep();
@@ -249,6 +262,7 @@
 
     settings const& settings_;
     chart_list const& rules_;
+    std::function<void()> on_alarm_;
     asio::io_context context_{1};
     upstream_client<typename Platform::upstream_dialect> upstreams_;
     entry_state entry_;
--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -56,6 +56,36 @@
         sync_now();
     }
 
+    /// A target has turned bad: the others are told at once.
+    void alarm()
+    {
+        auto const now = environment_.now();
+        if (!followed_ || now < next_alarm_)
+            return;
+        next_alarm_ = now + alarm_period;
+        environment_.collect_report([this](traffic_report report) {
+            if (is_hub())
+                return environment_.tell_traffic(
+                    desk_.exchange_own(std::move(report), environment_.now()));
+            auto const* const hub = members_.find(hub_);
+            if (hub == nullptr)
+                return;
+            auto question = make_question(sync_relation::member);
+            question.members_source = members_source_;
+            question.members_sequence = members_sequence_;
+            question.patience = busy_patience;
+            question.report = std::move(report);
+            environment_.send_sync(hub->record.peers_address, question,
+                [this, asked_at = environment_.now()](sync_reply reply) {
+                    if (!reply.reached)
+                        return;
+                    environment_.tell_traffic(reply.others);
+                    reply.members.reset();
+                    take_reply(std::move(reply), asked_at);
+                });
+        });
+    }
+
     void answer_sync(
         sync_question question, std::function<void(sync_reply)> reply)
     {
@@ -88,6 +118,8 @@
     static constexpr duration entries_period = std::chrono::milliseconds(500);
     /// A VM that carries traffic tells and hears this often.
     static constexpr duration busy_period = std::chrono::milliseconds(200);
+    /// Alarms of one VM come no closer together.
+    static constexpr duration alarm_period = std::chrono::milliseconds(50);
     static constexpr duration busy_patience = std::chrono::milliseconds(1000);
     /// Another VM waits so long for news before it asks again.
     static constexpr duration idle_wait = std::chrono::milliseconds(900);
@@ -104,6 +136,8 @@
     /// told it one for so long.
     static constexpr duration hub_patience_at_start =
         std::chrono::milliseconds(400);
+    /// Pause before the next sync when the hub makes it wait itself.
+    static constexpr duration shortest_pause = std::chrono::milliseconds(20);
     /// Pause after a failed sync.
     static constexpr duration sync_retry = std::chrono::milliseconds(100);
     /// Traffic below this many requests a second does not make a VM busy.
@@ -244,8 +278,11 @@
         question.members_sequence = members_sequence_;
         bool const patient = knowledge_.ready() && !is_busy() &&
             self_.standing == vm_standing::serving;
-        question.wait = patient ? idle_wait : duration::zero();
+        question.wait = patient  ? idle_wait
+            : knowledge_.ready() ? busy_period
+                                 : duration::zero();
         question.patience = is_busy() ? busy_patience : idle_patience;
+        question.is_idle = !is_busy();
         question.report = std::move(report);
         environment_.send_sync(hub->record.peers_address, question,
             [this, asked = hub_, asked_at = environment_.now(), patient](
@@ -276,7 +313,7 @@
         // gives it as of its sending.
         environment_.tell_traffic(reply.others);
         take_reply(std::move(reply), asked_at);
-        plan_sync(patient ? sync_retry : busy_period);
+        plan_sync(knowledge_.ready() ? shortest_pause : busy_period);
         follow();
     }
 
@@ -489,6 +526,7 @@
     time_point next_exchange_{};
     time_point hub_heard_at_{};
     time_point read_until_{};
+    time_point next_alarm_{};
     bool other_hubs_reach_store_ = true;
 
     policy_pointer policy_;
--- a/servers/control/hub_desk.cpp
+++ b/servers/control/hub_desk.cpp
@@ -26,6 +26,7 @@
     ledger_.take(question.from.vm.text(), is_distant(question.relation),
         std::move(question.report), now);
     question.report = {};
+    answer_waiting(now);
     if (question.wait <= duration::zero() || has_news(question))
         return reply(make_reply(question, now));
     auto const due = now + question.wait;
@@ -38,7 +39,9 @@
         question.targets_revision < knowledge_.targets().revision() ||
         question.closures_revision < knowledge_.closures().revision ||
         question.members_source != self_.incarnation ||
-        question.members_sequence < members_.sequence();
+        question.members_sequence < members_.sequence() ||
+        (!question.is_idle &&
+            ledger_.has_failures_for(question.from.vm.text()));
 }
 
 sync_reply hub_desk::make_reply(sync_question const& question, time_point now)
@@ -62,6 +65,9 @@
         reply.closures = knowledge_.closures();
     reply.others = ledger_.for_reader(
         question.from.vm.text(), is_distant(question.relation));
+    // A VM without traffic has no use for what is seen of targets.
+    if (question.is_idle)
+        reply.others.targets.clear();
     return reply;
 }
 
@@ -90,6 +96,7 @@
 {
     auto const& name = self_.vm.text();
     ledger_.take(name, false, std::move(report), now);
+    answer_waiting(now);
     return ledger_.for_reader(name, false);
 }
 
@@ -102,6 +109,7 @@
     std::string const& hub, traffic_report report, time_point now)
 {
     ledger_.take(hub, true, std::move(report), now);
+    answer_waiting(now);
 }
 
 void hub_desk::choose_entries(time_point now)
--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -13,6 +13,19 @@
 /// Late attempts at one target at a time that speak against it.
 constexpr std::int64_t late_attempts_for_doubt = 2;
 
+/// A suspected target that nobody has tried for so long is tried by the
+/// least urgent request; sooner while many requests to the service fail,
+/// when every target that may be well is needed.
+constexpr duration long_untried_time = std::chrono::milliseconds(4000);
+constexpr duration short_untried_time = std::chrono::milliseconds(1300);
+constexpr double failing_service_share = 0.06;
+
+/// Weight of one request in the share of those that were not served.
+constexpr double unserved_weight = 0.02;
+
+/// A priority that was not asked for so long does not count.
+constexpr duration priority_memory = std::chrono::seconds(5);
+
 /// Bounds of what a refusal says about another try.
 constexpr duration shortest_retry_after = std::chrono::milliseconds(100);
 constexpr duration longest_retry_after = std::chrono::seconds(5);
@@ -141,7 +154,8 @@
         }
         it->set_others(said->second.in_flight);
         auto const before = it->health().state();
-        it->health().reported(said->second, now);
+        it->health().reported(
+            said->second, usual_failures(it->record().service), now);
         if (it->health().state() != before)
             log(log_event::target_state_changed,
                 {{"target", id.text()},
@@ -161,7 +175,13 @@
     traffic_target& target, target_event event, time_point now)
 {
     auto const before = target.health().state();
-    target.health().attempted(event, now);
+    auto const& service = target.record().service;
+    bool const is_failure = event != target_event::answered;
+    // What doubted targets do is not usual.
+    if (before == target_state::trusted)
+        latencies_.note_end(service, is_failure);
+    target.health().attempted(event, usual_failures(service), now);
+    alarm_ |= is_failure && target.health().state() != before;
     switch (event) {
     case target_event::answered:
         ++target.news().answers;
@@ -187,20 +207,16 @@
 void dispatcher::check_floor(service_state& service)
 {
     std::size_t open = 0;
-    std::size_t trusted = 0;
-    std::size_t ejected = 0;
+    std::size_t used = 0;
     for (auto const* it : service.targets) {
         if (!it->open())
             continue;
         ++open;
-        if (it->health().state() == target_state::trusted)
-            ++trusted;
-        if (it->health().state() == target_state::ejected)
-            ++ejected;
+        if (it->health().state() != target_state::ejected)
+            ++used;
     }
-    service.none_usable = ejected == open;
     service.floor_reached =
-        static_cast<double>(trusted) < floor_ * static_cast<double>(open);
+        static_cast<double>(used) < floor_ * static_cast<double>(open);
 }
 
 void dispatcher::ended(target_record const& target, attempt_result result,
@@ -214,7 +230,7 @@
             note(*it, event_of(result), now);
     }
     if (result == attempt_result::answered)
-        latencies_.add(target.service, latency, false);
+        latencies_.add(target.service, latency);
     pump(target.service, now);
 }
 
@@ -272,6 +288,38 @@
     return near_entries_ == 0 ? found : nullptr;
 }
 
+/// A target that nobody has tried for long, though it is suspected: without
+/// requests that may be repeated, the least urgent one finds out about it.
+traffic_target* dispatcher::choose_untried(
+    service_state& service, placement_question const& question, time_point now)
+{
+    if (!is_least_urgent(service, question.priority, now))
+        return nullptr;
+    auto const patience = service.unserved > failing_service_share
+        ? short_untried_time
+        : long_untried_time;
+    for (auto* it : service.targets) {
+        bool const wants = it->open() && it->in_flight() == 0 &&
+            it->others() == 0 &&
+            it->health().state() != target_state::trusted &&
+            it->record().data_centre == data_centre_ &&
+            now - it->health().tried_at() > patience &&
+            !was_tried(question, it->record().id) && it->has_room(now);
+        if (wants)
+            return it;
+    }
+    return nullptr;
+}
+
+bool dispatcher::is_least_urgent(
+    service_state& service, std::int64_t priority, time_point now)
+{
+    service.priorities[priority] = now;
+    std::erase_if(service.priorities,
+        [&](auto const& it) { return now - it.second > priority_memory; });
+    return service.priorities.rbegin()->first == priority;
+}
+
 traffic_target* dispatcher::choose_up_to(target_state worst,
     service_state& service, placement_question const& question, time_point now)
 {
@@ -283,8 +331,7 @@
             continue;
         candidates_.push_back({eligible_.size(), it->load_with_one_more(now),
             it->record().data_centre == data_centre_,
-            now - it->health().answered_at(),
-            connected_(it->record().address)});
+            it->health().doubt_at(now), connected_(it->record().address)});
         eligible_.push_back(it);
     }
     auto const at =
@@ -297,11 +344,14 @@
 {
     if (auto* const it = choose_suspect(service, question, now))
         return it;
-    auto worst = target_state::trusted;
-    if (service.floor_reached)
-        worst =
-            service.none_usable ? target_state::ejected : target_state::suspect;
-    return choose_up_to(worst, service, question, now);
+    if (auto* const it = choose_untried(service, question, now))
+        return it;
+    if (auto* const it =
+            choose_up_to(target_state::suspect, service, question, now))
+        return it;
+    return service.floor_reached
+        ? choose_up_to(target_state::ejected, service, question, now)
+        : nullptr;
 }
 
 placement dispatcher::place(traffic_target& target, service_state& service,
@@ -400,6 +450,12 @@
     }
 }
 
+void dispatcher::note_end(service_id const& service, bool served)
+{
+    auto& unserved = state_of(service).unserved;
+    unserved += ((served ? 0.0 : 1.0) - unserved) * unserved_weight;
+}
+
 void dispatcher::tick(time_point now)
 {
     for (auto& [id, it] : targets_) {
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -117,6 +117,14 @@
 
     void tick(time_point now);
 
+    /// A request for the service has ended, with the upstream's success or
+    /// without.
+    void note_end(service_id const& service, bool served);
+
+    /// Whether a target has turned bad since this was last asked, which the
+    /// others should hear of at once.
+    bool take_alarm() { return std::exchange(alarm_, false); }
+
     /// What this thread has seen of targets since it was last asked.
     text_map<target_report> take_reports();
 
@@ -140,9 +148,13 @@
         std::vector<traffic_target*> targets;
         waiting_line line;
         rate_meter ends;
-        /// Suspects count as trusted while too few are trusted.
+        /// So few targets are used that ejected ones are used, too, where
+        /// the others have no room.
         bool floor_reached = false;
-        bool none_usable = false;
+        /// Share of requests that were not served lately.
+        double unserved = 0;
+        /// Recent priorities; the least urgent one tries what others avoid.
+        std::map<std::int64_t, time_point> priorities;
     };
 
     struct waiting_question
@@ -163,6 +175,14 @@
 
     traffic_target* choose(service_state& service,
         placement_question const& question, time_point now);
+    traffic_target* choose_untried(service_state& service,
+        placement_question const& question, time_point now);
+    double usual_failures(service_id const& service) const
+    {
+        return latencies_.baseline(service).failures;
+    }
+    bool is_least_urgent(
+        service_state& service, std::int64_t priority, time_point now);
     traffic_target* choose_suspect(service_state& service,
         placement_question const& question, time_point now);
     traffic_target* choose_up_to(target_state worst, service_state& service,
@@ -181,8 +201,9 @@
     data_centre_id data_centre_;
     connected_check connected_;
     std::mt19937_64 random_;
-    proven_load_picker picker_;
+    doubt_and_load_picker picker_;
     double floor_ = 0;
+    bool alarm_ = false;
     policy_pointer policy_;
     std::size_t near_entries_ = 1;
     std::map<target_id, std::unique_ptr<traffic_target>> targets_;
--- a/servers/exchange/fleet_reports.cpp
+++ b/servers/exchange/fleet_reports.cpp
@@ -80,6 +80,16 @@
     return told;
 }
 
+bool report_ledger::has_failures_for(std::string const& reader) const
+{
+    auto const it = sources_.find(reader);
+    return it != sources_.end() &&
+        std::any_of(it->second.untold.begin(), it->second.untold.end(),
+            [](auto const& news) {
+                return news.second.faults > 0 || news.second.silences > 0;
+            });
+}
+
 void report_ledger::expire(duration patience, time_point now)
 {
     absl::erase_if(sources_,
--- a/servers/exchange/fleet_reports.hpp
+++ b/servers/exchange/fleet_reports.hpp
@@ -73,6 +73,10 @@
     /// What the others have said to `reader`; their news are told once.
     traffic_report for_reader(std::string const& reader, bool distant);
 
+    /// Whether the others have failures to tell `reader` that it does not
+    /// know yet.
+    bool has_failures_for(std::string const& reader) const;
+
     /// Forgets sources that have been silent for `patience`.
     void expire(duration patience, time_point now);
 
--- a/servers/exchange/sync.hpp
+++ b/servers/exchange/sync.hpp
@@ -56,6 +56,8 @@
     /// Which members are known: the hub's process and its sequence.
     std::uint64_t members_source = 0;
     std::uint64_t members_sequence = 0;
+    /// The asker takes no requests from callers.
+    bool is_idle = false;
     /// How long the answer may wait for news.
     duration wait{};
     /// Within which time the asker will ask again.
--- a/servers/health/target_chart.hpp
+++ b/servers/health/target_chart.hpp
@@ -30,7 +30,7 @@
     faulted,
     /// An attempt was not answered; the way may be at fault.
     silent,
-    /// The time in the present state is over.
+    /// Time has passed.
     rested,
 };
 
@@ -43,34 +43,30 @@
 });
 static_assert(is_ordered<target_event>());
 
+/// How much it is doubted.
 enum class target_guard {
-    /// Enough answers have come since the last failure.
     is_cleared,
-    /// Failures in a row leave no doubt.
+    is_doubtful,
+    is_worth_a_try,
     is_condemned,
 };
 
 template <>
 inline constexpr auto name_table<target_guard> = make_name_table<target_guard>({
     {target_guard::is_cleared, "is_cleared"},
+    {target_guard::is_doubtful, "is_doubtful"},
+    {target_guard::is_worth_a_try, "is_worth_a_try"},
     {target_guard::is_condemned, "is_condemned"},
 });
 static_assert(is_ordered<target_guard>());
 
-enum class target_action {
-    count_answer,
-    count_failure,
-    clear_evidence,
-    begin_rest,
-};
+/// Its states have no actions: what was seen is counted apart.
+enum class target_action { none };
 
 template <>
 inline constexpr auto
     name_table<target_action> = make_name_table<target_action>({
-        {target_action::count_answer, "count_answer"},
-        {target_action::count_failure, "count_failure"},
-        {target_action::clear_evidence, "clear_evidence"},
-        {target_action::begin_rest, "begin_rest"},
+        {target_action::none, "none"},
     });
 static_assert(is_ordered<target_action>());
 
--- a/servers/health/target_health.cpp
+++ b/servers/health/target_health.cpp
@@ -5,20 +5,27 @@
 namespace pomelohinge {
 namespace {
 
-/// Answers after a failure that clear a suspect.
-constexpr std::uint32_t answers_to_clear = 2;
+/// Doubt below which a target gets any request, from which on it only gets
+/// single requests that may be repeated, and from which on it gets nothing.
+constexpr double cleared = 0.12;
+constexpr double doubtful = 0.25;
+constexpr double condemned = 0.82;
 
-/// Failures, the one that made it suspect included, that condemn it.
-constexpr std::uint32_t failures_to_condemn = 2;
+/// Doubt at which a target that got nothing is tried again: from certainty it
+/// takes 0.9 s to get there. A target that has recovered is expected to get
+/// requests within two seconds.
+constexpr double worth_a_try = 0.8;
 
-/// How long an ejected target rests. The time doubles when it is ejected
-/// again soon, and stays below two seconds, within which a target that has
-/// recovered is expected to get requests again.
-constexpr duration shortest_rest = std::chrono::milliseconds(700);
-constexpr duration longest_rest = std::chrono::milliseconds(1600);
+/// How far only the target can have caused a failure. An attempt without
+/// any answer may have been lost on the way; what others miss may be on
+/// their way alone.
+constexpr double fault_certainty = 1;
+constexpr double silence_certainty = 0.95;
+constexpr double reported_silence_certainty = 0.7;
 
-/// An ejection that was this long ago does not lengthen the next one.
-constexpr duration rest_memory = std::chrono::seconds(5);
+/// Reports of the same kind that count at a time: what others saw at the
+/// same moment is hardly independent.
+constexpr std::uint32_t most_reported = 3;
 
 } // namespace
 
@@ -28,67 +35,60 @@
     life_.fire(event, *this);
 }
 
-void target_health::attempted(target_event event, time_point now)
+void target_health::attempted(target_event event, double usual, time_point now)
 {
-    if (event == target_event::answered)
-        answered_at_ = now;
+    tried_at_ = now;
+    switch (event) {
+    case target_event::answered:
+        doubt_.answered(usual, now);
+        break;
+    case target_event::faulted:
+        doubt_.failed(usual, fault_certainty, now);
+        break;
+    case target_event::silent:
+        doubt_.failed(usual, silence_certainty, now);
+        break;
+    case target_event::rested:
+        break;
+    }
     fire(event, now);
 }
 
-void target_health::reported(target_report const& news, time_point now)
+void target_health::reported(
+    target_report const& news, double usual, time_point now)
 {
+    if (!news.has_news())
+        return;
+    tried_at_ = now;
+    for (std::uint32_t it = 0; it < std::min(news.answers, most_reported); ++it)
+        doubt_.answered(usual, now);
+    for (std::uint32_t it = 0; it < std::min(news.faults, most_reported); ++it)
+        doubt_.failed(usual, fault_certainty, now);
+    for (std::uint32_t it = 0; it < std::min(news.silences, most_reported);
+         ++it)
+        doubt_.failed(usual, reported_silence_certainty, now);
     if (news.faults > 0)
         fire(target_event::faulted, now);
     else if (news.silences > 0)
         fire(target_event::silent, now);
-    if (news.answers > 0) {
-        answered_at_ = now;
-        // A target that fails part of its requests answers the others.
-        if (news.faults == 0 && news.silences == 0)
-            fire(target_event::answered, now);
-    }
-}
-
-void target_health::tick(time_point now)
-{
-    if (state() == target_state::ejected && now >= rest_ends_)
-        fire(target_event::rested, now);
+    else
+        fire(target_event::answered, now);
 }
 
 bool target_health::check(target_guard guard) const
 {
+    auto const value = doubt_.at(now_);
     switch (guard) {
     case target_guard::is_cleared:
-        return answers_ + 1 >= answers_to_clear;
+        return value < cleared;
+    case target_guard::is_doubtful:
+        return value >= doubtful;
+    case target_guard::is_worth_a_try:
+        return value < worth_a_try;
     case target_guard::is_condemned:
-        return failures_ + 1 >= failures_to_condemn;
+        return value >= condemned;
     }
     return false;
 }
 
-void target_health::perform(target_action action)
-{
-    switch (action) {
-    case target_action::count_answer:
-        ++answers_;
-        return;
-    case target_action::count_failure:
-        ++failures_;
-        answers_ = 0;
-        return;
-    case target_action::clear_evidence:
-        answers_ = 0;
-        failures_ = 0;
-        return;
-    case target_action::begin_rest: {
-        bool const again =
-            rest_ > duration::zero() && now_ - ejected_at_ < rest_memory;
-        rest_ = again ? std::min(rest_ * 2, longest_rest) : shortest_rest;
-        ejected_at_ = now_;
-        rest_ends_ = now_ + rest_;
-        return;
-    }
-    }
-}
-
 } // namespace pomelohinge
--- a/servers/health/target_health.hpp
+++ b/servers/health/target_health.hpp
@@ -4,6 +4,7 @@
 #include "core/chart.hpp"
 #include "core/clock.hpp"
 #include "servers/exchange/fleet_reports.hpp"
+#include "servers/health/doubt.hpp"
 #include "servers/health/target_chart.hpp"
 
 namespace pomelohinge {
@@ -16,39 +17,35 @@
 public:
     explicit target_health(chart<target_chart> const& rules) : life_(rules) {}
 
-    /// An attempt of this thread ended, or is taken as failed.
-    void attempted(target_event event, time_point now);
+    /// An attempt of this thread ended, or is taken as failed. `usual` is the
+    /// share of failures over the whole service.
+    void attempted(target_event event, double usual, time_point now);
 
-    /// Others report; each kind of news counts once however often it came,
-    /// since what they saw may be from the same moment.
-    void reported(target_report const& news, time_point now);
+    /// Others report.
+    void reported(target_report const& news, double usual, time_point now);
 
     /// Lets time pass.
-    void tick(time_point now);
+    void tick(time_point now) { fire(target_event::rested, now); }
 
     target_state state() const { return life_.state(); }
 
-    /// When a whole answer last came, from here or elsewhere.
-    time_point answered_at() const { return answered_at_; }
+    /// The probability that the target fails most requests now.
+    double doubt_at(time_point now) const { return doubt_.at(now); }
 
-    /// When its rest is over; only meaningful while it is ejected.
-    time_point rest_ends() const { return rest_ends_; }
+    /// When anything was last heard of an attempt, from here or elsewhere.
+    time_point tried_at() const { return tried_at_; }
 
     // For the chart.
     bool check(target_guard guard) const;
-    void perform(target_action action);
+    void perform(target_action) {}
 
 private:
     void fire(target_event event, time_point now);
 
     chart_instance<target_chart> life_;
+    doubt doubt_;
     time_point now_{};
-    time_point answered_at_{};
-    time_point rest_ends_{};
-    time_point ejected_at_{};
-    duration rest_{};
-    std::uint32_t answers_ = 0;
-    std::uint32_t failures_ = 0;
+    time_point tried_at_{};
 };
 
 } // namespace pomelohinge
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -127,6 +127,7 @@
 
 private:
     static constexpr duration short_wait = std::chrono::seconds(1);
+    static constexpr int first_server_error = 500;
 
     /// What is kept back of the deadline for the way of the answer.
     static constexpr duration answer_reserve = std::chrono::milliseconds(15);
@@ -171,6 +172,10 @@
                 !(may_have_run_ || under_way_),
             message_.head.request_id);
         log_end(result);
+        auto const* const whole = std::get_if<upstream_answer>(&result);
+        if (!admitted_.service.empty())
+            state().targets.note_end(admitted_.service,
+                whole != nullptr && whole->status < first_server_error);
         if (auto const callback = std::exchange(on_end_, nullptr))
             callback(std::move(result));
     }
--- a/servers/selection/picker.hpp
+++ b/servers/selection/picker.hpp
@@ -22,8 +22,8 @@
     double load = 0;
     /// In the data centre of the entry VM.
     bool near = false;
-    /// Time since a whole answer last came from it, anywhere.
-    duration unproved{};
+    /// Probability that it fails most requests now.
+    double doubt = 0;
     /// An idle connection to it is open.
     bool connected = false;
 };
@@ -48,10 +48,10 @@
 };
 
 /// Takes the least loaded near target, and another data centre's only if no
-/// near one has room. A request that cannot be repeated rather goes where an
-/// answer has come from lately, one that can be goes where none has, so that
-/// it finds out about failures that others would suffer from.
-class proven_load_picker
+/// near one has room. Doubt counts against a target as load does for a
+/// request that cannot be repeated; one that can be rather goes where some
+/// doubt is, so that it finds out what others would suffer from.
+class doubt_and_load_picker
 {
 public:
     template <std::uniform_random_bit_generator Random>
@@ -71,12 +71,12 @@
     }
 
 private:
-    /// More than any load, so that distance counts first.
+    /// More than any load and doubt, so that distance counts first.
     static constexpr double distance_cost = 10;
-    /// What an answer that is `longest_unproved` old counts against load.
-    static constexpr double unproved_cost = 0.25;
-    static constexpr duration longest_unproved =
-        std::chrono::milliseconds(1500);
+    /// What certain failure counts against load.
+    static constexpr double doubt_cost = 3;
+    /// Doubt that draws requests that may be repeated.
+    static constexpr double doubt_worth_finding_out = 0.25;
     static constexpr double connect_cost = 0.05;
     /// Breaks ties, and keeps threads from choosing alike.
     static constexpr double noise = 0.08;
@@ -85,11 +85,10 @@
     static double cost_of(candidate const& it, picking what, Random& random)
     {
         std::uniform_real_distribution<double> draw(0, noise);
-        auto const unproved = std::min(it.unproved, longest_unproved);
-        auto const doubt =
-            unproved_cost * to_seconds(unproved) / to_seconds(longest_unproved);
+        bool const draws =
+            what.repeatable && it.doubt < doubt_worth_finding_out;
         return it.load + (it.near ? 0 : distance_cost) +
-            (what.repeatable ? -doubt : doubt) +
+            (draws ? -it.doubt : doubt_cost * it.doubt) +
             (it.connected ? 0 : connect_cost) + draw(random);
     }
 };
--- a/servers/selection/service_latency.cpp
+++ b/servers/selection/service_latency.cpp
@@ -14,14 +14,10 @@
 
 } // namespace
 
-void service_latencies::add(
-    service_id const& service, duration latency, bool failed)
+void service_latencies::add(service_id const& service, duration latency)
 {
     auto& it = services_[service];
     ++it.attempts;
-    it.failures += ((failed ? 1.0 : 0.0) - it.failures) * failure_weight;
-    if (failed)
-        return;
     auto const value = static_cast<double>(latency.count());
     if (it.median == 0)
         it.median = value;
@@ -29,13 +25,20 @@
         it.median *= value > it.median ? 1 + median_step : 1 - median_step;
 }
 
+void service_latencies::note_end(service_id const& service, bool failed)
+{
+    auto& it = services_[service];
+    it.failures += ((failed ? 1.0 : 0.0) - it.failures) * failure_weight;
+}
+
 service_baseline service_latencies::baseline(service_id const& service) const
 {
     auto const it = services_.find(service);
-    if (it == services_.end() || it->second.attempts < enough_attempts)
+    if (it == services_.end())
         return {};
-    return {duration(static_cast<duration::rep>(it->second.median)),
-        it->second.failures};
+    auto const& seen = it->second;
+    auto const median = seen.attempts < enough_attempts ? 0 : seen.median;
+    return {duration(static_cast<duration::rep>(median)), seen.failures};
 }
 
 } // namespace pomelohinge
--- a/servers/selection/service_latency.hpp
+++ b/servers/selection/service_latency.hpp
@@ -8,9 +8,7 @@
 
 namespace pomelohinge {
 
-/// What an entry VM has seen of a service over all its targets. It travels
-/// with requests, so that a target's owner can compare its target with the
-/// others without asking anybody.
+/// What a traffic thread has seen of a service over all its targets.
 struct service_baseline
 {
     /// Median latency of answers; zero until enough were seen.
@@ -23,8 +21,11 @@
 class service_latencies
 {
 public:
-    /// Adds one attempt.
-    void add(service_id const& service, duration latency, bool failed);
+    /// Adds an answer's latency.
+    void add(service_id const& service, duration latency);
+
+    /// Adds the end of an attempt at a target that is not doubted.
+    void note_end(service_id const& service, bool failed);
 
     service_baseline baseline(service_id const& service) const;
 
