--- a/servers/limits/organisation_limits.cpp
+++ b/servers/limits/organisation_limits.cpp
@@ -69,9 +69,9 @@
             token_bucket(mine, std::max(1.0, first_tokens * it.share), now);
     else
         it.bucket.change_rate(mine, now);
-    if (it.bucket.take(now))
-        return {true, {}};
-    return {false, it.bucket.until_next(now)};
+    bool const granted = it.bucket.take(now);
+    return {granted, granted ? duration::zero() : it.bucket.until_next(now),
+        it.share, it.demand.per_second(now), it.others};
 }
 
 void organisation_limits::refund(
--- a/servers/limits/organisation_limits.hpp
+++ b/servers/limits/organisation_limits.hpp
@@ -25,6 +25,11 @@
     bool granted = false;
     /// When a token may be there, if it was not.
     duration retry_after{};
+    /// What decided: this thread's share of the rate and what it and the
+    /// others are asked for, in requests a second.
+    double share = 0;
+    double demand = 0;
+    double others = 0;
 };
 
 /// One traffic thread's part of every organisation's rate and burst. The
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -323,6 +323,12 @@
                 if (life_.state() == request_state::charging)
                     ask_charge();
             }));
+        log(log_event::rate_used_up,
+            {{"request", message_.head.request_id},
+                {"organisation", admitted_.organisation.text()},
+                {"rate", rate->requests_per_second}, {"burst", rate->burst},
+                {"share", verdict.share}, {"demand", verdict.demand},
+                {"demand_elsewhere", verdict.others}});
         refuse(refusal_kind::rate_exceeded,
             "the organisation's rate and burst are used up",
             verdict.retry_after);
