Give each cold target two senders; try untried suspects by any less urgent request

Change: the first two entries of the target's data centre by a hash divide its rate and begin without a token. Any request but the most urgent ones may try a suspect.

Tests: forty entries before one cold target; an ejected target that nobody tries.

--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -30,7 +30,8 @@
           upstreams_(
               context_, static_cast<std::size_t>(configured.answer_body_bytes)),
           entry_(
-              rules.target, configured.data_centre, std::random_device{}(),
+              rules.target, configured.vm, configured.data_centre,
+              std::random_device{}(),
               [this](std::string const& address) {
                   return upstreams_.is_connected(address);
               },
--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "servers/dispatch/dispatcher.hpp"
 
 #include "core/log.hpp"
+#include "servers/selection/cold_senders.hpp"
 
 #include <algorithm>
 
@@ -63,10 +64,11 @@
 
 } // namespace
 
-dispatcher::dispatcher(chart<target_chart> const& rules,
+dispatcher::dispatcher(chart<target_chart> const& rules, vm_id self,
     data_centre_id data_centre, std::uint64_t seed, connected_check connected)
-    : rules_(rules), data_centre_(std::move(data_centre)),
-      connected_(std::move(connected)), random_(seed)
+    : rules_(rules), self_(std::move(self)),
+      data_centre_(std::move(data_centre)), connected_(std::move(connected)),
+      random_(seed)
 {
 }
 
@@ -108,23 +110,24 @@
         check_floor(it);
 }
 
-/// The rate that a cold target bears is divided among the entries of its
-/// data centre; others use it only when they know of no other.
+/// The rate that a cold target bears is divided among few senders.
 void dispatcher::set_cold_rates(time_point now)
 {
     auto const& configured = policy_->index->source;
     for (auto& [id, it] : targets_) {
         auto const* const service =
             configured.find<service_object>(it->record().service.text());
-        if (service == nullptr || service->cold_requests_per_second <= 0) {
+        bool const bounded = service != nullptr &&
+            service->cold_requests_per_second > 0 && it->is_cold(now);
+        if (!bounded) {
             it->set_cold_rate(std::nullopt, now);
             continue;
         }
-        bool const near = it->record().data_centre == data_centre_;
-        constexpr double far_part = 0.1;
-        auto const share = near
-            ? 1.0 / static_cast<double>(std::max<std::size_t>(near_entries_, 1))
-            : far_part;
+        auto const senders = cold_senders(*policy_->members, it->record());
+        bool const is_sender =
+            std::find(senders.begin(), senders.end(), self_) != senders.end();
+        auto const share =
+            is_sender ? 1.0 / static_cast<double>(senders.size()) : 0.0;
         it->set_cold_rate(service->cold_requests_per_second * share, now);
     }
 }
@@ -289,15 +292,16 @@
 }
 
 /// A target that nobody has tried for long, though it is suspected: without
-/// requests that may be repeated, the least urgent one finds out about it.
+/// requests that may be repeated, one of the less urgent finds out about it.
 traffic_target* dispatcher::choose_untried(
     service_state& service, placement_question const& question, time_point now)
 {
-    if (!is_least_urgent(service, question.priority, now))
+    if (is_most_urgent(service, question.priority, now))
         return nullptr;
     auto const patience = service.unserved > failing_service_share
         ? short_untried_time
         : long_untried_time;
+    traffic_target* longest = nullptr;
     for (auto* it : service.targets) {
         bool const wants = it->open() && it->in_flight() == 0 &&
             it->others() == 0 &&
@@ -305,19 +309,24 @@
             it->record().data_centre == data_centre_ &&
             now - it->health().tried_at() > patience &&
             !was_tried(question, it->record().id) && it->has_room(now);
-        if (wants)
-            return it;
+        if (wants &&
+            (longest == nullptr ||
+                it->health().tried_at() < longest->health().tried_at()))
+            longest = it;
     }
-    return nullptr;
+    return longest;
 }
 
-bool dispatcher::is_least_urgent(
+/// Whether only more urgent requests than the others lose by a trial; where
+/// all are alike, none is.
+bool dispatcher::is_most_urgent(
     service_state& service, std::int64_t priority, time_point now)
 {
     service.priorities[priority] = now;
     std::erase_if(service.priorities,
         [&](auto const& it) { return now - it.second > priority_memory; });
-    return service.priorities.rbegin()->first == priority;
+    return service.priorities.size() > 1 &&
+        service.priorities.begin()->first == priority;
 }
 
 traffic_target* dispatcher::choose_up_to(target_state worst,
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -84,8 +84,9 @@
     /// Tells how many idle connections to an address are open.
     using connected_check = std::function<bool(std::string const& address)>;
 
-    dispatcher(chart<target_chart> const& rules, data_centre_id data_centre,
-        std::uint64_t seed, connected_check connected);
+    dispatcher(chart<target_chart> const& rules, vm_id self,
+        data_centre_id data_centre, std::uint64_t seed,
+        connected_check connected);
 
     /// Follows the targets of a new snapshot.
     void adopt(policy_pointer const& next, time_point now);
@@ -181,7 +182,7 @@
     {
         return latencies_.baseline(service).failures;
     }
-    bool is_least_urgent(
+    bool is_most_urgent(
         service_state& service, std::int64_t priority, time_point now);
     traffic_target* choose_suspect(service_state& service,
         placement_question const& question, time_point now);
@@ -198,6 +199,7 @@
     void refuse_late(service_state& service, time_point now);
 
     chart<target_chart> const& rules_;
+    vm_id self_;
     data_centre_id data_centre_;
     connected_check connected_;
     std::mt19937_64 random_;
--- a/servers/dispatch/traffic_target.cpp
+++ b/servers/dispatch/traffic_target.cpp
@@ -24,7 +24,7 @@
     if (cold_pace_)
         cold_pace_->change_rate(pace, now);
     else
-        cold_pace_.emplace(pace, cold_burst, now);
+        cold_pace_.emplace(pace, 0, now);
 }
 
 bool traffic_target::has_room(time_point now)
--- a/servers/requests/entry_state.hpp
+++ b/servers/requests/entry_state.hpp
@@ -14,11 +14,11 @@
 /// What the requests of one traffic thread share.
 struct entry_state
 {
-    entry_state(chart<target_chart> const& target_rules,
+    entry_state(chart<target_chart> const& target_rules, vm_id const& self,
         data_centre_id const& data_centre, std::uint64_t seed,
         dispatcher::connected_check connected, fleet_bounds promised)
         : bounds(promised),
-          targets(target_rules, data_centre, seed, std::move(connected)),
+          targets(target_rules, self, data_centre, seed, std::move(connected)),
           retries(promised), random(seed)
     {
         targets.set_floor(promised.floor);
--- /dev/null
+++ b/servers/selection/cold_senders.cpp
@@ -0,0 +1,39 @@
+#include "servers/selection/cold_senders.hpp"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace pomelohinge {
+namespace {
+
+std::uint64_t rank_of(vm_id const& vm, target_id const& target)
+{
+    auto const seed = XXH64(target.text().data(), target.text().size(), 0);
+    return XXH64(vm.text().data(), vm.text().size(), seed);
+}
+
+} // namespace
+
+std::vector<vm_id> cold_senders(
+    fleet_members const& members, target_record const& target)
+{
+    std::vector<std::pair<std::uint64_t, vm_id>> near;
+    std::vector<std::pair<std::uint64_t, vm_id>> all;
+    for (auto const& it : members) {
+        if (!it.entry || !it.alive)
+            continue;
+        auto const& vm = it.record.vm;
+        all.emplace_back(rank_of(vm, target.id), vm);
+        if (it.record.data_centre == target.data_centre)
+            near.push_back(all.back());
+    }
+    auto& ranked = near.empty() ? all : near;
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<vm_id> senders;
+    for (auto const& [rank, vm] : ranked)
+        if (senders.size() < most_cold_senders)
+            senders.push_back(vm);
+    return senders;
+}
+
+} // namespace pomelohinge
--- a/tests/servers/dispatch_test.cpp
+++ b/tests/servers/dispatch_test.cpp
@@ -1,6 +1,7 @@
 #include "charts/chart_list.hpp"
 #include "servers/dispatch/dispatcher.hpp"
 
+#include <deque>
 #include <gtest/gtest.h>
 #include <set>
 
@@ -21,7 +22,7 @@
 protected:
     dispatch_test()
         : rules_(load_rules()),
-          dispatcher_(rules_.target, data_centre_id("east"), 1,
+          dispatcher_(rules_.target, vm_id("a"), data_centre_id("east"), 1,
               [](std::string const&) { return false; })
     {
         dispatcher_.set_floor(0.5);
@@ -295,6 +296,102 @@
     EXPECT_GE(got, 45);
 }
 
+/// All entries of two data centres before one cold target.
+class cold_fleet_test : public testing::Test
+{
+protected:
+    static constexpr double rate = 6;
+    /// The platform's rule for one second, over the whole fleet.
+    static constexpr double excess = 1.5;
+    static constexpr double extra = 5;
+
+    cold_fleet_test() : rules_(load_rules()) {}
+
+    void start(int entries_each)
+    {
+        auto next = std::make_shared<policy>();
+        service_object service;
+        service.cold_requests_per_second = rate;
+        next->index = std::make_shared<configuration_index>(
+            configuration().with(
+                {{object_kind::service, "shop", any_object(service)}}),
+            1);
+        target_record target;
+        target.id = target_id("cold");
+        target.service = service_id("shop");
+        target.data_centre = data_centre_id("east");
+        target.slots = 100;
+        target.cold_until = clock_.now() + 1h;
+        next->targets = std::make_shared<target_catalogue>(
+            std::vector<target_record>{target}, 1);
+        auto members = std::make_shared<fleet_members>();
+        for (auto const* data_centre : {"east", "west"})
+            for (int it = 0; it < entries_each; ++it) {
+                fleet_member member;
+                member.record.vm = vm_id(data_centre + std::to_string(it));
+                member.record.data_centre = data_centre_id(data_centre);
+                member.alive = member.entry = true;
+                members->push_back(member);
+            }
+        next->members = members;
+        next->ready = true;
+        for (auto const& it : *members) {
+            entries_.push_back(std::make_unique<dispatcher>(rules_.target,
+                it.record.vm, it.record.data_centre, 1,
+                [](std::string const&) { return false; }));
+            entries_.back()->adopt(next, clock_.now());
+        }
+    }
+
+    /// Every entry sends whenever it may; the most in any second.
+    std::size_t most_in_a_second()
+    {
+        std::deque<time_point> sent;
+        std::size_t most = 0;
+        for (int step = 0; step < 2000; ++step) {
+            clock_.advance(10ms);
+            for (auto& it : entries_) {
+                placement_question question;
+                question.service = service_id("shop");
+                question.start_by = clock_.now();
+                auto const decided = it->submit(
+                    question, [](placement_decision) {}, clock_.now());
+                auto const* const now =
+                    std::get_if<placement_decision>(&decided);
+                if (now == nullptr || !std::holds_alternative<placement>(*now))
+                    continue;
+                it->ended(std::get<placement>(*now).target,
+                    attempt_result::answered, 1ms, clock_.now());
+                sent.push_back(clock_.now());
+                ++total_;
+            }
+            while (!sent.empty() && clock_.now() - sent.front() >= 1s)
+                sent.pop_front();
+            most = std::max(most, sent.size());
+        }
+        return most;
+    }
+
+    chart_list rules_;
+    manual_clock clock_;
+    std::vector<std::unique_ptr<dispatcher>> entries_;
+    std::size_t total_ = 0;
+};
+
+TEST_F(cold_fleet_test, many_entries_together_keep_to_what_the_target_bears)
+{
+    start(40);
+    EXPECT_LE(static_cast<double>(most_in_a_second()), rate * excess + extra);
+    EXPECT_GE(static_cast<double>(total_), rate * 20 * 0.8);
+}
+
+TEST_F(cold_fleet_test, single_entry_uses_the_whole_rate)
+{
+    start(1);
+    EXPECT_LE(static_cast<double>(most_in_a_second()), rate * excess + extra);
+    EXPECT_GE(static_cast<double>(total_), rate * 20 * 0.8);
+}
+
 TEST_F(dispatch_test, start_under_the_same_id_begins_without_a_past)
 {
     for (auto const* it : {"a", "b", "c"})
@@ -312,6 +409,25 @@
         target_state::trusted);
 }
 
+TEST_F(dispatch_test, ejected_target_nobody_tries_gets_a_less_urgent_request)
+{
+    add("well-1");
+    add("well-2");
+    add("well-3");
+    add("ill");
+    adopt();
+    attempt("ill", attempt_result::server_error);
+    dispatcher_.overdue(record("ill"), clock_.now());
+    ASSERT_EQ(dispatcher_.find(target_id("ill"))->health().state(),
+        target_state::ejected);
+    // A service that fails needs every target that may be well again.
+    for (int it = 0; it < 50; ++it)
+        dispatcher_.note_end(service_id("shop"), false);
+    clock_.advance(1900ms);
+    EXPECT_NE(placed(ask(0)), "ill");
+    EXPECT_EQ(placed(ask(2)), "ill");
+}
+
 TEST_F(dispatch_test, least_urgent_requests_are_not_shut_out_under_overload)
 {
     add("t", "east", 1);
