Count a data centre once in what VMs report; split the log lines from requests

A data centre whose hub changed was counted twice in the report ledger, under both hubs' names, and what a silent VM had let through was counted in full for seconds after it had left the window.

Change: the ledger's source is the data centre; grants of silent sources fade with the window.

Tests: a data centre whose hub changes, and grants that leave the window; both failed before.

--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -285,14 +285,13 @@
         question.is_idle = !is_busy();
         question.report = std::move(report);
         environment_.send_sync(hub->record.peers_address, question,
-            [this, asked = hub_, asked_at = environment_.now(), patient](
+            [this, asked = hub_, asked_at = environment_.now()](
                 sync_reply reply) {
-                hub_answered(asked, std::move(reply), asked_at, patient);
+                hub_answered(asked, std::move(reply), asked_at);
             });
     }
 
-    void hub_answered(
-        vm_id const& asked, sync_reply reply, time_point asked_at, bool patient)
+    void hub_answered(vm_id const& asked, sync_reply reply, time_point asked_at)
     {
         sync_under_way_ = false;
         auto const now = environment_.now();
@@ -382,7 +381,7 @@
         question.members_source = distant_members_[data_centre].first;
         question.members_sequence = distant_members_[data_centre].second;
         question.patience = exchange_patience;
-        question.report = desk_.for_distant(hub->vm.text());
+        question.report = desk_.for_distant(data_centre);
         environment_.send_sync(hub->peers_address, question,
             [this, data_centre, hub = hub->vm, asked_at = now](
                 sync_reply reply) {
@@ -407,7 +406,7 @@
                 return it.record.data_centre != data_centre;
             });
         }
-        desk_.take_distant(hub.text(), reply.others, now);
+        desk_.take_distant(data_centre, reply.others, now);
         take_reply(std::move(reply), asked_at);
     }
 
--- a/servers/control/hub_desk.cpp
+++ b/servers/control/hub_desk.cpp
@@ -12,6 +12,18 @@
     return relation == sync_relation::hub;
 }
 
+/// A data centre is one source, whichever of its VMs is the hub.
+std::string source_of(data_centre_id const& data_centre)
+{
+    return "data centre " + data_centre.text();
+}
+
+std::string source_of(sync_question const& question)
+{
+    return is_distant(question.relation) ? source_of(question.from.data_centre)
+                                         : question.from.vm.text();
+}
+
 } // namespace
 
 void hub_desk::answer(
@@ -20,7 +32,7 @@
     if (!is_distant(question.relation))
         last_asked_ = now;
     members_.heard(question.from, question.report.load, question.patience, now);
-    ledger_.take(question.from.vm.text(), is_distant(question.relation),
+    ledger_.take(source_of(question), is_distant(question.relation),
         std::move(question.report), now);
     question.report = {};
     answer_waiting(now);
@@ -37,8 +49,7 @@
         question.closures_revision < knowledge_.closures().revision ||
         question.members_source != self_.incarnation ||
         question.members_sequence < members_.sequence() ||
-        (!question.is_idle &&
-            ledger_.has_failures_for(question.from.vm.text()));
+        (!question.is_idle && ledger_.has_failures_for(source_of(question)));
 }
 
 sync_reply hub_desk::make_reply(sync_question const& question, time_point now)
@@ -60,8 +71,8 @@
         knowledge_.targets().changes_after(question.targets_revision);
     if (question.closures_revision < knowledge_.closures().revision)
         reply.closures = knowledge_.closures();
-    reply.others = ledger_.for_reader(
-        question.from.vm.text(), is_distant(question.relation));
+    reply.others =
+        ledger_.for_reader(source_of(question), is_distant(question.relation));
     // A VM without traffic has no use for what is seen of targets.
     if (question.is_idle)
         reply.others.targets.clear();
@@ -97,15 +108,15 @@
     return ledger_.for_reader(name, false);
 }
 
-traffic_report hub_desk::for_distant(std::string const& hub)
+traffic_report hub_desk::for_distant(data_centre_id const& data_centre)
 {
-    return ledger_.for_reader(hub, true);
+    return ledger_.for_reader(source_of(data_centre), true);
 }
 
 void hub_desk::take_distant(
-    std::string const& hub, traffic_report report, time_point now)
+    data_centre_id const& data_centre, traffic_report report, time_point now)
 {
-    ledger_.take(hub, true, std::move(report), now);
+    ledger_.take(source_of(data_centre), true, std::move(report), now);
     answer_waiting(now);
 }
 
--- a/servers/control/hub_desk.hpp
+++ b/servers/control/hub_desk.hpp
@@ -35,11 +35,11 @@
     traffic_report exchange_own(traffic_report report, time_point now);
 
     /// What the VMs of this data centre report, for another one's hub.
-    traffic_report for_distant(std::string const& hub);
+    traffic_report for_distant(data_centre_id const& data_centre);
 
     /// Takes what another data centre's hub reports.
-    void take_distant(
-        std::string const& hub, traffic_report report, time_point now);
+    void take_distant(data_centre_id const& data_centre, traffic_report report,
+        time_point now);
 
     /// Whether this VM reaches the store, as far as it tries.
     void set_store_reached(bool reached) { store_reached_ = reached; }
--- a/servers/exchange/fleet_reports.cpp
+++ b/servers/exchange/fleet_reports.cpp
@@ -16,6 +16,9 @@
 constexpr duration near_memory = std::chrono::seconds(8);
 constexpr duration distant_memory = std::chrono::seconds(20);
 
+/// The window of limits, over which grants are counted.
+constexpr double window_seconds = 5;
+
 void add_suspect(std::vector<poison_suspect>& to, poison_suspect const& it)
 {
     auto const same = std::find_if(to.begin(), to.end(),
@@ -56,6 +59,9 @@
     it.distant = distant;
     it.heard_at = now;
     it.last = std::move(report);
+    it.granted.clear();
+    for (auto const& [organisation, counts] : it.last.organisations)
+        it.granted.emplace(organisation, counts.granted);
     spread(source, it);
     // The news have been spread; what remains are counts.
     for (auto& [target, counts] : it.last.targets)
@@ -101,6 +107,18 @@
             });
 }
 
+/// What a silent source let through leaves the window as time passes; what
+/// it may let through meanwhile is bounded by its share.
+void report_ledger::fade_grants(source_entry& it, time_point now)
+{
+    auto const left = 1 - to_seconds(now - it.heard_at) / window_seconds;
+    for (auto& [organisation, report] : it.last.organisations) {
+        auto const reported = it.granted.find(organisation);
+        if (reported != it.granted.end())
+            report.granted = reported->second * std::max(left, 0.0);
+    }
+}
+
 void report_ledger::expire(time_point now)
 {
     absl::erase_if(sources_, [&](auto const& it) {
@@ -108,6 +126,7 @@
         return silence > (it.second.distant ? distant_memory : near_memory);
     });
     for (auto& [name, it] : sources_) {
+        fade_grants(it, now);
         if (now - it.heard_at <= traffic_patience)
             continue;
         it.last.targets.clear();
--- a/servers/exchange/fleet_reports.hpp
+++ b/servers/exchange/fleet_reports.hpp
@@ -100,12 +100,15 @@
     {
         bool distant = false;
         traffic_report last;
+        /// What it had let through when it was last heard.
+        text_map<double> granted;
         /// News of others that this source has not been told yet.
         text_map<target_report> untold;
         time_point heard_at{};
     };
 
     void spread(std::string const& from, source_entry const& entry);
+    static void fade_grants(source_entry& it, time_point now);
 
     text_map<source_entry> sources_;
 };
--- a/servers/requests/attempt.hpp
+++ b/servers/requests/attempt.hpp
@@ -2,6 +2,7 @@
 #define POMELOHINGE_SERVERS_REQUESTS_ATTEMPT_HPP
 
 #include "core/name_table.hpp"
+#include "servers/requests/refusal.hpp"
 #include "servers/requests/request.hpp"
 #include "servers/targets/target_catalogue.hpp"
 
@@ -85,6 +86,14 @@
     bool echoes_request_id = true;
 };
 
+/// What a target gets of a request, with the time that it has.
+upstream_order make_order(entry_message const& message,
+    admitted_request const& admitted, duration time_limit);
+
+/// What a caller is told if an attempt that ended so is not repeated.
+/// `may_have_run` tells whether any attempt may have run.
+refusal refusal_after(attempt_result result, bool may_have_run);
+
 /// The end of one attempt.
 struct attempt_end
 {
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -3,10 +3,10 @@
 
 #include "core/chart.hpp"
 #include "core/invariant.hpp"
-#include "core/log.hpp"
 #include "servers/requests/entry_environment.hpp"
 #include "servers/requests/repeat_guard.hpp"
 #include "servers/requests/request_chart.hpp"
+#include "servers/requests/request_log.hpp"
 
 #include <algorithm>
 #include <memory>
@@ -171,7 +171,10 @@
             refused == nullptr || refused->result != outcome::not_run ||
                 !(may_have_run_ || under_way_),
             message_.head.request_id);
-        log_end(result);
+        log_ended(message_.head.request_id, result,
+            {admitted_.organisation, admitted_.service, target_.id,
+                trace_.attempts, environment_.now() - started_at_,
+                admitted_.time_limit, admitted_.goal});
         auto const* const whole = std::get_if<upstream_answer>(&result);
         if (!admitted_.service.empty())
             state().targets.note_end(admitted_.service,
@@ -180,30 +183,6 @@
             callback(std::move(result));
     }
 
-    void log_end(entry_result const& result)
-    {
-        auto const ms = to_milliseconds(environment_.now() - started_at_);
-        if (auto const* const it = std::get_if<refusal>(&result)) {
-            log(log_event::request_refused,
-                {{"request", message_.head.request_id},
-                    {"kind", to_name(it->kind)},
-                    {"outcome", to_name(it->result)}, {"detail", it->detail},
-                    {"organisation", admitted_.organisation.text()},
-                    {"service", admitted_.service.text()},
-                    {"attempts", trace_.attempts}, {"ms", ms},
-                    {"limit_ms", to_milliseconds(admitted_.time_limit)}});
-            return;
-        }
-        if (auto const* const it = std::get_if<upstream_answer>(&result))
-            log(log_event::request_answered,
-                {{"request", message_.head.request_id}, {"status", it->status},
-                    {"target", target_.id.text()},
-                    {"organisation", admitted_.organisation.text()},
-                    {"service", admitted_.service.text()},
-                    {"attempts", trace_.attempts}, {"ms", ms},
-                    {"goal_ms", to_milliseconds(admitted_.goal)}});
-    }
-
     void refuse(refusal_kind kind, std::string detail,
         std::optional<duration> retry_after = {})
     {
@@ -236,11 +215,8 @@
 
     void refuse_stale()
     {
-        log(log_event::configuration_stale,
-            {{"request", message_.head.request_id},
-                {"read_age_ms",
-                    to_milliseconds(
-                        environment_.now() - environment_.read_at())}});
+        log_stale(message_.head.request_id,
+            environment_.now() - environment_.read_at());
         refuse(refusal_kind::not_ready,
             "the configuration was not confirmed for too long", short_wait);
     }
@@ -323,13 +299,8 @@
                 if (life_.state() == request_state::charging)
                     ask_charge();
             }));
-        log(log_event::rate_used_up,
-            {{"request", message_.head.request_id},
-                {"organisation", admitted_.organisation.text()},
-                {"rate", rate->requests_per_second}, {"burst", rate->burst},
-                {"share", verdict.share}, {"demand", verdict.demand},
-                {"demand_elsewhere", verdict.others},
-                {"granted_by_all", verdict.granted_by_all}});
+        log_rate_used_up(
+            message_.head.request_id, admitted_.organisation, *rate, verdict);
         refuse(refusal_kind::rate_exceeded,
             "the organisation's rate and burst are used up",
             verdict.retry_after);
@@ -435,9 +406,12 @@
         is_late_ = false;
         sent_at_ = now;
         auto const number = trace_.attempts;
-        log_sent(left);
+        log_sent(message_.head.request_id,
+            {number, target_, reason_,
+                environment_.current_policy()->index->version,
+                now - environment_.read_at(), trace_.queue_time, left});
         attempt_ = environment_.send_upstream(target_,
-            make_order(left - answer_reserve),
+            make_order(message_, admitted_, left - answer_reserve),
             guarded([this, number](attempt_end it) {
                 if (number == trace_.attempts)
                     attempt_ended(std::move(it));
@@ -445,47 +419,12 @@
         watch_attempt(number);
     }
 
-    void log_sent(duration left)
-    {
-        log(log_event::request_sent,
-            {{"request", message_.head.request_id},
-                {"attempt", trace_.attempts}, {"target", target_.id.text()},
-                {"target_revision", target_.revision},
-                {"state", to_name(reason_.state)},
-                {"in_flight", reason_.in_flight},
-                {"in_flight_elsewhere", reason_.in_flight_elsewhere},
-                {"candidates", reason_.candidates},
-                {"near", reason_.near ? 1 : 0},
-                {"configuration",
-                    environment_.current_policy()->index->version},
-                {"read_age_ms",
-                    to_milliseconds(sent_at_ - environment_.read_at())},
-                {"queued_ms", to_milliseconds(trace_.queue_time)},
-                {"left_ms", to_milliseconds(left)}});
-    }
-
     void give_target_back(time_point now)
     {
         state().targets.ended(
             target_, attempt_result::cancelled, duration::zero(), now);
     }
 
-    upstream_order make_order(duration time_limit)
-    {
-        upstream_order order;
-        order.request_id = message_.head.request_id;
-        order.method = message_.head.method;
-        order.host = message_.head.host;
-        order.path = admitted_.path;
-        order.organisation = admitted_.organisation;
-        order.time_limit = time_limit;
-        order.idempotent = admitted_.idempotent;
-        order.echoes_request_id = admitted_.echoes_request_id;
-        order.headers = message_.headers;
-        order.body = message_.body;
-        return order;
-    }
-
     /// Plans what follows while the target does not answer.
     void watch_attempt(std::size_t number)
     {
@@ -528,19 +467,15 @@
         if (!under_way_)
             return;
         auto const now = environment_.now();
-        log(log_event::attempt_ended,
-            {{"request", message_.head.request_id},
-                {"attempt", trace_.attempts}, {"target", target_.id.text()},
-                {"result", to_name(it.result)}, {"status", it.answer.status},
-                {"reused", it.reused ? 1 : 0},
-                {"ms", to_milliseconds(now - sent_at_)}});
+        log_attempt_ended(message_.head.request_id, trace_.attempts, target_.id,
+            it, now - sent_at_);
         last_result_ = it.result;
         note_end(it.result);
         answer_ = std::move(it.answer);
         settle_attempt(it.result);
         if (last_result_ == attempt_result::answered)
             return fire(request_event::answer);
-        plan_refusal();
+        refusal_ = refusal_after(last_result_, may_have_run_);
         fire(check_answer_is_final() ? request_event::answer
                                      : request_event::failed);
     }
@@ -567,24 +502,6 @@
                     admitted_.service.text(), environment_.now()));
     }
 
-    /// What is answered if the attempt is not repeated.
-    void plan_refusal()
-    {
-        if (last_result_ == attempt_result::timed_out) {
-            refusal_ = {refusal_kind::deadline_passed, outcome::unknown,
-                "the target did not answer in time", {}};
-        } else if (may_have_run_) {
-            refusal_ = {refusal_kind::upstream_failed, outcome::unknown,
-                "the attempt ended as " + std::string(to_name(last_result_)),
-                {}};
-        } else {
-            refusal_ = {refusal_kind::overloaded, outcome::not_run,
-                "the attempt ended as " + std::string(to_name(last_result_)),
-                std::chrono::duration_cast<std::chrono::milliseconds>(
-                    short_wait)};
-        }
-    }
-
     bool may_retry()
     {
         bool const harmless =
--- /dev/null
+++ b/servers/requests/request_log.cpp
@@ -0,0 +1,87 @@
+#include "servers/requests/request_log.hpp"
+
+#include "core/log.hpp"
+
+namespace pomelohinge {
+namespace {
+
+void log_refused(
+    std::string const& request, refusal const& it, request_end const& end)
+{
+    log(log_event::request_refused,
+        {{"request", request}, {"kind", to_name(it.kind)},
+            {"outcome", to_name(it.result)}, {"detail", it.detail},
+            {"organisation", end.organisation.text()},
+            {"service", end.service.text()}, {"attempts", end.attempts},
+            {"ms", to_milliseconds(end.took)},
+            {"limit_ms", to_milliseconds(end.limit)}});
+}
+
+void log_answered(std::string const& request, upstream_answer const& it,
+    request_end const& end)
+{
+    log(log_event::request_answered,
+        {{"request", request}, {"status", it.status},
+            {"target", end.target.text()},
+            {"organisation", end.organisation.text()},
+            {"service", end.service.text()}, {"attempts", end.attempts},
+            {"ms", to_milliseconds(end.took)},
+            {"goal_ms", to_milliseconds(end.goal)}});
+}
+
+} // namespace
+
+void log_sent(std::string const& request, sent_attempt const& it)
+{
+    log(log_event::request_sent,
+        {{"request", request}, {"attempt", it.number},
+            {"target", it.target.id.text()},
+            {"target_revision", it.target.revision},
+            {"state", to_name(it.reason.state)},
+            {"in_flight", it.reason.in_flight},
+            {"in_flight_elsewhere", it.reason.in_flight_elsewhere},
+            {"candidates", it.reason.candidates},
+            {"near", it.reason.near ? 1 : 0},
+            {"configuration", it.configuration},
+            {"read_age_ms", to_milliseconds(it.read_age)},
+            {"queued_ms", to_milliseconds(it.queued)},
+            {"left_ms", to_milliseconds(it.left)}});
+}
+
+void log_attempt_ended(std::string const& request, std::size_t number,
+    target_id const& target, attempt_end const& end, duration took)
+{
+    log(log_event::attempt_ended,
+        {{"request", request}, {"attempt", number}, {"target", target.text()},
+            {"result", to_name(end.result)}, {"status", end.answer.status},
+            {"reused", end.reused ? 1 : 0}, {"ms", to_milliseconds(took)}});
+}
+
+void log_ended(std::string const& request, entry_result const& result,
+    request_end const& end)
+{
+    if (auto const* const it = std::get_if<refusal>(&result))
+        log_refused(request, *it, end);
+    else if (auto const* const it = std::get_if<upstream_answer>(&result))
+        log_answered(request, *it, end);
+}
+
+void log_rate_used_up(std::string const& request,
+    organisation_id const& organisation, rate_object const& rate,
+    charge_verdict const& verdict)
+{
+    log(log_event::rate_used_up,
+        {{"request", request}, {"organisation", organisation.text()},
+            {"rate", rate.requests_per_second}, {"burst", rate.burst},
+            {"share", verdict.share}, {"demand", verdict.demand},
+            {"demand_elsewhere", verdict.others},
+            {"granted_by_all", verdict.granted_by_all}});
+}
+
+void log_stale(std::string const& request, duration read_age)
+{
+    log(log_event::configuration_stale,
+        {{"request", request}, {"read_age_ms", to_milliseconds(read_age)}});
+}
+
+} // namespace pomelohinge
--- a/tests/servers/control_test.cpp
+++ b/tests/servers/control_test.cpp
@@ -292,6 +292,22 @@
     EXPECT_TRUE(ledger_.for_reader("b", false).organisations.empty());
 }
 
+TEST_F(ledger_test, grants_of_a_silent_source_leave_the_window)
+{
+    traffic_report it;
+    it.organisations["pub"] = organisation_report{10, 40};
+    ledger_.take("a", false, it, clock_.now());
+    auto const granted = [&] {
+        ledger_.expire(clock_.now());
+        return ledger_.for_reader("b", false).organisations.at("pub").granted;
+    };
+    EXPECT_DOUBLE_EQ(granted(), 40);
+    clock_.advance(2500ms);
+    EXPECT_DOUBLE_EQ(granted(), 20);
+    clock_.advance(3s);
+    EXPECT_DOUBLE_EQ(granted(), 0);
+}
+
 class desk_test : public testing::Test
 {
 protected:
@@ -332,6 +348,22 @@
     EXPECT_EQ(answers, 1);
 }
 
+TEST_F(desk_test, data_centre_whose_hub_changes_is_counted_once)
+{
+    auto ask = [&](std::string name) {
+        auto it = question(0s);
+        it.from = make_vm(std::move(name), "west");
+        it.relation = sync_relation::hub;
+        it.report.organisations["pub"] = organisation_report{30, 60};
+        desk_.answer(it, clock_.now(), [](sync_reply const&) {});
+    };
+    ask("w1");
+    ask("w2");
+    auto const others = desk_.exchange_own({}, clock_.now());
+    EXPECT_DOUBLE_EQ(others.organisations.at("pub").demand, 30);
+    EXPECT_DOUBLE_EQ(others.organisations.at("pub").granted, 60);
+}
+
 TEST_F(desk_test, question_is_answered_when_its_wait_is_over)
 {
     int answers = 0;
