Let through what all together leave of a rate; leave replaced targets alone

Change: an empty bucket lets a request through while all threads were heard within 1.2 s, are asked for less than the rate and have let through less than 0.85 of it within the window. A thread that has just begun to hear keeps to an even share, one that hears nothing to the share it had. A target that answers as another one is left out until its record changes.

--- a/drivers/peers/codec.cpp
+++ b/drivers/peers/codec.cpp
@@ -81,6 +81,7 @@
     }
     to.set_load(from.load);
     to.set_entries(from.entries);
+    to.set_partial(from.partial);
 }
 
 traffic_report from_wire(wire::Report const& from)
@@ -97,6 +98,7 @@
             {it.fingerprint(), it.crashes(), from_microseconds(it.age_us())});
     report.load = from.load();
     report.entries = from.entries();
+    report.partial = from.partial();
     return report;
 }
 
--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -229,6 +229,8 @@
     service.ends.add(now);
     if (auto* const it = current(target)) {
         it->ended();
+        if (result == attempt_result::misdirected)
+            it->set_replaced();
         if (is_evidence(result))
             note(*it, event_of(result), now);
     }
--- a/servers/dispatch/traffic_target.cpp
+++ b/servers/dispatch/traffic_target.cpp
@@ -14,6 +14,13 @@
 
 } // namespace
 
+void traffic_target::set_record(target_record record)
+{
+    if (record.address != record_.address)
+        replaced_ = false;
+    record_ = std::move(record);
+}
+
 void traffic_target::set_cold_rate(std::optional<double> rate, time_point now)
 {
     if (!rate) {
--- a/servers/dispatch/traffic_target.hpp
+++ b/servers/dispatch/traffic_target.hpp
@@ -23,12 +23,16 @@
     target_health const& health() const { return health_; }
 
     /// Takes a later record of the same start.
-    void set_record(target_record record) { record_ = std::move(record); }
+    void set_record(target_record record);
 
     /// Whether the target may get new work at all.
-    bool open() const { return open_; }
+    bool open() const { return open_ && !replaced_; }
     void set_open(bool open) { open_ = open; }
 
+    /// Another target answers at its address: this one is gone, though the
+    /// list does not say so yet.
+    void set_replaced() { replaced_ = true; }
+
     bool is_cold(time_point now) const { return now < record_.cold_until; }
 
     /// Sets how many requests a second this thread may send while the target
@@ -63,6 +67,7 @@
     target_record record_;
     target_health health_;
     bool open_ = true;
+    bool replaced_ = false;
     std::int64_t in_flight_ = 0;
     std::int64_t others_ = 0;
     std::int64_t late_ = 0;
--- a/servers/exchange/fleet_reports.cpp
+++ b/servers/exchange/fleet_reports.cpp
@@ -11,6 +11,10 @@
 /// A source that was silent for so long is taken to have nothing under way.
 constexpr duration traffic_patience = std::chrono::milliseconds(2500);
 
+/// A source that lets requests through and was silent for so long may have
+/// let through more than is known. Sources report several times within it.
+constexpr duration counting_patience = std::chrono::milliseconds(1200);
+
 /// How long what a silent source let through is remembered. Another data
 /// centre may be cut off from this one alone and serve for longer.
 constexpr duration near_memory = std::chrono::seconds(8);
@@ -49,6 +53,7 @@
     for (auto const& it : other.suspects)
         add_suspect(suspects, it);
     load += other.load;
+    partial |= other.partial;
     entries += other.entries;
 }
 
@@ -58,6 +63,7 @@
     auto& it = sources_[source];
     it.distant = distant;
     it.heard_at = now;
+    it.silent = false;
     it.last = std::move(report);
     it.granted.clear();
     for (auto const& [organisation, counts] : it.last.organisations)
@@ -83,9 +89,12 @@
     std::string const& reader, bool distant)
 {
     traffic_report told;
-    for (auto const& [name, it] : sources_)
-        if (name != reader && !(distant && it.distant))
-            told.add(it.last);
+    for (auto const& [name, it] : sources_) {
+        if (name == reader || (distant && it.distant))
+            continue;
+        told.add(it.last);
+        told.partial |= it.silent;
+    }
     auto const own = sources_.find(reader);
     if (own != sources_.end()) {
         for (auto const& [target, news] : own->second.untold)
@@ -127,6 +136,8 @@
     });
     for (auto& [name, it] : sources_) {
         fade_grants(it, now);
+        it.silent = now - it.heard_at > counting_patience &&
+            !it.last.organisations.empty();
         if (now - it.heard_at <= traffic_patience)
             continue;
         it.last.targets.clear();
--- a/servers/exchange/fleet_reports.hpp
+++ b/servers/exchange/fleet_reports.hpp
@@ -65,6 +65,8 @@
     double load = 0;
     /// VMs that take requests from callers; 1 for a VM, 0 if it takes none.
     std::uint32_t entries = 0;
+    /// Some VMs that may still let requests through were not heard lately.
+    bool partial = false;
 
     /// Takes over counts, and news since the last report.
     void add(traffic_report const& other);
@@ -105,6 +107,8 @@
         /// News of others that this source has not been told yet.
         text_map<target_report> untold;
         time_point heard_at{};
+        /// It may let requests through of which nothing is known.
+        bool silent = false;
     };
 
     void spread(std::string const& from, source_entry const& entry);
--- a/servers/limits/organisation_limits.cpp
+++ b/servers/limits/organisation_limits.cpp
@@ -1,6 +1,7 @@
 #include "servers/limits/organisation_limits.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace pomelohinge {
@@ -10,9 +11,22 @@
 /// can begin to serve.
 constexpr double even_part = 0.05;
 
-/// Word from the others counts for so long. Then a thread keeps to an even
-/// share.
-constexpr duration word_patience = std::chrono::seconds(3);
+/// Word from the others counts for so long. Then a thread keeps the share it
+/// had when it last heard, and after a while an even share at most.
+constexpr duration word_patience = std::chrono::seconds(1);
+constexpr duration share_memory = std::chrono::seconds(3);
+
+/// A thread that has just begun to hear from the others cannot tell yet what
+/// all are asked for.
+constexpr duration settling_time = std::chrono::milliseconds(500);
+
+/// A demand within the rate is measured as higher at times: requests a second
+/// scatter about as their number's square root.
+constexpr double noise_factor = 1.5;
+
+/// Part of the rate, over the window, that all together must stay below for
+/// that. The rest is for what several threads let through at the same time.
+constexpr double spare_part = 0.85;
 
 /// A part that was not used for so long is forgotten.
 constexpr duration idle_memory = std::chrono::seconds(60);
@@ -26,11 +40,31 @@
     part const& it, rate_object const& rate, time_point now) const
 {
     auto const n = static_cast<double>(std::max<std::size_t>(entries_, 1));
+    bool const never_heard = heard_at_ == time_point{};
+    if (never_heard || now - heard_at_ > share_memory)
+        return std::min(it.told_share > 0 ? it.told_share : 1.0, 1.0 / n);
     if (now - heard_at_ > word_patience)
-        return std::min(it.share > 0 ? it.share : 1.0, 1.0 / n);
+        return it.told_share > 0 ? it.told_share : 1.0 / n;
     auto const even = rate.requests_per_second * even_part;
     auto const own = it.demand.per_second(now);
-    return (own + even / n) / (own + it.others.demand + even);
+    auto const asked = (own + even / n) / (own + it.others.demand + even);
+    if (now - first_heard_at_ < settling_time)
+        return std::min(asked, 1 / n);
+    // What silent threads are asked for may have grown like the rest, so
+    // theirs of a rate that is used up is left to them.
+    bool const used_up = own + it.others.demand > rate.requests_per_second;
+    return !heard_all_ && used_up ? std::min(asked, it.whole_share) : asked;
+}
+
+bool organisation_limits::fleet_has_spare(part const& it,
+    rate_object const& rate, double granted_by_all, time_point now) const
+{
+    bool const knows_all = heard_all_ && now - heard_at_ <= word_patience &&
+        now - first_heard_at_ >= settling_time;
+    auto const& per_second = rate.requests_per_second;
+    auto const usual = per_second + noise_factor * std::sqrt(per_second);
+    return knows_all && it.demand.per_second(now) + it.others.demand <= usual &&
+        granted_by_all + 1 <= per_second * to_seconds(window) * spare_part;
 }
 
 charge_verdict organisation_limits::charge(
@@ -57,7 +91,8 @@
         verdict.retry_after = from_seconds(1 / rate.requests_per_second);
         return verdict;
     }
-    verdict.granted = it.bucket.take(now);
+    verdict.granted =
+        it.bucket.take(now) || fleet_has_spare(it, rate, by_all, now);
     if (verdict.granted)
         it.grants.add(now);
     else
@@ -75,15 +110,21 @@
     it->second.grants.add(now, -1);
 }
 
-void organisation_limits::others(text_map<organisation_report> const& reports,
-    std::size_t entries, time_point now)
+void organisation_limits::others(traffic_report const& told, time_point now)
 {
-    entries_ = std::max<std::size_t>(entries, 1);
+    auto const& reports = told.organisations;
+    entries_ = told.entries + 1;
     heard_at_ = now;
+    if (first_heard_at_ == time_point{})
+        first_heard_at_ = now;
+    heard_all_ = !told.partial;
     for (auto& [name, it] : parts_) {
         auto const other = reports.find(name);
         it.others =
             other == reports.end() ? organisation_report{} : other->second;
+        it.told_share = it.share;
+        if (heard_all_)
+            it.whole_share = it.share;
     }
     for (auto const& [name, report] : reports)
         parts_[name].others = report;
--- a/servers/limits/organisation_limits.hpp
+++ b/servers/limits/organisation_limits.hpp
@@ -31,6 +31,9 @@
 /// Since a bucket holds a whole token at least, many threads together may
 /// hold more than the burst; so each also stops when all of them, as far as
 /// it knows, have let through what rate and burst allow within the window.
+/// And since few requests at a thread come at uneven times, one that finds its
+/// bucket empty is let through while all threads were heard lately, are asked
+/// for less than the rate and have let through clearly less.
 class organisation_limits
 {
 public:
@@ -44,9 +47,8 @@
     /// Gives back a token whose request went to no target.
     void refund(std::string const& organisation, time_point now);
 
-    /// What all others report, and how many take requests in all.
-    void others(text_map<organisation_report> const& reports,
-        std::size_t entries, time_point now);
+    /// What all others report.
+    void others(traffic_report const& told, time_point now);
 
     text_map<organisation_report> make_report(time_point now);
 
@@ -63,6 +65,10 @@
         window_counter grants{window};
         organisation_report others;
         double share = 0;
+        /// The share when the others were last heard.
+        double told_share = 0;
+        /// The share when all of them were last heard.
+        double whole_share = 0;
         bool filled = false;
         time_point used_at{};
     };
@@ -70,9 +76,14 @@
     double share_of(
         part const& it, rate_object const& rate, time_point now) const;
 
+    bool fleet_has_spare(part const& it, rate_object const& rate,
+        double granted_by_all, time_point now) const;
+
     text_map<part> parts_;
     std::size_t entries_ = 1;
+    time_point first_heard_at_{};
     time_point heard_at_{};
+    bool heard_all_ = false;
 };
 
 } // namespace pomelohinge
--- a/servers/requests/entry_state.cpp
+++ b/servers/requests/entry_state.cpp
@@ -25,7 +25,7 @@
 
 void entry_state::hear(traffic_report const& others, time_point now)
 {
-    limits.others(others.organisations, others.entries + 1, now);
+    limits.others(others, now);
     for (auto const& it : others.suspects)
         poison.told(it, now);
     targets.hear(others, now);
--- a/tests/servers/dispatch_test.cpp
+++ b/tests/servers/dispatch_test.cpp
@@ -409,6 +409,20 @@
         target_state::trusted);
 }
 
+TEST_F(dispatch_test, target_whose_address_another_has_gets_nothing_more)
+{
+    add("t1");
+    adopt();
+    EXPECT_EQ(placed(ask()), "t1");
+    end(last_, attempt_result::misdirected);
+    EXPECT_EQ(placed(ask()), "");
+    adopt();
+    EXPECT_EQ(placed(ask()), "");
+    records_.front().address = "10.0.0.2:80";
+    adopt();
+    EXPECT_EQ(placed(ask()), "t1");
+}
+
 TEST_F(dispatch_test, ejected_target_nobody_tries_gets_a_less_urgent_request)
 {
     add("well-1");
