Keep more targets in use than the floor asks for

At a low load the picker prefers what has just answered, by 3 x 0.07 of doubt against a third of a slot, and tries what it suspects after 4 s.

Change: when less than the floor and a tenth of a data centre's targets were in use within 1.4 s, the least doubted of the others gets the next request, a suspected one only a request that is not among the most urgent.

Ruled out: the shorter patience for suspects alone; it starts from what a thread's own last fifty requests saw, which lags the rule's two seconds.

Test: ten requests a second over ten targets; all ten windows were below the floor before, none is now.

--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -21,6 +21,13 @@
 constexpr duration short_untried_time = std::chrono::milliseconds(1300);
 constexpr double failing_service_share = 0.06;
 
+/// A target counts as used for so long after anything was heard of a request
+/// there; by the floor's rule it is two seconds, less what reports take.
+constexpr duration use_memory = std::chrono::milliseconds(1400);
+
+/// Kept above the floor, since threads see what the others do with delay.
+constexpr double floor_margin = 0.1;
+
 /// Weight of one request in the share of those that were not served.
 constexpr double unserved_weight = 0.02;
 
@@ -319,6 +326,37 @@
     return longest;
 }
 
+/// A target that brings the share of those in use above the floor. The load
+/// alone leaves few in use when it is low: what has answered just now is
+/// preferred, and what is doubted is avoided.
+traffic_target* dispatcher::choose_for_floor(
+    service_state& service, placement_question const& question, time_point now)
+{
+    double open = 0;
+    double used = 0;
+    traffic_target* best = nullptr;
+    for (auto* it : service.targets) {
+        if (!it->open() || it->record().data_centre != data_centre_)
+            continue;
+        ++open;
+        if (it->in_flight() > 0 || it->others() > 0 ||
+            now - it->health().tried_at() < use_memory) {
+            ++used;
+            continue;
+        }
+        bool const better = best == nullptr ||
+            it->health().doubt_at(now) < best->health().doubt_at(now);
+        if (better && !was_tried(question, it->record().id) &&
+            it->has_room(now))
+            best = it;
+    }
+    if (best == nullptr || used >= (floor_ + floor_margin) * open)
+        return nullptr;
+    bool const risky = best->health().state() != target_state::trusted;
+    return risky && is_most_urgent(service, question.priority, now) ? nullptr
+                                                                    : best;
+}
+
 /// Whether only more urgent requests than the others lose by a trial; where
 /// all are alike, none is.
 bool dispatcher::is_most_urgent(
@@ -357,6 +395,8 @@
         return it;
     if (auto* const it = choose_untried(service, question, now))
         return it;
+    if (auto* const it = choose_for_floor(service, question, now))
+        return it;
     if (auto* const it =
             choose_up_to(target_state::suspect, service, question, now))
         return it;
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -178,6 +178,8 @@
         placement_question const& question, time_point now);
     traffic_target* choose_untried(service_state& service,
         placement_question const& question, time_point now);
+    traffic_target* choose_for_floor(service_state& service,
+        placement_question const& question, time_point now);
     double usual_failures(service_id const& service) const
     {
         return latencies_.baseline(service).failures;
--- a/tests/servers/dispatch_test.cpp
+++ b/tests/servers/dispatch_test.cpp
@@ -409,6 +409,31 @@
         target_state::trusted);
 }
 
+TEST_F(dispatch_test, few_requests_use_more_targets_than_the_floor_asks_for)
+{
+    constexpr std::size_t n = 10;
+    constexpr double floor = 0.7;
+    dispatcher_.set_floor(floor);
+    for (std::size_t it = 0; it < n; ++it)
+        add("t" + std::to_string(it));
+    adopt();
+    for (int window = 0; window < 10; ++window) {
+        std::set<std::string> used;
+        // Ten requests a second for two seconds; every fifth is urgent, and
+        // one target fails whatever it gets.
+        for (int it = 0; it < 20; ++it) {
+            used.insert(placed(ask(it % 5 == 0 ? 0 : 1)));
+            clock_.advance(100ms);
+            end(last_,
+                last_.id.text() == "t3" ? attempt_result::server_error
+                                        : attempt_result::answered,
+                50ms);
+            dispatcher_.tick(clock_.now());
+        }
+        EXPECT_GE(static_cast<double>(used.size()), floor * n) << window;
+    }
+}
+
 TEST_F(dispatch_test, target_whose_address_another_has_gets_nothing_more)
 {
     add("t1");
