Tell other VMs what a watch missed; try an absent store by one kind of call

The deaf watch ended at the store's latest revision, so that VMs at that revision were told nothing when the next list showed the target leaving.

Change: a copy of the targets has a digest and the revision of its last list; a copy of the same revision that differs gets the whole list of the newer one. The parts of the retry budget grow only when the window has passed.

Tests: changes that a watch missed, lists of another VM, a closure made while the store was away, parts of VMs that are gone.

--- a/drivers/peers/codec.cpp
+++ b/drivers/peers/codec.cpp
@@ -137,6 +137,7 @@
     target_changes changes;
     changes.revision = from.revision();
     changes.whole = from.whole();
+    changes.listed = from.listed();
     for (auto const& it : from.put())
         changes.put.push_back(from_wire(it, now));
     for (auto const& it : from.removed())
@@ -152,7 +153,9 @@
     fill(*to.mutable_from(), question.from);
     to.set_relation(position(question.relation));
     to.set_configuration_version(question.configuration_version);
-    to.set_targets_revision(question.targets_revision);
+    to.set_targets_revision(question.targets.revision);
+    to.set_targets_listed(question.targets.listed);
+    to.set_targets_digest(question.targets.digest);
     to.set_closures_revision(question.closures_revision);
     to.set_members_source(question.members_source);
     to.set_members_sequence(question.members_sequence);
@@ -169,7 +172,8 @@
     question.from = from_wire(from.from());
     question.relation = at_position(from.relation(), sync_relation::member);
     question.configuration_version = from.configuration_version();
-    question.targets_revision = from.targets_revision();
+    question.targets = {
+        from.targets_revision(), from.targets_listed(), from.targets_digest()};
     question.closures_revision = from.closures_revision();
     question.members_source = from.members_source();
     question.members_sequence = from.members_sequence();
@@ -203,6 +207,7 @@
         auto& changes = *to.mutable_targets();
         changes.set_revision(reply.targets->revision);
         changes.set_whole(reply.targets->whole);
+        changes.set_listed(reply.targets->listed);
         for (auto const& it : reply.targets->put)
             fill(*changes.add_put(), it, now);
         for (auto const& it : reply.targets->removed)
--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -261,7 +261,7 @@
         question.from = self_;
         question.relation = relation;
         question.configuration_version = knowledge_.document().version;
-        question.targets_revision = knowledge_.targets().revision();
+        question.targets = knowledge_.targets().position();
         question.closures_revision = knowledge_.closures().revision;
         return question;
     }
--- a/servers/control/hub_desk.cpp
+++ b/servers/control/hub_desk.cpp
@@ -45,7 +45,7 @@
 bool hub_desk::has_news(sync_question const& question) const
 {
     return question.configuration_version < knowledge_.document().version ||
-        question.targets_revision < knowledge_.targets().revision() ||
+        knowledge_.targets().has_changes_after(question.targets) ||
         question.closures_revision < knowledge_.closures().revision ||
         question.members_source != self_.incarnation ||
         question.members_sequence < members_.sequence() ||
@@ -67,8 +67,7 @@
         reply.configuration.text = document.text;
     reply.read_age = knowledge_.read_age(now);
     reply.store_reached = store_reached_;
-    reply.targets =
-        knowledge_.targets().changes_after(question.targets_revision);
+    reply.targets = knowledge_.targets().changes_after(question.targets);
     if (question.closures_revision < knowledge_.closures().revision)
         reply.closures = knowledge_.closures();
     reply.others =
--- a/servers/control/store_reader.hpp
+++ b/servers/control/store_reader.hpp
@@ -34,8 +34,7 @@
         log(log_event::store_reading, {{"active", active ? 1 : 0}});
         if (!active)
             return;
-        configuration_.retry = targets_.retry = closures_.retry =
-            shortest_retry;
+        configuration_.retry = shortest_retry;
         read_configuration();
         list_targets();
         list_closures();
@@ -65,7 +64,7 @@
     static constexpr std::size_t targets_per_page = 500;
     /// Shortest wait after a failed call; it doubles up to the longest.
     static constexpr duration shortest_retry = std::chrono::milliseconds(250);
-    static constexpr duration longest_retry = std::chrono::milliseconds(1500);
+    static constexpr duration longest_retry = std::chrono::milliseconds(1000);
 
     /// Calls of one kind.
     struct calls
@@ -84,26 +83,30 @@
         return true;
     }
 
-    /// Ends a call. Returns whether it was answered; if not, `again` follows
-    /// after a while, drawn so that VMs do not come back to the store all at
-    /// once.
-    template <class Again>
-    bool end(calls& it, store_status status, Again again)
+    /// Ends a call. Returns whether it was answered. An absent store is tried
+    /// by reads of the configuration alone; the other calls follow once one
+    /// is answered.
+    bool end(calls& it, store_status status)
     {
         it.under_way = false;
         bool const done = status == store_status::done;
         note_reached(done, status);
-        if (done) {
+        if (done)
             it.retry = shortest_retry;
-            return true;
-        }
+        return done;
+    }
+
+    /// Reads the configuration again after a while, drawn so that VMs do not
+    /// come back to the store all at once.
+    void retry_configuration()
+    {
+        auto& it = configuration_;
         auto const spread = static_cast<std::uint64_t>(it.retry.count());
-        auto const wait = it.retry +
+        auto const wait = it.retry / 2 +
             duration(
                 static_cast<duration::rep>(environment_.random() % spread));
         it.retry = std::min(it.retry * 2, longest_retry);
-        later(it, wait, std::move(again));
-        return false;
+        later(it, wait, [this] { read_configuration(); });
     }
 
     template <class Work>
@@ -116,10 +119,13 @@
     {
         if (std::exchange(reached_, reached) == reached)
             return;
-        if (reached)
-            log(log_event::store_reached);
-        else
+        if (!reached) {
             log(log_event::store_unreachable, {{"status", to_name(status)}});
+            return;
+        }
+        log(log_event::store_reached);
+        list_targets();
+        list_closures();
     }
 
     // The configuration.
@@ -130,12 +136,12 @@
             return;
         environment_.read_configuration([this, asked_at = environment_.now()](
                                             configuration_reading reading) {
-            auto const again = [this] {
-                read_configuration();
-            };
-            if (!end(configuration_, reading.status, again))
+            if (!end(configuration_, reading.status)) {
+                retry_configuration();
                 return on_change_();
-            later(configuration_, configuration_period, again);
+            }
+            later(configuration_, configuration_period,
+                [this] { read_configuration(); });
             take_document(std::move(reading.document), asked_at);
         });
     }
@@ -170,7 +176,7 @@
         if (!begin(targets_))
             return;
         environment_.list_targets([this](targets_reading reading) {
-            if (!end(targets_, reading.status, [this] { list_targets(); }))
+            if (!end(targets_, reading.status))
                 return;
             auto const pages =
                 1 + reading.changes.put.size() / targets_per_page;
@@ -216,7 +222,7 @@
             targets_.under_way = false;
             return list_targets();
         }
-        if (!end(targets_, reading.status, [this] { list_targets(); }))
+        if (!end(targets_, reading.status))
             return;
         bool const changed =
             !reading.changes.put.empty() || !reading.changes.removed.empty();
@@ -233,12 +239,9 @@
         if (!begin(closures_))
             return;
         environment_.list_closures([this](closures_reading reading) {
-            auto const again = [this] {
-                list_closures();
-            };
-            if (!end(closures_, reading.status, again))
+            if (!end(closures_, reading.status))
                 return;
-            later(closures_, closures_period, again);
+            later(closures_, closures_period, [this] { list_closures(); });
             auto const revision = reading.closures.revision;
             if (!knowledge_.take_closures(std::move(reading.closures)))
                 return;
--- a/servers/exchange/sync.hpp
+++ b/servers/exchange/sync.hpp
@@ -51,7 +51,7 @@
     vm_record from;
     sync_relation relation = sync_relation::member;
     std::uint64_t configuration_version = 0;
-    std::uint64_t targets_revision = 0;
+    target_position targets;
     std::uint64_t closures_revision = 0;
     /// Which members are known: the hub's process and its sequence.
     std::uint64_t members_source = 0;
--- a/servers/requests/entry_state.cpp
+++ b/servers/requests/entry_state.cpp
@@ -19,7 +19,7 @@
         members.end(), [](auto const& it) { return it.entry; }));
     auto const n = entries > 0 ? entries : members.size();
     limits.expect_entries(n);
-    retries.set_entries(n);
+    retries.set_entries(n, now);
     targets.adopt(next, now);
 }
 
--- a/servers/retries/retry_budget.cpp
+++ b/servers/retries/retry_budget.cpp
@@ -48,7 +48,7 @@
         retries += slice.retries;
     }
     auto const allowed =
-        (bounds_.retry_ratio * requests + bounds_.retry_extra / entries_) *
+        (bounds_.retry_ratio * requests + bounds_.retry_extra / entries(now)) *
         used_part;
     return retries + 1 <= allowed;
 }
@@ -61,9 +61,20 @@
     return true;
 }
 
-void retry_budget::set_entries(std::size_t entries)
+void retry_budget::set_entries(std::size_t entries, time_point now)
 {
-    entries_ = static_cast<double>(std::max<std::size_t>(entries, 1));
+    auto const n = std::max<std::size_t>(entries, 1);
+    if (entries_ >= peak_entries_ || now >= peak_until_) {
+        peak_entries_ = entries_;
+        peak_until_ = now + bounds_.retry_window;
+    }
+    entries_ = n;
+}
+
+double retry_budget::entries(time_point now) const
+{
+    return static_cast<double>(
+        now < peak_until_ ? std::max(entries_, peak_entries_) : entries_);
 }
 
 } // namespace pomelohinge
--- a/servers/retries/retry_budget.hpp
+++ b/servers/retries/retry_budget.hpp
@@ -26,8 +26,10 @@
     /// Takes the right to one retry, if there is one.
     bool take(std::string const& service, time_point now);
 
-    /// Over how many VMs the extra retries are divided.
-    void set_entries(std::size_t entries);
+    /// Over how many VMs the extra retries are divided. What fewer VMs may
+    /// take counts only once the window has passed, since those before them
+    /// have used their parts of it.
+    void set_entries(std::size_t entries, time_point now);
 
 private:
     /// Counts of one slice of the window.
@@ -47,7 +49,12 @@
     void drop_old(history& it, time_point now) const;
 
     fleet_bounds bounds_;
-    double entries_ = 1;
+    double entries(time_point now) const;
+
+    std::size_t entries_ = 1;
+    /// The most VMs within the window, and until when they count.
+    std::size_t peak_entries_ = 1;
+    time_point peak_until_{};
     text_map<history> services_;
 };
 
--- a/servers/targets/target_mirror.cpp
+++ b/servers/targets/target_mirror.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <xxhash.h>
 
 namespace pomelohinge {
 namespace {
@@ -13,13 +14,15 @@
 
 bool target_mirror::take(target_changes changes)
 {
-    if (known_ && changes.revision < revision_)
+    if (known_ && changes.revision < position_.revision)
         return false;
     if (!known_ && !changes.whole)
         return false;
+    auto const listed = changes.listed == 0 ? changes.revision : changes.listed;
     bool changed = !known_;
-    if (changes.whole) {
+    if (changes.whole && listed >= position_.listed) {
         changed |= remove_unlisted(changes);
+        position_.listed = listed;
         if (!known_)
             removals_since_ = changes.revision;
     }
@@ -28,19 +31,47 @@
     for (auto const& it : changes.removed)
         changed |= remove(it, changes.revision);
     known_ = true;
-    revision_ = changes.revision;
+    position_.revision = changes.revision;
+    if (changed)
+        position_.digest = make_digest();
     return changed;
 }
 
+/// Who gives a list may have missed a removal that is known here.
+bool target_mirror::was_removed_after(target_record const& record) const
+{
+    return std::any_of(
+        removals_.begin(), removals_.end(), [&](tombstone const& it) {
+            return it.id == record.id && it.revision > record.revision;
+        });
+}
+
 bool target_mirror::put(target_record record)
 {
-    auto& held = records_[record.id];
-    if (held.revision >= record.revision && held.revision != 0)
+    auto const held = records_.find(record.id);
+    if (held == records_.end()) {
+        if (was_removed_after(record))
+            return false;
+        auto const id = record.id;
+        records_.emplace(id, std::move(record));
+        return true;
+    }
+    if (held->second.revision >= record.revision)
         return false;
-    held = std::move(record);
+    held->second = std::move(record);
     return true;
 }
 
+std::uint64_t target_mirror::make_digest() const
+{
+    std::uint64_t sum = 0;
+    for (auto const& [id, it] : records_) {
+        auto const& text = id.text();
+        sum += XXH64(text.data(), text.size(), it.revision);
+    }
+    return sum;
+}
+
 bool target_mirror::remove(target_id const& id, std::uint64_t revision)
 {
     if (records_.erase(id) == 0)
@@ -67,14 +98,30 @@
     return !missing.empty();
 }
 
+bool target_mirror::is_corrected(target_position const& position) const
+{
+    return position.revision == position_.revision &&
+        position.listed < position_.listed &&
+        position.digest != position_.digest;
+}
+
+bool target_mirror::has_changes_after(target_position const& position) const
+{
+    return known_ &&
+        (position.revision < position_.revision || is_corrected(position));
+}
+
 std::optional<target_changes> target_mirror::changes_after(
-    std::uint64_t revision) const
+    target_position const& position) const
 {
-    if (!known_ || revision >= revision_)
+    if (!has_changes_after(position))
         return std::nullopt;
+    auto const revision = position.revision;
     target_changes changes;
-    changes.revision = revision_;
-    changes.whole = revision < removals_since_ || revision == 0;
+    changes.revision = position_.revision;
+    changes.listed = position_.listed;
+    changes.whole =
+        revision < removals_since_ || revision == 0 || is_corrected(position);
     for (auto const& [id, it] : records_)
         if (changes.whole || it.revision > revision)
             changes.put.push_back(it);
@@ -91,7 +138,7 @@
     records.reserve(records_.size());
     for (auto const& [id, it] : records_)
         records.push_back(it);
-    return {std::move(records), revision_};
+    return {std::move(records), position_.revision};
 }
 
 } // namespace pomelohinge
--- a/tests/servers/control_test.cpp
+++ b/tests/servers/control_test.cpp
@@ -80,21 +80,50 @@
 {
     list(5, {make_target("a", 1), make_target("b", 2)});
     target_mirror other;
-    other.take(*mirror_.changes_after(0));
+    other.take(*mirror_.changes_after({}));
     mirror_.take({8, false, {make_target("c", 7)}, {target_id("a")}});
-    auto const changes = mirror_.changes_after(5);
+    auto const changes = mirror_.changes_after({5});
     ASSERT_TRUE(changes);
     EXPECT_FALSE(changes->whole);
     other.take(*changes);
     EXPECT_EQ(other.catalogue().records().size(), 2u);
     EXPECT_EQ(other.catalogue().find("a"), nullptr);
-    EXPECT_FALSE(mirror_.changes_after(8));
+    EXPECT_FALSE(mirror_.changes_after(other.position()));
 }
 
 TEST_F(target_mirror_test, changes_before_what_is_remembered_come_whole)
 {
     list(5, {make_target("a", 1)});
-    EXPECT_TRUE(mirror_.changes_after(3)->whole);
+    EXPECT_TRUE(mirror_.changes_after({3})->whole);
+}
+
+TEST_F(target_mirror_test, change_that_a_watch_missed_reaches_other_mirrors)
+{
+    list(5, {make_target("a", 1), make_target("b", 2)});
+    target_mirror other;
+    other.take(*mirror_.changes_after({}));
+    // A watch tells of the latest change, but not of the one before it.
+    mirror_.take({8, false, {make_target("c", 8)}, {}});
+    other.take(*mirror_.changes_after(other.position()));
+    EXPECT_FALSE(mirror_.changes_after(other.position()));
+    auto draining = make_target("a", 7);
+    draining.standing = target_standing::draining;
+    list(8, {draining, make_target("c", 8)});
+    auto const changes = mirror_.changes_after(other.position());
+    ASSERT_TRUE(changes);
+    other.take(*changes);
+    auto const catalogue = other.catalogue();
+    EXPECT_EQ(catalogue.find("a")->standing, target_standing::draining);
+    EXPECT_EQ(catalogue.find("b"), nullptr);
+    EXPECT_FALSE(mirror_.changes_after(other.position()));
+}
+
+TEST_F(target_mirror_test, list_of_another_vm_does_not_bring_back_what_is_gone)
+{
+    list(5, {make_target("a", 1), make_target("b", 2)});
+    mirror_.take({8, false, {}, {target_id("a")}});
+    mirror_.take({8, true, {make_target("a", 1), make_target("b", 2)}, {}, 7});
+    EXPECT_EQ(names(), std::vector<std::string>{"b"});
 }
 
 class hub_test : public testing::Test
--- a/tests/servers/limits_test.cpp
+++ b/tests/servers/limits_test.cpp
@@ -259,7 +259,7 @@
 
 TEST_F(retry_budget_test, retries_in_any_window_stay_within_the_bound)
 {
-    budget_.set_entries(1);
+    budget_.set_entries(1, clock_.now());
     std::deque<std::pair<time_point, bool>> events;
     std::mt19937_64 random(3);
     for (int it = 0; it < 60'000; ++it) {
@@ -284,7 +284,7 @@
 
 TEST_F(retry_budget_test, extra_retries_are_divided_among_the_entries)
 {
-    budget_.set_entries(6);
+    budget_.set_entries(6, clock_.now());
     int taken = 0;
     while (budget_.take("s", clock_.now()))
         ++taken;
@@ -292,5 +292,23 @@
     EXPECT_GE(taken, 7);
 }
 
+TEST_F(retry_budget_test, parts_of_vms_that_are_gone_are_not_used_again)
+{
+    budget_.set_entries(6, clock_.now());
+    int taken = 0;
+    while (budget_.take("s", clock_.now()))
+        ++taken;
+    clock_.advance(1s);
+    budget_.set_entries(2, clock_.now());
+    EXPECT_FALSE(budget_.take("s", clock_.now()));
+    budget_.set_entries(1, clock_.now());
+    EXPECT_FALSE(budget_.take("s", clock_.now()));
+    clock_.advance(11s);
+    int later = 0;
+    while (budget_.take("s", clock_.now()))
+        ++later;
+    EXPECT_GT(later, taken);
+}
+
 } // namespace
 } // namespace pomelohinge
--- a/tests/servers/store_reader_test.cpp
+++ b/tests/servers/store_reader_test.cpp
@@ -19,7 +19,7 @@
     explicit fake_store(manual_clock& clock) : clock_(clock) {}
 
     time_point now() const { return clock_.now(); }
-    std::uint64_t random() { return 0; }
+    std::uint64_t random() { return random_; }
 
     std::optional<configuration> decode_configuration(
         std::string_view text, findings& found)
@@ -87,6 +87,7 @@
 
     store_status status_ = store_status::done;
     bool deaf_ = false;
+    std::uint64_t random_ = 0;
     /// Revisions that no watch tells.
     std::set<std::uint64_t> unheard_;
     std::uint64_t history_since_ = 0;
@@ -211,6 +212,28 @@
     EXPECT_EQ(knowledge_.targets().size(), 1u);
 }
 
+TEST_F(store_reader_test, closure_made_while_the_store_was_away_is_known_soon)
+{
+    reader_.set_active(true);
+    pass(2s);
+    // The longest waits that can be drawn.
+    store_.random_ = static_cast<std::uint64_t>(duration(1500ms).count()) - 1;
+    for (int round = 0; round < 10; ++round) {
+        store_.status_ = store_status::unavailable;
+        pass(5s + round * 130ms);
+        store_.status_ = store_status::done;
+        store_.closed_ = {data_centre_id("dc-" + std::to_string(round))};
+        ++store_.revision_;
+        add_target("t" + std::to_string(round));
+        // A machine is in touch again after three seconds, and VMs hear from
+        // the reader within half a second.
+        pass(2500ms);
+        EXPECT_EQ(knowledge_.closures().closed, store_.closed_) << round;
+        EXPECT_EQ(
+            knowledge_.targets().size(), static_cast<std::size_t>(round) + 1);
+    }
+}
+
 TEST_F(store_reader_test, calls_while_the_store_is_away_stay_few)
 {
     reader_.set_active(true);
--- a/tests/simulation/fleet_run.cpp
+++ b/tests/simulation/fleet_run.cpp
@@ -372,7 +372,7 @@
 
 void fleet_run::begin(trouble what)
 {
-    played_.push_back(what);
+    played_.push_back({what, world_.now()});
     auto const span = world_.draw_between(1s, 8s);
     auto const vm = draw_vm();
     auto const target = draw_target();
@@ -507,8 +507,9 @@
 std::string fleet_run::describe()
 {
     std::string text = "troubles:";
-    for (auto const it : played_)
-        text += " " + std::string(to_name(it));
+    for (auto const& it : played_)
+        text += " " + std::string(to_name(it.what)) + " at " +
+            std::to_string(to_milliseconds(it.at - time_point(1h))) + " ms,";
     text += "\n";
     for (auto const& [name, it] : vms_) {
         auto const status = it->plane().status();
--- a/tests/simulation/fleet_run.hpp
+++ b/tests/simulation/fleet_run.hpp
@@ -96,7 +96,6 @@
     referee const& judge() const { return judge_; }
     run_tally const& tally() const { return tally_; }
     std::uint64_t store_calls() const { return store_.calls(); }
-    std::vector<trouble> const& played() const { return played_; }
 
     /// What living VMs believe, for a failed test.
     std::string describe();
@@ -149,7 +148,12 @@
     std::map<std::string, fake_upstream*> by_name_;
     std::vector<caller> callers_;
     run_tally tally_;
-    std::vector<trouble> played_;
+    struct played_trouble
+    {
+        trouble what;
+        time_point at;
+    };
+    std::vector<played_trouble> played_;
     std::uint64_t last_request_ = 0;
     std::uint64_t last_target_ = 0;
     std::uint64_t last_address_ = 0;
