Pass on an answer that no other target can make good

Cause: tests of a single request: after a server error the request asked for another target, and where none could have it, the event that passes the answer on had no row in the chart, so that the caller waited for its time limit.

Change: both rows stand in charts/request.jsonc; whether the answer is final is decided there.

Tests: entry_request_test plays single requests against targets whose answers it gives; two of its seven tests failed before.

--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -88,6 +88,8 @@
                 !admitted_.organisation.empty() && !admitted_.idempotent;
         case request_guard::may_retry:
             return may_retry();
+        case request_guard::has_answer:
+            return has_answer(last_result_);
         case request_guard::may_move:
             return may_move();
         }
@@ -476,8 +478,7 @@
         if (last_result_ == attempt_result::answered)
             return fire(request_event::answer);
         refusal_ = refusal_after(last_result_, may_have_run_);
-        fire(check_answer_is_final() ? request_event::answer
-                                     : request_event::failed);
+        fire(request_event::failed);
     }
 
     void note_end(attempt_result result)
@@ -492,16 +493,6 @@
             may_have_run_ = true;
     }
 
-    /// A server error that cannot be made good by another attempt is passed
-    /// on as it is.
-    bool check_answer_is_final()
-    {
-        return last_result_ == attempt_result::server_error &&
-            !(admitted_.idempotent && has_attempts_left() &&
-                state().retries.allows(
-                    admitted_.service.text(), environment_.now()));
-    }
-
     bool may_retry()
     {
         bool const harmless =
--- a/servers/requests/request_chart.hpp
+++ b/servers/requests/request_chart.hpp
@@ -63,6 +63,8 @@
 enum class request_guard {
     has_repeat_key,
     may_retry,
+    /// The last attempt brought an answer that can be passed on.
+    has_answer,
     may_move,
 };
 
@@ -71,6 +73,7 @@
     name_table<request_guard> = make_name_table<request_guard>({
         {request_guard::has_repeat_key, "has_repeat_key"},
         {request_guard::may_retry, "may_retry"},
+        {request_guard::has_answer, "has_answer"},
         {request_guard::may_move, "may_move"},
     });
 static_assert(is_ordered<request_guard>());
--- /dev/null
+++ b/tests/servers/entry_request_test.cpp
@@ -0,0 +1,236 @@
+#include "charts/chart_list.hpp"
+#include "config/configuration_text.hpp"
+#include "servers/requests/entry_request.hpp"
+
+#include <gtest/gtest.h>
+#include <map>
+
+namespace pomelohinge {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// The surroundings of requests: targets whose answers the test gives, and a
+/// clock that it moves.
+class fake_surroundings
+{
+public:
+    explicit fake_surroundings(chart_list const& rules)
+        : state_(
+              rules.target, vm_id("a"), data_centre_id("east"), 1,
+              [](std::string const&) { return true; }, fleet_bounds())
+    {
+        findings found("text");
+        auto const source = parse_configuration(R"({"format": 1,
+            "services": {"shop": {}},
+            "routes": {
+                "look": {"service": "shop", "host": "shop.example",
+                    "path_prefix": "/look/", "access": "open",
+                    "methods": ["GET"], "attempts": 3, "deadline_ms": 2000},
+                "pay": {"service": "shop", "host": "shop.example",
+                    "path_prefix": "/pay/", "access": "open",
+                    "methods": ["POST"], "attempts": 3, "deadline_ms": 2000,
+                    "repeat": "non_idempotent"}}})",
+            found);
+        EXPECT_TRUE(source) << found.to_text();
+        auto next = std::make_shared<policy>();
+        next->index = std::make_shared<configuration_index>(
+            source.value_or(configuration()), 1);
+        next->members = std::make_shared<fleet_members>();
+        next->ready = true;
+        policy_ = next;
+        base_ = next;
+    }
+
+    void set_targets(std::vector<std::string> const& names)
+    {
+        std::vector<target_record> records;
+        for (auto const& name : names) {
+            target_record it;
+            it.id = target_id(name);
+            it.service = service_id("shop");
+            it.data_centre = data_centre_id("east");
+            it.address = "10.0.0.1:80";
+            it.slots = 4;
+            it.revision = 1;
+            records.push_back(std::move(it));
+        }
+        auto next = std::make_shared<policy>(*base_);
+        next->targets = std::make_shared<target_catalogue>(records, 1);
+        policy_ = next;
+        state_.adopt(policy_, now());
+    }
+
+    time_point now() const { return clock_.now(); }
+    std::int64_t unix_now_ms() const { return 0; }
+    policy_pointer const& current_policy() const { return policy_; }
+    time_point read_at() const { return now(); }
+    entry_state& state() { return state_; }
+
+    std::uint64_t send_upstream(target_record const& target, upstream_order,
+        std::function<void(attempt_end)> done)
+    {
+        sent_.push_back(target.id.text());
+        under_way_ = std::move(done);
+        return sent_.size();
+    }
+    void cancel_upstream(std::uint64_t) { under_way_ = nullptr; }
+
+    void after(duration wait, std::function<void()> run)
+    {
+        timers_.emplace(now() + wait, std::move(run));
+    }
+
+    void create_record(idempotency_record const&,
+        std::function<void(record_outcome, idempotency_record)>)
+    {
+    }
+    void write_record(idempotency_record const&) {}
+    void remove_record(idempotency_record const&) {}
+
+    /// The attempt under way ends so.
+    void end_attempt(attempt_result result, int status = 0)
+    {
+        attempt_end end;
+        end.result = result;
+        end.answer.status = status;
+        std::exchange(under_way_, nullptr)(std::move(end));
+    }
+
+    void pass(duration span)
+    {
+        auto const end = now() + span;
+        while (!timers_.empty() && timers_.begin()->first <= end) {
+            auto const due = timers_.extract(timers_.begin());
+            clock_.advance(std::max(due.key() - now(), duration::zero()));
+            due.mapped()();
+        }
+        clock_.advance(end - now());
+    }
+
+    std::vector<std::string> const& sent() const { return sent_; }
+
+private:
+    manual_clock clock_;
+    entry_state state_;
+    std::shared_ptr<policy> base_;
+    policy_pointer policy_;
+    std::vector<std::string> sent_;
+    std::function<void(attempt_end)> under_way_;
+    std::multimap<time_point, std::function<void()>> timers_;
+};
+
+class entry_request_test : public testing::Test
+{
+protected:
+    static chart_list load_rules()
+    {
+        findings found("charts");
+        auto rules = load_charts("", found);
+        EXPECT_TRUE(found.empty()) << found.to_text();
+        return std::move(*rules);
+    }
+
+    entry_request_test() : rules_(load_rules()), around_(rules_) {}
+
+    void begin(std::string method, std::string target)
+    {
+        entry_message message;
+        message.head.method = std::move(method);
+        message.head.target = std::move(target);
+        message.head.host = "shop.example";
+        message.head.request_id = "r1";
+        request_ = std::make_shared<entry_request<fake_surroundings>>(
+            rules_.request, around_, std::move(message),
+            [this](entry_result result) { result_ = std::move(result); });
+        request_->start();
+    }
+
+    int answered_status() const
+    {
+        if (!result_)
+            return 0;
+        auto const* const it = std::get_if<upstream_answer>(&*result_);
+        return it == nullptr ? 0 : it->status;
+    }
+
+    std::optional<outcome> refused_outcome() const
+    {
+        if (!result_)
+            return std::nullopt;
+        auto const* const it = std::get_if<refusal>(&*result_);
+        return it == nullptr ? std::nullopt : std::optional(it->result);
+    }
+
+    chart_list rules_;
+    fake_surroundings around_;
+    std::shared_ptr<entry_request<fake_surroundings>> request_;
+    std::optional<entry_result> result_;
+};
+
+TEST_F(entry_request_test, server_error_without_another_target_goes_out_at_once)
+{
+    around_.set_targets({"t1"});
+    begin("GET", "/look/1");
+    around_.end_attempt(attempt_result::server_error, 500);
+    EXPECT_EQ(answered_status(), 500);
+}
+
+TEST_F(entry_request_test, server_error_too_late_for_a_repeat_goes_out)
+{
+    around_.set_targets({"t1", "t2"});
+    begin("GET", "/look/1");
+    around_.pass(1990ms);
+    around_.end_attempt(attempt_result::server_error, 500);
+    EXPECT_EQ(answered_status(), 500);
+}
+
+TEST_F(entry_request_test, server_error_is_made_good_by_another_target)
+{
+    around_.set_targets({"t1", "t2"});
+    begin("GET", "/look/1");
+    around_.end_attempt(attempt_result::server_error, 500);
+    ASSERT_EQ(around_.sent().size(), 2u);
+    EXPECT_NE(around_.sent()[0], around_.sent()[1]);
+    around_.end_attempt(attempt_result::answered, 200);
+    EXPECT_EQ(answered_status(), 200);
+}
+
+TEST_F(entry_request_test, payment_whose_connection_is_lost_is_not_sent_again)
+{
+    around_.set_targets({"t1", "t2"});
+    begin("POST", "/pay/1");
+    around_.end_attempt(attempt_result::connection_lost);
+    EXPECT_EQ(around_.sent().size(), 1u);
+    EXPECT_EQ(refused_outcome(), outcome::unknown);
+}
+
+TEST_F(entry_request_test, payment_that_a_target_shed_goes_to_another)
+{
+    around_.set_targets({"t1", "t2"});
+    begin("POST", "/pay/1");
+    around_.end_attempt(attempt_result::shed, 503);
+    ASSERT_EQ(around_.sent().size(), 2u);
+    around_.end_attempt(attempt_result::shed, 503);
+    EXPECT_EQ(refused_outcome(), outcome::not_run);
+}
+
+TEST_F(entry_request_test, request_without_any_target_is_refused_as_not_run)
+{
+    around_.set_targets({});
+    begin("GET", "/look/1");
+    EXPECT_EQ(refused_outcome(), outcome::not_run);
+    EXPECT_TRUE(around_.sent().empty());
+}
+
+TEST_F(entry_request_test, payment_without_an_answer_ends_at_its_time_limit)
+{
+    around_.set_targets({"t1", "t2"});
+    begin("POST", "/pay/1");
+    around_.pass(2s);
+    EXPECT_EQ(refused_outcome(), outcome::unknown);
+    EXPECT_EQ(around_.sent().size(), 1u);
+}
+
+} // namespace
+} // namespace pomelohinge
