Count what was let through also when its process starts anew

A VM that starts anew, or a new hub of a data centre, reports less than was let through, and the others took the lower count.

Change: a reported count that drops by half at once falls as the window passes.

Failed trials on the way, taken back: a bucket for what a thread lets through beyond its share, half of the burst kept back, shares by all entries known.

--- a/servers/exchange/fleet_reports.cpp
+++ b/servers/exchange/fleet_reports.cpp
@@ -20,8 +20,8 @@
 constexpr duration near_memory = std::chrono::seconds(8);
 constexpr duration distant_memory = std::chrono::seconds(20);
 
-/// The window of limits, over which grants are counted.
-constexpr double window_seconds = 5;
+/// Less than this is not worth telling.
+constexpr double least_granted = 0.5;
 
 void add_suspect(std::vector<poison_suspect>& to, poison_suspect const& it)
 {
@@ -65,9 +65,7 @@
     it.heard_at = now;
     it.silent = false;
     it.last = std::move(report);
-    it.granted.clear();
-    for (auto const& [organisation, counts] : it.last.organisations)
-        it.granted.emplace(organisation, counts.granted);
+    count_grants(it, now);
     spread(source, it);
     // The news have been spread; what remains are counts.
     for (auto& [target, counts] : it.last.targets)
@@ -116,16 +114,22 @@
             });
 }
 
-/// What a silent source let through leaves the window as time passes; what
-/// it may let through meanwhile is bounded by its share.
+void report_ledger::count_grants(source_entry& it, time_point now)
+{
+    for (auto const& [organisation, counts] : it.last.organisations)
+        it.granted[organisation].report(counts.granted, now);
+    absl::erase_if(it.granted, [&](auto const& count) {
+        return count.second.at(now) < least_granted;
+    });
+    fade_grants(it, now);
+}
+
+/// What a source let through leaves the window as time passes; what it may
+/// let through in silence is bounded by its share.
 void report_ledger::fade_grants(source_entry& it, time_point now)
 {
-    auto const left = 1 - to_seconds(now - it.heard_at) / window_seconds;
-    for (auto& [organisation, report] : it.last.organisations) {
-        auto const reported = it.granted.find(organisation);
-        if (reported != it.granted.end())
-            report.granted = reported->second * std::max(left, 0.0);
-    }
+    for (auto const& [organisation, count] : it.granted)
+        it.last.organisations[organisation].granted = count.at(now);
 }
 
 void report_ledger::expire(time_point now)
--- a/servers/exchange/fleet_reports.hpp
+++ b/servers/exchange/fleet_reports.hpp
@@ -3,6 +3,7 @@
 
 #include "core/clock.hpp"
 #include "core/text_map.hpp"
+#include "servers/exchange/fading_count.hpp"
 #include "servers/poison/poison_guard.hpp"
 
 #include <cstdint>
@@ -102,8 +103,8 @@
     {
         bool distant = false;
         traffic_report last;
-        /// What it had let through when it was last heard.
-        text_map<double> granted;
+        /// What it has let through within the window.
+        text_map<fading_count> granted;
         /// News of others that this source has not been told yet.
         text_map<target_report> untold;
         time_point heard_at{};
@@ -112,6 +113,7 @@
     };
 
     void spread(std::string const& from, source_entry const& entry);
+    static void count_grants(source_entry& it, time_point now);
     static void fade_grants(source_entry& it, time_point now);
 
     text_map<source_entry> sources_;
--- a/servers/limits/organisation_limits.cpp
+++ b/servers/limits/organisation_limits.cpp
@@ -82,7 +82,7 @@
         it.bucket = token_bucket(mine, 0, now);
     else
         it.bucket.change_rate(mine, now);
-    auto const by_all = it.grants.count(now) + it.others.granted;
+    auto const by_all = it.grants.count(now) + it.granted_elsewhere.at(now);
     auto const most = rate.requests_per_second * to_seconds(window) +
         static_cast<double>(rate.burst);
     charge_verdict verdict{false, {}, it.share, it.demand.per_second(now),
@@ -126,8 +126,11 @@
         if (heard_all_)
             it.whole_share = it.share;
     }
-    for (auto const& [name, report] : reports)
-        parts_[name].others = report;
+    for (auto const& [name, report] : reports) {
+        auto& it = parts_[name];
+        it.others = report;
+        it.granted_elsewhere.report(report.granted, now);
+    }
 }
 
 void organisation_limits::expect_entries(std::size_t entries)
--- a/servers/limits/organisation_limits.hpp
+++ b/servers/limits/organisation_limits.hpp
@@ -38,7 +38,7 @@
 {
 public:
     /// Over which time grants are counted.
-    static constexpr duration window = std::chrono::seconds(5);
+    static constexpr duration window = limit_window;
 
     /// Asks for one request of `organisation`.
     charge_verdict charge(std::string const& organisation,
@@ -64,6 +64,8 @@
         rate_meter demand;
         window_counter grants{window};
         organisation_report others;
+        /// What all others have let through.
+        fading_count granted_elsewhere;
         double share = 0;
         /// The share when the others were last heard.
         double told_share = 0;
--- a/tests/servers/control_test.cpp
+++ b/tests/servers/control_test.cpp
@@ -337,6 +337,24 @@
     EXPECT_DOUBLE_EQ(granted(), 0);
 }
 
+TEST_F(ledger_test, source_that_starts_anew_does_not_take_back_its_grants)
+{
+    traffic_report it;
+    it.organisations["pub"] = organisation_report{10, 40};
+    ledger_.take("a", false, it, clock_.now());
+    clock_.advance(1s);
+    ledger_.take("a", false, {}, clock_.now());
+    auto const granted = [&] {
+        auto const told = ledger_.for_reader("b", false);
+        auto const found = told.organisations.find("pub");
+        return found == told.organisations.end() ? 0 : found->second.granted;
+    };
+    EXPECT_DOUBLE_EQ(granted(), 32);
+    clock_.advance(5s);
+    ledger_.take("a", false, {}, clock_.now());
+    EXPECT_DOUBLE_EQ(granted(), 0);
+}
+
 class desk_test : public testing::Test
 {
 protected:
--- a/tests/servers/limits_test.cpp
+++ b/tests/servers/limits_test.cpp
@@ -170,6 +170,28 @@
     EXPECT_LE(static_cast<double>(most_in_window_), bound());
 }
 
+TEST_F(shared_rate_test, entries_that_die_as_demand_turns_hot_stay_within_it)
+{
+    begin(8);
+    rate_ = {49, 49};
+    for (int round = 0; round < 6; ++round) {
+        demands_.assign(8, 3.8);
+        play(10s);
+        demands_.assign(8, 3.8 * 7.5);
+        play(500ms + round * 200ms);
+        // Five of eight start anew after a second; three serve alone.
+        for (std::size_t it = 0; it < 5; ++it) {
+            demands_[it] = 0;
+            entries_[it] = organisation_limits();
+            entries_[it].expect_entries(8);
+        }
+        play(700ms);
+        demands_.assign(8, 3.8 * 7.5);
+        play(6s);
+    }
+    EXPECT_LE(static_cast<double>(most_in_window_), bound());
+}
+
 TEST_F(shared_rate_test, small_rate_over_many_entries_stays_within_the_bound)
 {
     begin(40);
