--- a/main/explain/request_story.cpp
+++ b/main/explain/request_story.cpp
@@ -57,6 +57,7 @@
             last[{it.event, subject}] = &it;
     }
     std::vector<log_record> beliefs;
+    beliefs.reserve(last.size());
     for (auto const& [key, it] : last)
         beliefs.push_back(*it);
     return beliefs;
