Remember what lost hubs and VMs let through

Cause: when most VMs were killed as an organisation turned hot, their hub's counts went with them. The new hub summed what was left, VMs took the lower sum, and restarted VMs took even shares of the few they had heard of. The restarted former hub took over again within two seconds, with empty counts.

Change: reports carry grants by age, and each VM keeps earlier reports and adds what was let through since. What others let through since they were last heard is allowed for. A hub that has just begun says that its reports are not whole. A VM that has just begun shares with the listed entries until it has heard of most, and for one window keeps to half of its share of a used-up rate. The demand of others fades instead of dropping. Shares from before a silence could be noticed bind those that are left.

An excess through the cap: the cap was right, its count was not.

--- a/drivers/peers/codec.cpp
+++ b/drivers/peers/codec.cpp
@@ -1,5 +1,7 @@
 #include "drivers/peers/codec.hpp"
 
+#include <cmath>
+
 namespace pomelohinge {
 namespace {
 
@@ -57,6 +59,28 @@
         from.link_mbps()};
 }
 
+void fill(wire::Demand& to, grant_counts const& from)
+{
+    auto const add = [&](double count) {
+        to.add_grants(static_cast<std::uint32_t>(std::lround(count)));
+    };
+    for (auto const count : from.within_steps)
+        add(count);
+    add(from.within_window);
+}
+
+grant_counts grants_from_wire(wire::Demand const& from)
+{
+    grant_counts counts;
+    auto const steps = static_cast<int>(counts.within_steps.size());
+    if (from.grants_size() != steps + 1)
+        return counts;
+    for (int n = 0; n < steps; ++n)
+        counts.within_steps[static_cast<std::size_t>(n)] = from.grants(n);
+    counts.within_window = from.grants(steps);
+    return counts;
+}
+
 void fill(wire::Report& to, traffic_report const& from)
 {
     for (auto const& [target, it] : from.targets) {
@@ -72,6 +96,7 @@
         row.set_organisation(organisation);
         row.set_requests_per_second(it.demand);
         row.set_granted(it.granted);
+        fill(row, it.grants);
     }
     for (auto const& it : from.suspects) {
         auto& row = *to.add_suspects();
@@ -91,8 +116,8 @@
         report.targets[it.target()] = target_report{
             it.in_flight(), it.answers(), it.faults(), it.silences()};
     for (auto const& it : from.demands())
-        report.organisations[it.organisation()] =
-            organisation_report{it.requests_per_second(), it.granted()};
+        report.organisations[it.organisation()] = organisation_report{
+            it.requests_per_second(), it.granted(), grants_from_wire(it)};
     for (auto const& it : from.suspects())
         report.suspects.push_back(
             {it.fingerprint(), it.crashes(), from_microseconds(it.age_us())});
--- a/servers/exchange/fading_count.hpp
+++ b/servers/exchange/fading_count.hpp
@@ -1,15 +1,12 @@
 #ifndef POMELOHINGE_SERVERS_EXCHANGE_FADING_COUNT_HPP
 #define POMELOHINGE_SERVERS_EXCHANGE_FADING_COUNT_HPP
 
-#include "core/clock.hpp"
+#include "servers/exchange/grant_counts.hpp"
 
 #include <algorithm>
 
 namespace pomelohinge {
 
-/// The window over which an organisation's rate and burst are counted.
-inline constexpr duration limit_window = std::chrono::seconds(5);
-
 /// What somebody reports to have let through within the window. A process
 /// that starts anew, or a hub that has just become one, reports less than was
 /// let through; so a count that drops at once falls as the window passes.
--- a/servers/exchange/fleet_reports.cpp
+++ b/servers/exchange/fleet_reports.cpp
@@ -49,6 +49,7 @@
         auto& mine = organisations[organisation];
         mine.demand += it.demand;
         mine.granted += it.granted;
+        mine.grants.add(it.grants);
     }
     for (auto const& it : other.suspects)
         add_suspect(suspects, it);
@@ -60,9 +61,12 @@
 void report_ledger::take(std::string const& source, bool distant,
     traffic_report report, time_point now)
 {
+    if (now - taken_at_ > counting_patience)
+        began_at_ = now;
+    taken_at_ = now;
     auto& it = sources_[source];
     it.distant = distant;
-    it.heard_at = now;
+    it.heard_at = it.aged_at = now;
     it.silent = false;
     it.last = std::move(report);
     count_grants(it, now);
@@ -87,6 +91,7 @@
     std::string const& reader, bool distant)
 {
     traffic_report told;
+    told.partial = taken_at_ - began_at_ < counting_patience;
     for (auto const& [name, it] : sources_) {
         if (name == reader || (distant && it.distant))
             continue;
@@ -132,6 +137,16 @@
         it.last.organisations[organisation].granted = count.at(now);
 }
 
+void report_ledger::age_grants(source_entry& it, time_point now)
+{
+    auto const passed = now - it.aged_at;
+    if (now - it.heard_at < grant_step / 2)
+        return;
+    it.aged_at = now;
+    for (auto& [organisation, counts] : it.last.organisations)
+        counts.grants.grow_older(passed);
+}
+
 void report_ledger::expire(time_point now)
 {
     absl::erase_if(sources_, [&](auto const& it) {
@@ -140,6 +155,7 @@
     });
     for (auto& [name, it] : sources_) {
         fade_grants(it, now);
+        age_grants(it, now);
         it.silent = now - it.heard_at > counting_patience &&
             !it.last.organisations.empty();
         if (now - it.heard_at <= traffic_patience)
--- a/servers/exchange/fleet_reports.hpp
+++ b/servers/exchange/fleet_reports.hpp
@@ -51,6 +51,8 @@
     double demand = 0;
     /// Requests that were let through within the window of its limit.
     double granted = 0;
+    /// The same by age, as the VMs counted it that are heard.
+    grant_counts grants = {};
 
     friend bool operator==(
         organisation_report const&, organisation_report const&) = default;
@@ -108,6 +110,7 @@
         /// News of others that this source has not been told yet.
         text_map<target_report> untold;
         time_point heard_at{};
+        time_point aged_at{};
         /// It may let requests through of which nothing is known.
         bool silent = false;
     };
@@ -115,8 +118,13 @@
     void spread(std::string const& from, source_entry const& entry);
     static void count_grants(source_entry& it, time_point now);
     static void fade_grants(source_entry& it, time_point now);
+    static void age_grants(source_entry& it, time_point now);
 
     text_map<source_entry> sources_;
+    time_point taken_at_{};
+    /// Since when reports have come without a long pause. Until every source
+    /// has had the time to report, not all are known.
+    time_point began_at_{};
 };
 
 } // namespace pomelohinge
--- /dev/null
+++ b/servers/exchange/grant_counts.cpp
@@ -0,0 +1,88 @@
+#include "servers/exchange/grant_counts.hpp"
+
+#include <algorithm>
+
+namespace pomelohinge {
+namespace {
+
+/// Counts of steps are off by so much, since reports are made at uneven times.
+constexpr double step_noise = 0.15;
+
+/// A loss of so few requests does not matter for any limit.
+constexpr double least_loss = 3;
+
+} // namespace
+
+void grant_counts::add(grant_counts const& other)
+{
+    within_window += other.within_window;
+    for (std::size_t n = 0; n < within_steps.size(); ++n)
+        within_steps[n] += other.within_steps[n];
+}
+
+double grant_counts::not_older_than(duration age) const
+{
+    auto const steps = to_seconds(age) / to_seconds(grant_step);
+    if (steps <= 0)
+        return 0;
+    auto const n = static_cast<std::size_t>(steps);
+    if (n > within_steps.size())
+        return within_window;
+    auto const count = [&](std::size_t it) {
+        if (it == 0)
+            return 0.0;
+        return it <= within_steps.size() ? within_steps[it - 1] : within_window;
+    };
+    auto const part = steps - static_cast<double>(n);
+    return count(n) + (count(n + 1) - count(n)) * part;
+}
+
+void grant_counts::grow_older(duration passed)
+{
+    auto const before = *this;
+    within_window = before.not_older_than(limit_window - passed);
+    for (std::size_t n = 0; n < within_steps.size(); ++n)
+        within_steps[n] = before.not_older_than(
+            static_cast<int>(n + 1) * grant_step - passed);
+}
+
+void grant_history::report(grant_counts const& counts, time_point now)
+{
+    bool const drops = counts.within_window <
+        latest_.counts.within_window * (1 - step_noise) - least_loss;
+    if (drops || latest_.at - kept_at_ >= grant_step)
+        keep_latest();
+    latest_ = {counts, now};
+}
+
+void grant_history::keep_latest()
+{
+    kept_at_ = latest_.at;
+    earlier_[next_] = latest_;
+    next_ = (next_ + 1) % earlier_.size();
+}
+
+double grant_history::at(time_point now) const
+{
+    auto const passed = to_seconds(now - latest_.at) / to_seconds(limit_window);
+    auto const reported =
+        latest_.counts.within_window * std::max(1 - passed, 0.0);
+    double remembered = 0;
+    for (auto const& it : earlier_)
+        remembered = std::max(remembered, since(it, now));
+    return remembered > reported * (1 + step_noise) + least_loss ? remembered
+                                                                 : reported;
+}
+
+/// What an earlier report knew and is still within the window, with what was
+/// let through after it.
+double grant_history::since(entry const& earlier, time_point now) const
+{
+    auto const age = now - earlier.at;
+    if (age >= limit_window)
+        return 0;
+    return earlier.counts.not_older_than(limit_window - age) +
+        latest_.counts.not_older_than(latest_.at - earlier.at);
+}
+
+} // namespace pomelohinge
--- a/servers/limits/organisation_limits.cpp
+++ b/servers/limits/organisation_limits.cpp
@@ -17,8 +17,24 @@
 constexpr duration share_memory = std::chrono::seconds(3);
 
 /// A thread that has just begun to hear from the others cannot tell yet what
-/// all are asked for.
+/// all are asked for; less so while it has not heard of most of them. Some
+/// may take no requests, so this is not waited for longer than a hub needs to
+/// hear from its VMs and from other hubs.
 constexpr duration settling_time = std::chrono::milliseconds(500);
+constexpr duration longest_settling_time = std::chrono::seconds(3);
+constexpr double most_entries = 0.7;
+
+/// Part of its share that a thread uses of a rate that is used up while it
+/// does not know what was let through in the window before it began.
+constexpr double young_part = 0.5;
+
+/// What the others are asked for does not fall faster than this, since a new
+/// hub hears of them one after the other.
+constexpr duration demand_memory = std::chrono::milliseconds(500);
+
+/// Longer than it takes to notice that an entry has fallen silent. Shares that
+/// are older were made while it was heard.
+constexpr duration silence_notice = std::chrono::milliseconds(1500);
 
 /// A demand within the rate is measured as higher at times: requests a second
 /// scatter about as their number's square root.
@@ -34,12 +50,24 @@
 /// Demands below this are not reported, in requests a second.
 constexpr double least_demand = 0.2;
 
+grant_counts count_grants(window_counter& grants, time_point now)
+{
+    grant_counts counts;
+    counts.within_window = grants.count(now);
+    for (std::size_t n = 0; n < counts.within_steps.size(); ++n)
+        counts.within_steps[n] =
+            grants.count_last(static_cast<int>(n + 1) * grant_step, now);
+    return counts;
+}
+
 } // namespace
 
 double organisation_limits::share_of(
     part const& it, rate_object const& rate, time_point now) const
 {
-    auto const n = static_cast<double>(std::max<std::size_t>(entries_, 1));
+    auto const known =
+        has_settled(now) ? entries_ : std::max(entries_, listed_);
+    auto const n = static_cast<double>(std::max<std::size_t>(known, 1));
     bool const never_heard = heard_at_ == time_point{};
     if (never_heard || now - heard_at_ > share_memory)
         return std::min(it.told_share > 0 ? it.told_share : 1.0, 1.0 / n);
@@ -48,25 +76,42 @@
     auto const even = rate.requests_per_second * even_part;
     auto const own = it.demand.per_second(now);
     auto const asked = (own + even / n) / (own + it.others.demand + even);
-    if (now - first_heard_at_ < settling_time)
+    if (!has_settled(now))
         return std::min(asked, 1 / n);
+    if (own + it.others.demand <= rate.requests_per_second)
+        return asked;
+    auto const counted = now - first_heard_at_ >= window ? 1 : young_part;
+    if (heard_all_)
+        return asked * counted;
     // What silent threads are asked for may have grown like the rest, so
     // theirs of a rate that is used up is left to them.
-    bool const used_up = own + it.others.demand > rate.requests_per_second;
-    return !heard_all_ && used_up ? std::min(asked, it.whole_share) : asked;
+    auto const before = it.whole_share > 0 ? it.whole_share : 1 / n;
+    return std::min(asked, before) * counted;
 }
 
 bool organisation_limits::fleet_has_spare(part const& it,
     rate_object const& rate, double granted_by_all, time_point now) const
 {
-    bool const knows_all = heard_all_ && now - heard_at_ <= word_patience &&
-        now - first_heard_at_ >= settling_time;
+    bool const knows_all =
+        heard_all_ && now - heard_at_ <= word_patience && has_settled(now);
     auto const& per_second = rate.requests_per_second;
     auto const usual = per_second + noise_factor * std::sqrt(per_second);
     return knows_all && it.demand.per_second(now) + it.others.demand <= usual &&
         granted_by_all + 1 <= per_second * to_seconds(window) * spare_part;
 }
 
+double organisation_limits::granted_unheard(
+    part const& it, rate_object const& rate, time_point now) const
+{
+    if (heard_at_ == time_point{})
+        return 0;
+    auto const left = rate.requests_per_second * (1 - it.share);
+    bool const used_up =
+        it.demand.per_second(now) + it.others.demand > rate.requests_per_second;
+    auto const per_second = used_up ? left : std::min(it.others.demand, left);
+    return per_second * to_seconds(std::min(now - heard_at_, window));
+}
+
 charge_verdict organisation_limits::charge(
     std::string const& organisation, rate_object const& rate, time_point now)
 {
@@ -82,7 +127,8 @@
         it.bucket = token_bucket(mine, 0, now);
     else
         it.bucket.change_rate(mine, now);
-    auto const by_all = it.grants.count(now) + it.granted_elsewhere.at(now);
+    auto const by_all = it.grants.count(now) + it.granted_elsewhere.at(now) +
+        granted_unheard(it, rate, now);
     auto const most = rate.requests_per_second * to_seconds(window) +
         static_cast<double>(rate.burst);
     charge_verdict verdict{false, {}, it.share, it.demand.per_second(now),
@@ -114,37 +160,59 @@
 {
     auto const& reports = told.organisations;
     entries_ = told.entries + 1;
-    heard_at_ = now;
+    auto const before = std::exchange(heard_at_, now);
     if (first_heard_at_ == time_point{})
         first_heard_at_ = now;
     heard_all_ = !told.partial;
+    auto const faded =
+        std::exp(-to_seconds(now - before) / to_seconds(demand_memory));
     for (auto& [name, it] : parts_) {
-        auto const other = reports.find(name);
-        it.others =
-            other == reports.end() ? organisation_report{} : other->second;
         it.told_share = it.share;
-        if (heard_all_)
-            it.whole_share = it.share;
+        it.others = {it.others.demand * faded, 0};
+        if (it.others.demand < least_demand)
+            it.others.demand = 0;
     }
     for (auto const& [name, report] : reports) {
         auto& it = parts_[name];
-        it.others = report;
-        it.granted_elsewhere.report(report.granted, now);
+        it.others.demand = std::max(it.others.demand, report.demand);
+        it.others.granted = report.granted;
+        auto counts = report.grants;
+        counts.within_window = report.granted;
+        it.granted_elsewhere.report(counts, now);
     }
+    if (heard_all_ && now - shares_kept_at_ >= silence_notice)
+        remember_shares(now);
+}
+
+void organisation_limits::remember_shares(time_point now)
+{
+    shares_kept_at_ = now;
+    for (auto& [name, it] : parts_)
+        it.whole_share = std::exchange(it.next_whole_share, it.share);
+}
+
+bool organisation_limits::has_settled(time_point now) const
+{
+    auto const heard_for = now - first_heard_at_;
+    if (first_heard_at_ == time_point{} || heard_for < settling_time)
+        return false;
+    return heard_for >= longest_settling_time ||
+        static_cast<double>(entries_) >=
+        most_entries * static_cast<double>(listed_);
 }
 
 void organisation_limits::expect_entries(std::size_t entries)
 {
-    if (heard_at_ == time_point{})
-        entries_ = std::max<std::size_t>(entries, 1);
+    listed_ = std::max<std::size_t>(entries, 1);
 }
 
 text_map<organisation_report> organisation_limits::make_report(time_point now)
 {
     text_map<organisation_report> reports;
     for (auto& [name, it] : parts_) {
+        auto const grants = count_grants(it.grants, now);
         organisation_report const report{
-            it.demand.per_second(now), it.grants.count(now)};
+            it.demand.per_second(now), grants.within_window, grants};
         if (report.demand > least_demand || report.granted > 0)
             reports.emplace(name, report);
     }
--- a/servers/limits/organisation_limits.hpp
+++ b/servers/limits/organisation_limits.hpp
@@ -52,7 +52,8 @@
 
     text_map<organisation_report> make_report(time_point now);
 
-    /// How many VMs share the limits as long as nobody has said.
+    /// How many VMs are listed as entries. They share the limits until the
+    /// others are known well enough.
     void expect_entries(std::size_t entries);
 
     void forget_idle(time_point now);
@@ -65,12 +66,14 @@
         window_counter grants{window};
         organisation_report others;
         /// What all others have let through.
-        fading_count granted_elsewhere;
+        grant_history granted_elsewhere;
         double share = 0;
         /// The share when the others were last heard.
         double told_share = 0;
-        /// The share when all of them were last heard.
+        /// The share while all of them were heard, some time before the last
+        /// word, and the share that becomes it.
         double whole_share = 0;
+        double next_whole_share = 0;
         bool filled = false;
         time_point used_at{};
     };
@@ -81,11 +84,21 @@
     bool fleet_has_spare(part const& it, rate_object const& rate,
         double granted_by_all, time_point now) const;
 
+    /// What the others may have let through since they were last heard.
+    double granted_unheard(
+        part const& it, rate_object const& rate, time_point now) const;
+
+    bool has_settled(time_point now) const;
+    void remember_shares(time_point now);
+
     text_map<part> parts_;
+    /// Entries that were heard of, with this one, and those listed.
     std::size_t entries_ = 1;
+    std::size_t listed_ = 1;
     time_point first_heard_at_{};
     time_point heard_at_{};
     bool heard_all_ = false;
+    time_point shares_kept_at_{};
 };
 
 } // namespace pomelohinge
--- a/servers/limits/rate_meter.cpp
+++ b/servers/limits/rate_meter.cpp
@@ -45,4 +45,15 @@
     return sum_;
 }
 
+double window_counter::count_last(duration part, time_point now) const
+{
+    double sum = 0;
+    for (auto it = slices_.rbegin(); it != slices_.rend(); ++it) {
+        if (now - it->began > part)
+            break;
+        sum += it->events;
+    }
+    return sum;
+}
+
 } // namespace pomelohinge
--- a/servers/limits/rate_meter.hpp
+++ b/servers/limits/rate_meter.hpp
@@ -28,6 +28,9 @@
     void add(time_point now, double events = 1);
     double count(time_point now);
 
+    /// Of these, those of the last part of the window.
+    double count_last(duration part, time_point now) const;
+
 private:
     struct slice
     {
--- /dev/null
+++ b/tests/servers/grant_counts_test.cpp
@@ -0,0 +1,92 @@
+#include "servers/exchange/grant_counts.hpp"
+
+#include <gtest/gtest.h>
+
+namespace pomelohinge {
+namespace {
+
+using namespace std::chrono_literals;
+
+class grant_counts_test : public testing::Test
+{
+protected:
+    /// Ten requests in each of the last five seconds.
+    static grant_counts steady(double per_second = 10)
+    {
+        grant_counts it;
+        for (std::size_t n = 0; n < it.within_steps.size(); ++n)
+            it.within_steps[n] = per_second * static_cast<double>(n + 1);
+        it.within_window = 5 * per_second;
+        return it;
+    }
+};
+
+TEST_F(grant_counts_test, age_between_two_steps_is_interpolated)
+{
+    EXPECT_DOUBLE_EQ(steady().not_older_than(0s), 0);
+    EXPECT_DOUBLE_EQ(steady().not_older_than(500ms), 5);
+    EXPECT_DOUBLE_EQ(steady().not_older_than(4500ms), 45);
+    EXPECT_DOUBLE_EQ(steady().not_older_than(9s), 50);
+}
+
+TEST_F(grant_counts_test, counts_that_grow_older_lose_the_oldest)
+{
+    auto it = steady();
+    it.grow_older(2s);
+    EXPECT_DOUBLE_EQ(it.not_older_than(1s), 0);
+    EXPECT_DOUBLE_EQ(it.not_older_than(3s), 10);
+    EXPECT_DOUBLE_EQ(it.within_window, 30);
+}
+
+class grant_history_test : public grant_counts_test
+{
+protected:
+    static constexpr duration period = 200ms;
+
+    void play(double per_second, duration span)
+    {
+        for (duration passed{}; passed < span; passed += period) {
+            now_ += period;
+            history_.report(steady(per_second), now_);
+        }
+    }
+
+    time_point now_{1h};
+    grant_history history_;
+};
+
+TEST_F(grant_history_test, steady_reports_count_as_reported)
+{
+    play(10, 20s);
+    EXPECT_DOUBLE_EQ(history_.at(now_), 50);
+}
+
+TEST_F(grant_history_test, report_of_fewer_sources_does_not_take_back_grants)
+{
+    play(10, 20s);
+    // Six of ten sources are no longer counted; the rest goes on.
+    play(4, period);
+    EXPECT_NEAR(history_.at(now_), 50, 3);
+    play(4, 1s);
+    EXPECT_NEAR(history_.at(now_), 44, 3);
+    play(4, 5s);
+    EXPECT_DOUBLE_EQ(history_.at(now_), 20);
+}
+
+TEST_F(grant_history_test, sources_that_are_counted_again_are_not_doubled)
+{
+    play(10, 20s);
+    play(4, 600ms);
+    play(10, period);
+    EXPECT_NEAR(history_.at(now_), 50, 5);
+}
+
+TEST_F(grant_history_test, grants_leave_the_window_when_reports_end)
+{
+    play(10, 20s);
+    EXPECT_NEAR(history_.at(now_ + 3s), 20, 3);
+    EXPECT_DOUBLE_EQ(history_.at(now_ + 6s), 0);
+}
+
+} // namespace
+} // namespace pomelohinge
--- a/tests/servers/limits_test.cpp
+++ b/tests/servers/limits_test.cpp
@@ -250,6 +250,39 @@
     EXPECT_LE(static_cast<double>(most_in_window_), bound());
 }
 
+TEST_F(shared_rate_test, entries_killed_with_their_hub_stay_within_the_bound)
+{
+    rate_ = {49, 49};
+    for (int round = 0; round < 4; ++round) {
+        begin(30);
+        demands_.assign(30, 1.27);
+        play(10s);
+        demands_.assign(30, 1.27 * 7.5);
+        play(500ms);
+        // Nobody hears of the others until another hub is found, and it
+        // hears of them one after the other. Callers go to those that are
+        // left.
+        ledger_ = {};
+        for (std::size_t it = 0; it < entries_.size(); ++it)
+            silent_.insert(it);
+        for (std::size_t it = 0; it < 18; ++it) {
+            demands_[it] = 0;
+            entries_[it] = organisation_limits();
+            entries_[it].expect_entries(30);
+        }
+        for (std::size_t it = 18; it < entries_.size(); ++it)
+            demands_[it] *= 2.5;
+        play(600ms);
+        demands_.assign(30, 1.27 * 7.5);
+        for (std::size_t it = entries_.size(); it-- > 0;) {
+            silent_.erase(it);
+            play(40ms);
+        }
+        play(6s);
+    }
+    EXPECT_LE(static_cast<double>(most_in_window_), bound());
+}
+
 TEST_F(limits_test, charge_without_word_from_others_takes_an_even_share)
 {
     organisation_limits limits;
