Add a fault soak over real processes

Plans come from seeds, faults from signals, a loopback proxy and the stand-ins; checks compare what callers and upstreams saw. The demo asks VMs for their standing and finds ejections in the logs, since there are no owners any more.

--- /dev/null
+++ b/tests/soak/soak_test.py
@@ -0,0 +1,124 @@
+"""Tests of the soak's plans, links and checks."""
+
+import pathlib
+import socket
+import sys
+import threading
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path[:0] = [str(ROOT / "tools"), str(ROOT / "soak")]
+
+import checks  # noqa: E402
+from link_proxy import Link, LinkProxy, Trouble  # noqa: E402
+from plan import CALM_BEGIN_S, CALM_END_S, Event, Fault, Plan, make_plan  # noqa: E402,E501
+
+
+class PlanTest(unittest.TestCase):
+    def test_plan_of_a_seed_is_always_the_same(self):
+        self.assertEqual(make_plan(7), make_plan(7))
+        self.assertNotEqual(make_plan(7), make_plan(8))
+
+    def test_plans_begin_and_end_without_faults(self):
+        for seed in range(200):
+            plan = make_plan(seed)
+            for it in plan.events:
+                self.assertGreaterEqual(it.at_s, CALM_BEGIN_S)
+                self.assertLess(it.at_s, plan.duration_s - CALM_END_S)
+
+    def test_plans_together_play_every_fault(self):
+        played = {it.fault for seed in range(50)
+                  for it in make_plan(seed).events}
+        self.assertEqual(played, set(Fault))
+
+
+class ChecksTest(unittest.TestCase):
+    def setUp(self):
+        self.report = {
+            "all": {"wrong": 0, "cut": 0}, "not_run_untrue": 0,
+            "organisations": {"flood": {"answered": 100}},
+            "seconds": [{"second": n, "requests": 10, "answered": 10}
+                        for n in range(30)]}
+        self.plan = self.plan_with(Fault.UPSTREAM_KILLED)
+
+    def plan_with(self, fault):
+        return Plan(1, 2, 1, 30.0, 40.0, (Event(10.0, fault, 0, 1.0),))
+
+    def test_payment_that_ran_in_two_ledgers_is_found(self):
+        self.assertFalse(
+            checks.check_money(self.report, [{"a": 1}, {"b": 1}]))
+        self.assertTrue(checks.check_money(self.report, [{"a": 1}, {"a": 1}]))
+
+    def test_untrue_refusal_and_wrong_answer_are_found(self):
+        self.report["not_run_untrue"] = 1
+        self.report["all"]["wrong"] = 1
+        self.assertEqual(len(checks.check_money(self.report, [])), 2)
+
+    def test_cut_request_is_found_unless_a_vm_was_killed(self):
+        self.report["all"]["cut"] = 1
+        self.assertTrue(checks.check_connections(self.report, self.plan))
+        self.assertFalse(checks.check_connections(
+            self.report, self.plan_with(Fault.VM_KILLED)))
+
+    def test_rate_that_is_exceeded_is_found(self):
+        self.assertFalse(
+            checks.check_rate(self.report, self.plan, "flood", 8, 8))
+        self.report["organisations"]["flood"]["answered"] = 600
+        self.assertTrue(
+            checks.check_rate(self.report, self.plan, "flood", 8, 8))
+
+    def test_service_that_does_not_come_back_is_found(self):
+        self.assertFalse(checks.check_recovery(self.report, self.plan))
+        for row in self.report["seconds"][20:]:
+            row["answered"] = 1
+        self.assertTrue(checks.check_recovery(self.report, self.plan))
+
+
+class LinkTest(unittest.TestCase):
+    def setUp(self):
+        server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(server.close)
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            port = free.getsockname()[1]
+        self.proxy = LinkProxy()
+        self.addCleanup(self.proxy.close)
+        self.link = self.proxy.add(Link(
+            f"127.0.0.1:{port}", "127.0.0.1:%d" % server.getsockname()[1]))
+        threading.Thread(
+            target=self.echo, args=(server,), daemon=True).start()
+        self.client = socket.create_connection(("127.0.0.1", port))
+        self.addCleanup(self.client.close)
+
+    @staticmethod
+    def echo(server):
+        try:
+            connection, _ = server.accept()
+            with connection:
+                while data := connection.recv(100):
+                    connection.sendall(data)
+        except OSError:
+            return
+
+    def test_healthy_link_passes_both_ways(self):
+        self.client.sendall(b"a")
+        self.assertEqual(self.client.recv(10), b"a")
+
+    def test_link_that_is_reset_ends_open_connections(self):
+        self.client.sendall(b"a")
+        self.client.recv(10)
+        self.proxy.set(self.link, Trouble.RESET)
+        with self.assertRaises(ConnectionResetError):
+            self.client.recv(10)
+
+    def test_one_way_link_loses_answers_and_stays_open(self):
+        self.client.sendall(b"a")
+        self.client.recv(10)
+        self.proxy.set(self.link, Trouble.ONE_WAY)
+        self.client.settimeout(0.3)
+        self.client.sendall(b"b")
+        with self.assertRaises(TimeoutError):
+            self.client.recv(10)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -60,21 +60,18 @@
     def at(self, second: float) -> None:
         time.sleep(max(0.0, self.began + second - time.monotonic()))
 
-    def target_state(self, target: str) -> str:
-        """Returns the state of a target at its owner."""
-        for vm in self.fleet.running():
-            for it in vm.status()["targets"]:
-                if it["target"] == target:
-                    return it["state"]
-        return "unowned"
+    def is_ejected(self, target: str) -> bool:
+        """Whether the log of a VM says that it ejected the target."""
+        return any(
+            it["target"] == target and it["state"] == "ejected"
+            for vm in self.fleet.vms.values()
+            for it in self.fleet.events(vm, "target_state_changed"))
 
     def time_ejection(self, label: str, target: str) -> None:
         """Notes the time until a target is ejected."""
         try:
             self.detected[label] = self.fleet.wait_for(
-                f"ejection of {target}",
-                lambda: self.target_state(target) in ("ejected", "probing"),
-                8)
+                f"ejection of {target}", lambda: self.is_ejected(target), 8)
         except TimeoutError:
             self.detected[label] = float("inf")
 
@@ -148,20 +145,10 @@
 
 def count_false_ejections(fleet: fleets.Fleet, faulty: set[str]) -> int:
     """Counts ejections of targets that had no fault, from the VMs' logs."""
-    import json
-    count = 0
-    for vm in fleet.vms.values():
-        log = (fleet.run_dir / f"{vm.name}.log").read_text(encoding="utf-8")
-        for line in log.splitlines():
-            try:
-                event = json.loads(line)
-            except ValueError:
-                continue
-            if (event.get("event") == "target_state_changed"
-                    and event["state"] == "ejected"
-                    and event["target"] not in faulty):
-                count += 1
-    return count
+    return sum(
+        it["state"] == "ejected" and it["target"] not in faulty
+        for vm in fleet.vms.values()
+        for it in fleet.events(vm, "target_state_changed"))
 
 
 def main() -> int:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -40,6 +40,8 @@
         self.name = name
         self.data_centre = data_centre
         self.ip = ip
+        #: Where it reaches the object service, if not at the fleet's address.
+        self.platform: str | None = None
         self.process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -64,14 +66,17 @@
         self.service = service
         self.data_centre = data_centre
         self.address = address
+        #: Where the process listens; VMs may reach it through a proxy.
+        self.listens_at = address
         self.slots = slots
         self.process: subprocess.Popen[bytes] | None = None
 
     def set_mode(self, mode: str) -> None:
-        http(f"http://{self.address}/stand_in/mode", mode)
+        http(f"http://{self.listens_at}/stand_in/mode", mode)
 
     def ledger(self) -> dict[str, Any]:
-        return json.loads(http(f"http://{self.address}/stand_in/ledger"))
+        return json.loads(http(
+            f"http://{self.listens_at}/stand_in/ledger"))
 
 
 class Fleet:
@@ -129,7 +134,7 @@
     def start_upstream(self, it: Upstream, cold: bool = False,
                        median_us: int = 10_000, seed: int = 1,
                        answer_bytes: int = 200) -> None:
-        arguments = ["stand_in_upstream", "--address", it.address, "--slots",
+        arguments = ["stand_in_upstream", "--address", it.listens_at, "--slots",
                      str(it.slots), "--median-us", str(median_us), "--seed",
                      str(seed), "--answer-bytes", str(answer_bytes)]
         if cold:
@@ -143,7 +148,7 @@
             "callers_address": it.callers,
             "peers_address": f"{it.ip}:8081",
             "operators_address": it.operators,
-            "platform_address": self.platform,
+            "platform_address": it.platform or self.platform,
             "seeds": [f"{other.ip}:8081" for other in
                       list(self.vms.values())[:3] if other is not it],
             "traffic_threads": self.traffic_threads,
@@ -193,18 +198,18 @@
                 if vm.process is not None and vm.process.poll() is None]
 
     def is_ready(self) -> bool:
-        """Whether all running VMs serve and see each other and all targets
-        have an owner that runs them."""
+        """Whether all running VMs serve, see each other and know all
+        targets."""
         vms = self.running()
-        owned = set()
         for vm in vms:
             status = vm.status()
-            seen = sum(len(it["vms"])
-                       for it in status["data_centres"].values())
-            if status["phase"] != "serving" or seen != len(vms):
+            seen = sum(it["alive"] for members in
+                       status["data_centres"].values() for it in members)
+            if status["standing"] != "serving" or seen != len(vms):
                 return False
-            owned |= {it["target"] for it in status["targets"]}
-        return len(owned) >= len(self.upstreams)
+            if status["targets"] < len(self.upstreams):
+                return False
+        return True
 
     def wait_ready(self, limit_s: float = READY_LIMIT_S) -> float:
         return self.wait_for("a ready fleet", self.is_ready, limit_s)
@@ -217,13 +222,18 @@
             process.kill()
             process.wait()
 
-    def pause(self, vm: Vm) -> None:
-        if vm.process is not None:
-            vm.process.send_signal(signal.SIGSTOP)
+    def pause(self, it: "Vm | Upstream") -> None:
+        if it.process is not None:
+            it.process.send_signal(signal.SIGSTOP)
+
+    def resume(self, it: "Vm | Upstream") -> None:
+        if it.process is not None:
+            it.process.send_signal(signal.SIGCONT)
 
-    def resume(self, vm: Vm) -> None:
+    def reload(self, vm: Vm) -> None:
+        """Asks a VM to read its settings anew."""
         if vm.process is not None:
-            vm.process.send_signal(signal.SIGCONT)
+            vm.process.send_signal(signal.SIGHUP)
 
     def ask_to_stop(self, vm: Vm) -> None:
         """Begins a planned stop."""
@@ -248,6 +258,19 @@
         path = self.run_dir / f"{name}-report.json"
         return json.loads(path.read_text(encoding="utf-8"))
 
+    def events(self, vm: Vm, event: str) -> list[dict[str, Any]]:
+        """Returns the lines of one event in a VM's log."""
+        lines = []
+        log = self.run_dir / f"{vm.name}.log"
+        for line in log.read_text(encoding="utf-8").splitlines():
+            try:
+                it = json.loads(line)
+            except ValueError:
+                continue
+            if it.get("event") == event:
+                lines.append(it)
+        return lines
+
     def invariant_violations(self) -> int:
         """Violations that running VMs have counted."""
         return sum(vm.status()["invariant_violations"]
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -12,3 +12,7 @@
     left_out=(-E "^($pattern)\$")
 fi
 ctest --test-dir "$1" --output-on-failure -j 4 "${left_out[@]}"
+python3 -m unittest discover -s tests/soak -p '*_test.py'
+# A short run; what it checks does not depend on how fast the machine is.
+python3 soak/soak.py --build "$1" --run-dir "$1/soak-run" --seeds 4:1 \
+    --duration 16 --untimed
