Let buckets begin with half of an even share of the burst

When they are back, 336 requests within their organisations' rates are refused in two seconds: buckets began empty, since a VM may follow one that has used up its bucket, and 1/40 of a rate takes a second for a token.

Change: a VM that has not heard of most others yet begins each bucket with half of an even share of the burst, as fractions of a token.

--- a/servers/limits/organisation_limits.cpp
+++ b/servers/limits/organisation_limits.cpp
@@ -32,6 +32,10 @@
 /// hub hears of them one after the other.
 constexpr duration demand_memory = std::chrono::milliseconds(500);
 
+/// Part of its even share of the burst that a thread begins with, so that
+/// callers are served while all VMs start anew.
+constexpr double first_part = 0.5;
+
 /// Longer than it takes to notice that an entry has fallen silent. Shares that
 /// are older were made while it was heard.
 constexpr duration silence_notice = std::chrono::milliseconds(1500);
@@ -113,6 +117,17 @@
         std::max(1.0, burst * it.share)};
 }
 
+/// A thread that has just started may follow one that has used up its bucket.
+/// One that has run for longer knows what the others let through.
+double organisation_limits::first_tokens(
+    rate_object const& rate, time_point now) const
+{
+    if (has_settled(now))
+        return 0;
+    auto const n = static_cast<double>(std::max(entries_, listed_));
+    return static_cast<double>(rate.burst) * first_part / n;
+}
+
 bool organisation_limits::fleet_has_spare(part const& it,
     rate_object const& rate, double granted_by_all, time_point now) const
 {
@@ -143,9 +158,8 @@
     it.used_at = now;
     it.share = share_of(it, rate, now);
     auto const mine = own_rate(it, rate, now);
-    // A thread that has just started may follow one whose bucket was full.
     if (!std::exchange(it.filled, true))
-        it.bucket = token_bucket(mine, 0, now);
+        it.bucket = token_bucket(mine, first_tokens(rate, now), now);
     else
         it.bucket.change_rate(mine, now);
     auto const by_all = it.grants.count(now) + it.granted_elsewhere.at(now) +
--- a/servers/limits/organisation_limits.hpp
+++ b/servers/limits/organisation_limits.hpp
@@ -92,6 +92,9 @@
     bucket_rate own_rate(
         part const& it, rate_object const& rate, time_point now) const;
 
+    /// What a bucket holds at first.
+    double first_tokens(rate_object const& rate, time_point now) const;
+
     /// What the others may have let through since they were last heard.
     double granted_unheard(
         part const& it, rate_object const& rate, time_point now) const;
--- a/tests/servers/limits_test.cpp
+++ b/tests/servers/limits_test.cpp
@@ -183,6 +183,19 @@
     EXPECT_LE(static_cast<double>(most_in_window_), bound());
 }
 
+TEST_F(shared_rate_test, entries_that_all_start_anew_serve_demand_in_the_rate)
+{
+    begin(20);
+    rate_ = {128, 128};
+    demands_.assign(20, 4.5);
+    play(10s);
+    ledger_ = {};
+    begin(20);
+    asked_ = granted_ = 0;
+    play(1s);
+    EXPECT_GE(static_cast<double>(granted_), 0.7 * static_cast<double>(asked_));
+}
+
 TEST_F(shared_rate_test, entries_that_die_as_demand_turns_hot_stay_within_it)
 {
     begin(8);
