--- a/servers/limits/organisation_limits.cpp
+++ b/servers/limits/organisation_limits.cpp
@@ -32,10 +32,6 @@
 /// hub hears of them one after the other.
 constexpr duration demand_memory = std::chrono::milliseconds(500);
 
-/// Part of its even share of the burst that a thread begins with, so that
-/// callers are served while all VMs start anew.
-constexpr double first_part = 0.5;
-
 /// Longer than it takes to notice that an entry has fallen silent. Shares that
 /// are older were made while it was heard.
 constexpr duration silence_notice = std::chrono::milliseconds(1500);
@@ -117,15 +113,15 @@
         std::max(1.0, burst * it.share)};
 }
 
-/// A thread that has just started may follow one that has used up its bucket.
-/// One that has run for longer knows what the others let through.
+/// While all VMs start anew, callers are served from even shares of the burst.
+/// Later what the others let through decides.
 double organisation_limits::first_tokens(
     rate_object const& rate, time_point now) const
 {
     if (has_settled(now))
         return 0;
     auto const n = static_cast<double>(std::max(entries_, listed_));
-    return static_cast<double>(rate.burst) * first_part / n;
+    return static_cast<double>(rate.burst) / n;
 }
 
 bool organisation_limits::fleet_has_spare(part const& it,
