--- a/servers/limits/organisation_limits.cpp
+++ b/servers/limits/organisation_limits.cpp
@@ -163,7 +163,7 @@
     auto const most = rate.requests_per_second * to_seconds(window) +
         static_cast<double>(rate.burst);
     charge_verdict verdict{false, {}, it.share, it.demand.per_second(now),
-        it.others.demand, by_all};
+        it.others.demand, by_all, knows_all(now), now - heard_at_};
     if (by_all + 1 > most + 1e-9) {
         verdict.retry_after = from_seconds(1 / rate.requests_per_second);
         return verdict;
--- a/servers/limits/organisation_limits.hpp
+++ b/servers/limits/organisation_limits.hpp
@@ -22,6 +22,10 @@
     double demand = 0;
     double others = 0;
     double granted_by_all = 0;
+    /// Whether all others were heard lately, and how long ago the last word
+    /// came.
+    bool knows_all = false;
+    duration word_age{};
 };
 
 /// One traffic thread's part of every organisation's rate and burst. The
--- a/servers/requests/request_log.cpp
+++ b/servers/requests/request_log.cpp
@@ -75,7 +75,9 @@
             {"rate", rate.requests_per_second}, {"burst", rate.burst},
             {"share", verdict.share}, {"demand", verdict.demand},
             {"demand_elsewhere", verdict.others},
-            {"granted_by_all", verdict.granted_by_all}});
+            {"granted_by_all", verdict.granted_by_all},
+            {"knows_all", verdict.knows_all ? 1 : 0},
+            {"word_age_ms", to_milliseconds(verdict.word_age)}});
 }
 
 void log_stale(std::string const& request, duration read_age)
