Count a target as used only by requests that began lately

A target counted as in use while anything was under way there: a request that hangs, or what a lost VM last reported, for up to 2.5 s. And where most targets are doubted, those in use may be the doubted ones.

Change: a target counts as used for 1.4 s after a request began here, ended anywhere, or the others' number changed; trusted targets are counted apart.

The test with many failing targets passed before as well; it is kept.

--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -69,6 +69,32 @@
         result != attempt_result::kept_connection_lost;
 }
 
+/// How many of some targets are in use, and which of the others is the best.
+struct target_use
+{
+    double open = 0;
+    double used = 0;
+    traffic_target* least_doubted = nullptr;
+
+    /// Counts a target; `free` is the same if it may take the request.
+    void count(bool in_use, traffic_target* free, time_point now)
+    {
+        ++open;
+        used += in_use ? 1 : 0;
+        if (free == nullptr)
+            return;
+        if (least_doubted == nullptr ||
+            free->health().doubt_at(now) <
+                least_doubted->health().doubt_at(now))
+            least_doubted = free;
+    }
+
+    bool is_below(double share) const
+    {
+        return least_doubted != nullptr && used < share * open;
+    }
+};
+
 } // namespace
 
 dispatcher::dispatcher(chart<target_chart> const& rules, vm_id self,
@@ -159,10 +185,10 @@
     for (auto& [id, it] : targets_) {
         auto const said = others.targets.find(id.text());
         if (said == others.targets.end()) {
-            it->set_others(0);
+            it->set_others(0, now);
             continue;
         }
-        it->set_others(said->second.in_flight);
+        it->set_others(said->second.in_flight, now);
         auto const before = it->health().state();
         it->health().reported(
             said->second, usual_failures(it->record().service), now);
@@ -328,33 +354,35 @@
 
 /// A target that brings the share of those in use above the floor. The load
 /// alone leaves few in use when it is low: what has answered just now is
-/// preferred, and what is doubted is avoided.
+/// preferred, and what is doubted is avoided. Where many are doubted, those
+/// in use may be the doubted ones, so trusted targets are counted apart too.
 traffic_target* dispatcher::choose_for_floor(
     service_state& service, placement_question const& question, time_point now)
 {
-    double open = 0;
-    double used = 0;
-    traffic_target* best = nullptr;
+    target_use all;
+    target_use trusted;
     for (auto* it : service.targets) {
         if (!it->open() || it->record().data_centre != data_centre_)
             continue;
-        ++open;
-        if (it->in_flight() > 0 || it->others() > 0 ||
-            now - it->health().tried_at() < use_memory) {
-            ++used;
-            continue;
-        }
-        bool const better = best == nullptr ||
-            it->health().doubt_at(now) < best->health().doubt_at(now);
-        if (better && !was_tried(question, it->record().id) &&
-            it->has_room(now))
-            best = it;
+        bool const in_use = now - it->used_at() < use_memory;
+        auto* const free =
+            in_use || was_tried(question, it->record().id) || !it->has_room(now)
+            ? nullptr
+            : it;
+        all.count(in_use, free, now);
+        if (it->health().state() == target_state::trusted)
+            trusted.count(in_use, free, now);
     }
-    if (best == nullptr || used >= (floor_ + floor_margin) * open)
+    auto const least = floor_ + floor_margin;
+    if (trusted.is_below(least))
+        return trusted.least_doubted;
+    if (!all.is_below(least))
         return nullptr;
-    bool const risky = best->health().state() != target_state::trusted;
-    return risky && is_most_urgent(service, question.priority, now) ? nullptr
-                                                                    : best;
+    bool const risky =
+        all.least_doubted->health().state() != target_state::trusted;
+    return risky && is_most_urgent(service, question.priority, now)
+        ? nullptr
+        : all.least_doubted;
 }
 
 /// Whether only more urgent requests than the others lose by a trial; where
--- a/servers/dispatch/traffic_target.cpp
+++ b/servers/dispatch/traffic_target.cpp
@@ -51,10 +51,24 @@
 void traffic_target::began(time_point now)
 {
     ++in_flight_;
+    began_at_ = now;
     if (is_cold(now) && cold_pace_)
         cold_pace_->take(now);
 }
 
+void traffic_target::set_others(std::int64_t in_flight, time_point now)
+{
+    if (in_flight == others_)
+        return;
+    others_ = in_flight;
+    others_changed_at_ = now;
+}
+
+time_point traffic_target::used_at() const
+{
+    return std::max({began_at_, others_changed_at_, health_.tried_at()});
+}
+
 target_report traffic_target::take_report()
 {
     auto report = std::exchange(news_, {});
--- a/servers/dispatch/traffic_target.hpp
+++ b/servers/dispatch/traffic_target.hpp
@@ -51,9 +51,13 @@
     std::int64_t in_flight() const { return in_flight_; }
 
     /// Requests under way from elsewhere, as last heard.
-    void set_others(std::int64_t in_flight) { others_ = in_flight; }
+    void set_others(std::int64_t in_flight, time_point now);
     std::int64_t others() const { return others_; }
 
+    /// When a request last began here, or was heard of. What is under way
+    /// without change says nothing: it may hang, or its VM may be gone.
+    time_point used_at() const;
+
     /// Requests under way from here that take unusually long.
     void became_late() { ++late_; }
     void late_ended() { --late_; }
@@ -71,6 +75,8 @@
     std::int64_t in_flight_ = 0;
     std::int64_t others_ = 0;
     std::int64_t late_ = 0;
+    time_point began_at_{};
+    time_point others_changed_at_{};
     std::optional<token_bucket> cold_pace_;
     target_report news_;
 };
--- a/tests/servers/dispatch_test.cpp
+++ b/tests/servers/dispatch_test.cpp
@@ -434,6 +434,64 @@
     }
 }
 
+TEST_F(dispatch_test, sound_targets_among_many_failing_ones_are_kept_in_use)
+{
+    constexpr std::size_t n = 24;
+    constexpr std::size_t failing = 14;
+    constexpr double floor = 0.7;
+    dispatcher_.set_floor(floor);
+    std::set<std::string> bad;
+    for (std::size_t it = 0; it < n; ++it) {
+        add("t" + std::to_string(it));
+        if (it < failing)
+            bad.insert("t" + std::to_string(it));
+    }
+    adopt();
+    for (int window = 0; window < 10; ++window) {
+        std::set<std::string> used;
+        // Fifteen requests a second for two seconds, as many as there are
+        // targets in use and little more.
+        for (int it = 0; it < 30; ++it) {
+            auto const target = placed(ask(it % 5 == 0 ? 0 : 1, it % 4 == 0));
+            clock_.advance(66ms);
+            if (!bad.contains(target))
+                used.insert(target);
+            end(last_,
+                bad.contains(target) ? attempt_result::server_error
+                                     : attempt_result::answered,
+                50ms);
+            dispatcher_.tick(clock_.now());
+        }
+        if (window > 0)
+            EXPECT_GE(static_cast<double>(used.size()), floor * (n - failing))
+                << window;
+    }
+}
+
+TEST_F(dispatch_test, work_of_lost_vms_does_not_count_as_use_of_a_target)
+{
+    constexpr std::size_t n = 10;
+    constexpr double floor = 0.7;
+    dispatcher_.set_floor(floor);
+    traffic_report others;
+    for (std::size_t it = 0; it < n; ++it) {
+        add("t" + std::to_string(it));
+        if (it < 5)
+            others.targets["t" + std::to_string(it)].in_flight = 1;
+    }
+    adopt();
+    dispatcher_.hear(others, clock_.now());
+    std::set<std::string> used;
+    for (int it = 0; it < 20; ++it) {
+        used.insert(placed(ask()));
+        clock_.advance(100ms);
+        end(last_, attempt_result::answered, 50ms);
+        dispatcher_.hear(others, clock_.now());
+        dispatcher_.tick(clock_.now());
+    }
+    EXPECT_GE(static_cast<double>(used.size()), floor * n);
+}
+
 TEST_F(dispatch_test, target_whose_address_another_has_gets_nothing_more)
 {
     add("t1");
