--- a/soak/injector.py
+++ b/soak/injector.py
@@ -44,6 +44,8 @@
         self._due: list[tuple[float, int, Callable[[], None]]] = []
         #: How many faults hold each thing; it is mended with the last.
         self._held: dict[str, int] = {}
+        #: For how long each VM was paused in all.
+        self._paused_s: dict[str, float] = {}
 
     def run(self, began: float) -> None:
         """Plays all events; returns when the last fault has ended."""
@@ -101,6 +103,8 @@
         if vm.process is None or vm.process.poll() is not None:
             return
         self.down.add(vm.name)
+        self._paused_s[vm.name] = (
+            self._paused_s.get(vm.name, 0.0) + it.for_s)
         self._hold(f"vm {vm.name}", it, lambda: self.fleet.pause(vm),
                    lambda: self._start_vm(vm))
 
@@ -112,11 +116,18 @@
         self.down.add(vm.name)
         self._held[f"vm {vm.name}"] = self._held.get(f"vm {vm.name}", 0) + 1
         self.fleet.ask_to_stop(vm)
+        paused_s = self._paused_s.get(vm.name, 0.0)
         self._at(self._now_s + STOP_LIMIT_S,
-                 lambda: self._after_stop(vm, process))
-
-    def _after_stop(self, vm: fleets.Vm,
-                    process: subprocess.Popen[bytes]) -> None:
+                 lambda: self._after_stop(vm, process, paused_s))
+
+    def _after_stop(self, vm: fleets.Vm, process: subprocess.Popen[bytes],
+                    paused_before_s: float) -> None:
+        paused_s = self._paused_s.get(vm.name, 0.0)
+        if process.poll() is None and paused_s > paused_before_s:
+            # It could not go on while it was paused.
+            self._at(self._now_s + paused_s - paused_before_s,
+                     lambda: self._after_stop(vm, process, paused_s))
+            return
         if process.poll() is None:
             self.findings.append(
                 f"{vm.name} ran {STOP_LIMIT_S} s after it was told to stop")
