--- a/soak/injector.py
+++ b/soak/injector.py
@@ -94,8 +94,6 @@
     def _start_vm(self, vm: fleets.Vm) -> None:
         if vm.process is None or vm.process.poll() is not None:
             self.fleet.start_vm(vm)
-        else:
-            self.fleet.resume(vm)
         self.down.discard(vm.name)
 
     def _vm_paused(self, it: Event) -> None:
@@ -105,8 +103,15 @@
         self.down.add(vm.name)
         self._paused_s[vm.name] = (
             self._paused_s.get(vm.name, 0.0) + it.for_s)
-        self._hold(f"vm {vm.name}", it, lambda: self.fleet.pause(vm),
-                   lambda: self._start_vm(vm))
+        self._hold(f"pause {vm.name}", it, lambda: self.fleet.pause(vm),
+                   lambda: self._resume_vm(vm))
+
+    def _resume_vm(self, vm: fleets.Vm) -> None:
+        if vm.process is not None and vm.process.poll() is None:
+            self.fleet.resume(vm)
+        # It may have been killed or told to stop meanwhile.
+        if self._held.get(f"vm {vm.name}", 0) == 0:
+            self.down.discard(vm.name)
 
     def _vm_restarted(self, it: Event) -> None:
         vm = self._vm(it)
