--- a/core/log.hpp
+++ b/core/log.hpp
@@ -11,6 +11,25 @@
 
 namespace pomelohinge {
 
+/// The name of a field of a log line. A name that every line already has does
+/// not compile, since a reader would see only one of the two values.
+class log_field_name
+{
+public:
+    consteval log_field_name(char const* text) : text_(text)
+    {
+        for (std::string_view const it :
+            {"time_ms", "number", "event", "level"})
+            if (text_ == it)
+                throw "the name is reserved";
+    }
+
+    std::string_view text() const { return text_; }
+
+private:
+    std::string_view text_;
+};
+
 /// A named value in a log line. Keys of organisations must never be logged,
 /// not even as hashes.
 struct log_field
@@ -19,15 +38,15 @@
     std::string value;
     bool is_number = false;
 
-    log_field(std::string_view field, std::string_view text)
-        : name(field), value(text)
+    log_field(log_field_name field, std::string_view text)
+        : name(field.text()), value(text)
     {
     }
 
     template <class Number>
         requires std::is_arithmetic_v<Number> log_field(
-            std::string_view field, Number number)
-            : name(field), value(std::to_string(number)), is_number(true)
+            log_field_name field, Number number)
+            : name(field.text()), value(std::to_string(number)), is_number(true)
         {
         }
 };
--- /dev/null
+++ b/servers/dispatch/target_selection.cpp
@@ -0,0 +1,215 @@
+#include "servers/dispatch/dispatcher.hpp"
+
+#include <algorithm>
+
+/// Selection of the target for a request.
+namespace pomelohinge {
+namespace {
+
+/// A target that is not trusted and was not observed for this long is probed
+/// with a request that is not of the most urgent priority. The shorter delay
+/// applies while the share of failed requests to the service is above
+/// `failing_service_threshold`, since every target that may have recovered is
+/// needed then.
+constexpr duration probe_delay = std::chrono::milliseconds(4000);
+constexpr duration short_probe_delay = std::chrono::milliseconds(1300);
+constexpr double failing_service_threshold = 0.06;
+
+/// A target counts as in use for this long after the last sign of a request to
+/// it. The floor applies to the targets used within two seconds; the remaining
+/// 600 ms allow for the delay of reports.
+constexpr duration use_window = std::chrono::milliseconds(1400);
+
+/// Added to the floor, because the use of a target by other threads is reported
+/// with a delay.
+constexpr double floor_margin = 0.1;
+
+/// A priority without requests for this long does not count as recent.
+constexpr duration priority_expiry = std::chrono::seconds(5);
+
+bool was_tried(placement_request const& request, target_id const& target)
+{
+    return std::find(request.tried.begin(), request.tried.end(), target) !=
+        request.tried.end();
+}
+
+/// Counts how many of a set of targets are in use, and finds the unused target
+/// with the lowest failure probability.
+struct target_use
+{
+    double available = 0;
+    double used = 0;
+    traffic_target* healthiest = nullptr;
+
+    /// Counts a target. `free` points to it if it is unused and can take the
+    /// request now, and is null otherwise.
+    void count(bool in_use, traffic_target* free, time_point now)
+    {
+        ++available;
+        used += in_use ? 1 : 0;
+        if (free == nullptr)
+            return;
+        if (healthiest == nullptr ||
+            free->health().failure_probability_at(now) <
+                healthiest->health().failure_probability_at(now))
+            healthiest = free;
+    }
+
+    /// Whether the share of targets in use is below `share` and an unused
+    /// target can take the request.
+    bool is_below(double share) const
+    {
+        return healthiest != nullptr && used < share * available;
+    }
+};
+
+} // namespace
+
+bool dispatcher::has_eligible_target(
+    service_state const& service, placement_request const& request) const
+{
+    return std::any_of(
+        service.targets.begin(), service.targets.end(), [&](auto const* it) {
+            return it->accepts_requests() &&
+                !was_tried(request, it->record().id);
+        });
+}
+
+traffic_target* dispatcher::choose_suspect_to_probe(
+    service_state& service, placement_request const& request, time_point now)
+{
+    if (!request.retryable)
+        return nullptr;
+    traffic_target* found = nullptr;
+    for (auto* it : service.targets) {
+        bool const is_eligible = it->accepts_requests() &&
+            it->in_flight() == 0 &&
+            it->health().state() == target_state::suspect &&
+            !was_tried(request, it->record().id) && it->has_capacity(now);
+        if (!is_eligible)
+            continue;
+        bool const local = it->record().data_centre == data_centre_;
+        if (local)
+            return it;
+        found = found == nullptr ? it : found;
+    }
+    // Suspects of other data centres are probed by the entries there.
+    return local_entries_ == 0 ? found : nullptr;
+}
+
+/// Returns the local target that is due for a probe and has not been observed
+/// for the longest time, if any. `choose_suspect_to_probe` needs retryable
+/// requests; for services without them, less urgent requests are the probes.
+traffic_target* dispatcher::choose_target_to_probe(
+    service_state& service, placement_request const& request, time_point now)
+{
+    if (is_most_urgent(service, request.priority, now))
+        return nullptr;
+    auto const delay = service.failure_rate > failing_service_threshold
+        ? short_probe_delay
+        : probe_delay;
+    traffic_target* least_recent = nullptr;
+    for (auto* it : service.targets) {
+        bool const is_eligible = it->accepts_requests() &&
+            it->in_flight() == 0 && it->in_flight_elsewhere() == 0 &&
+            it->health().state() != target_state::trusted &&
+            it->record().data_centre == data_centre_ &&
+            now - it->health().last_observed_at() > delay &&
+            !was_tried(request, it->record().id) && it->has_capacity(now);
+        if (is_eligible &&
+            (least_recent == nullptr ||
+                it->health().last_observed_at() <
+                    least_recent->health().last_observed_at()))
+            least_recent = it;
+    }
+    return least_recent;
+}
+
+/// Returns an unused local target if the share of local targets in use is less
+/// than `floor_margin` above the floor. At low load the picker uses only a few
+/// targets, since it prefers those that answered most recently and avoids
+/// suspects. While many targets are suspected, the ones in use may all be
+/// suspects, so the share is also checked for the trusted targets alone.
+traffic_target* dispatcher::choose_for_floor(
+    service_state& service, placement_request const& request, time_point now)
+{
+    target_use all;
+    target_use trusted;
+    for (auto* it : service.targets) {
+        if (!it->accepts_requests() || it->record().data_centre != data_centre_)
+            continue;
+        bool const in_use = now - it->last_used_at() < use_window;
+        auto* const free = in_use || was_tried(request, it->record().id) ||
+                !it->has_capacity(now)
+            ? nullptr
+            : it;
+        all.count(in_use, free, now);
+        if (it->health().state() == target_state::trusted)
+            trusted.count(in_use, free, now);
+    }
+    auto const min_share = floor_ + floor_margin;
+    if (trusted.is_below(min_share))
+        return trusted.healthiest;
+    if (!all.is_below(min_share))
+        return nullptr;
+    bool const is_untrusted =
+        all.healthiest->health().state() != target_state::trusted;
+    return is_untrusted && is_most_urgent(service, request.priority, now)
+        ? nullptr
+        : all.healthiest;
+}
+
+/// Records a request of `priority`, and returns whether that is the most urgent
+/// of several recent priorities. Requests of the most urgent priority are not
+/// used as probes. If there is only one recent priority, all its requests may
+/// be probes.
+bool dispatcher::is_most_urgent(
+    service_state& service, std::int64_t priority, time_point now)
+{
+    service.priorities[priority] = now;
+    std::erase_if(service.priorities,
+        [&](auto const& it) { return now - it.second > priority_expiry; });
+    return service.priorities.size() > 1 &&
+        service.priorities.begin()->first == priority;
+}
+
+/// Lets the picker choose among the targets with a free slot whose state is
+/// `worst` or a better one.
+traffic_target* dispatcher::choose_up_to(target_state worst,
+    service_state& service, placement_request const& request, time_point now)
+{
+    candidates_.clear();
+    eligible_.clear();
+    for (auto* it : service.targets) {
+        if (it->health().state() > worst || !it->accepts_requests() ||
+            was_tried(request, it->record().id) || !it->has_capacity(now))
+            continue;
+        candidates_.push_back({eligible_.size(), it->load_with_one_more(now),
+            it->record().data_centre == data_centre_,
+            it->health().failure_probability_at(now),
+            connected_(it->record().address)});
+        eligible_.push_back(it);
+    }
+    auto const at =
+        picker_.pick(candidates_, pick_context{request.retryable}, random_);
+    return at ? eligible_[*at] : nullptr;
+}
+
+traffic_target* dispatcher::choose(
+    service_state& service, placement_request const& request, time_point now)
+{
+    if (auto* const it = choose_suspect_to_probe(service, request, now))
+        return it;
+    if (auto* const it = choose_target_to_probe(service, request, now))
+        return it;
+    if (auto* const it = choose_for_floor(service, request, now))
+        return it;
+    if (auto* const it =
+            choose_up_to(target_state::suspect, service, request, now))
+        return it;
+    return service.is_below_floor
+        ? choose_up_to(target_state::ejected, service, request, now)
+        : nullptr;
+}
+
+} // namespace pomelohinge
--- a/servers/dispatch/traffic_target.hpp
+++ b/servers/dispatch/traffic_target.hpp
@@ -52,6 +52,7 @@
     void request_started(time_point now);
     void request_ended() { --in_flight_; }
     std::int64_t in_flight() const { return in_flight_; }
+    time_point last_started_at() const { return last_started_at_; }
 
     /// Requests in flight from other VMs and threads, as last reported.
     void set_in_flight_elsewhere(std::int64_t in_flight, time_point now);
