Keep targets in use that some VMs cannot reach, and every trusted one

A VM that had lost its path to a target went on sending there, since the answers that other VMs reported kept the target trusted. Its attempts counted as use of the target, filled its slots in the reports and, as reported silences, ejected it on VMs that reached it: of 18 targets of orders without an arrival from 16 to 18 s, 17 had such attempts in the 6 s before. Apart from that the floor was a share of all targets, so the same fifth could stay unused: 10 targets of rounds, without any failed attempt, one of them trusted, for 12 s.

Use is counted by requests that reached the target. Each thread follows charts/path.jsonc for its own path to each target. Silences on a path in doubt are not reported, and silences of others are ignored while answers arrive. Every trusted target stays in use. A request that has failed once goes to a target that is in use.

--- a/charts/chart_list.cpp
+++ b/charts/chart_list.cpp
@@ -48,11 +48,13 @@
 std::optional<chart_list> load_charts(
     std::string const& folder, findings& found)
 {
-    auto target = load_chart<target_chart>(folder, "target", found);
+    auto health = load_chart<target_chart>(folder, "target", found);
+    auto path = load_chart<path_chart>(folder, "path", found);
     auto request = load_chart<request_chart>(folder, "request", found);
-    if (!target || !request)
+    if (!health || !path || !request)
         return std::nullopt;
-    return chart_list{std::move(*target), std::move(*request)};
+    return chart_list{
+        {std::move(*health), std::move(*path)}, std::move(*request)};
 }
 
 } // namespace pomelohinge
--- a/charts/chart_list.hpp
+++ b/charts/chart_list.hpp
@@ -2,7 +2,7 @@
 #define POMELOHINGE_CHARTS_CHART_LIST_HPP
 
 #include "core/chart.hpp"
-#include "servers/health/target_chart.hpp"
+#include "servers/health/target_charts.hpp"
 #include "servers/requests/request_chart.hpp"
 
 #include <string>
@@ -26,7 +26,7 @@
 /// All charts, bound to their states, events, guards and actions.
 struct chart_list
 {
-    chart<target_chart> target;
+    target_charts target;
     chart<request_chart> request;
 };
 
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -51,6 +51,7 @@
     vm_removed,
     registration_failed,
     target_state_changed,
+    target_path_changed,
 };
 
 template <>
@@ -86,6 +87,7 @@
     {log_event::vm_removed, "vm_removed"},
     {log_event::registration_failed, "registration_failed"},
     {log_event::target_state_changed, "target_state_changed"},
+    {log_event::target_path_changed, "target_path_changed"},
 });
 static_assert(is_ordered<log_event>());
 
@@ -130,6 +132,7 @@
     {log_event::vm_removed, 503, log_level::info},
     {log_event::registration_failed, 504, log_level::warning},
     {log_event::target_state_changed, 600, log_level::warning},
+    {log_event::target_path_changed, 601, log_level::warning},
 };
 
 /// Returns the catalogue entry of `event`.
--- a/main/explain/request_timeline.cpp
+++ b/main/explain/request_timeline.cpp
@@ -29,6 +29,7 @@
     {log_event::hub_chosen, nullptr},
     {log_event::entries_chosen, nullptr},
     {log_event::target_state_changed, "target"},
+    {log_event::target_path_changed, "target"},
 };
 
 /// Returns null if `event` does not report state.
--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -51,11 +51,24 @@
         result != attempt_result::kept_connection_lost;
 }
 
+/// Logs that the path is now closed, or works again.
+void log_path(traffic_target const& target, path_state before)
+{
+    auto const state = target.path().state();
+    bool const closes =
+        state == path_state::closed && before != path_state::closed;
+    bool const opens = state == path_state::open &&
+        (before == path_state::closed || before == path_state::on_trial);
+    if (closes || opens)
+        log(log_event::target_path_changed,
+            {{"target", target.record().id.text()}, {"state", to_name(state)}});
+}
+
 } // namespace
 
-dispatcher::dispatcher(chart<target_chart> const& health_chart, vm_id self,
+dispatcher::dispatcher(target_charts const& charts, vm_id self,
     data_centre_id data_centre, std::uint64_t seed, connected_check connected)
-    : health_chart_(health_chart), self_(std::move(self)),
+    : charts_(charts), self_(std::move(self)),
       data_centre_(std::move(data_centre)), connected_(std::move(connected)),
       random_(seed)
 {
@@ -71,9 +84,8 @@
         auto const existing = targets_.find(record.id);
         bool const same = existing != targets_.end() &&
             existing->second->record().incarnation == record.incarnation;
-        auto it = same
-            ? std::move(existing->second)
-            : std::make_unique<traffic_target>(record, health_chart_);
+        auto it = same ? std::move(existing->second)
+                       : std::make_unique<traffic_target>(record, charts_);
         it->set_record(record);
         it->set_accepts_requests(next->accepts_requests(record));
         targets.emplace(record.id, std::move(it));
@@ -143,13 +155,15 @@
     for (auto& [id, it] : targets_) {
         auto const reported = others.targets.find(id.text());
         if (reported == others.targets.end()) {
-            it->set_in_flight_elsewhere(0, now);
+            it->set_in_flight_elsewhere(0);
             continue;
         }
-        it->set_in_flight_elsewhere(reported->second.in_flight, now);
+        it->set_in_flight_elsewhere(reported->second.in_flight);
         auto const before = it->health().state();
-        it->health().record_report(
+        auto const path_before = it->path().state();
+        it->record_report(
             reported->second, baseline_failure_rate(it->record().service), now);
+        log_path(*it, path_before);
         bool const matters = now - it->last_started_at() < log_window;
         if (matters && it->health().state() != before)
             log(log_event::target_state_changed,
@@ -169,6 +183,11 @@
 void dispatcher::record_observation(
     traffic_target& target, target_event event, time_point now)
 {
+    // Only the first of several silences is evidence about the target; the
+    // others more likely have the same cause on the path.
+    if (event == target_event::silent &&
+        target.path().state() != path_state::open)
+        return;
     auto const before = target.health().state();
     auto const& service = target.record().service;
     bool const is_failure = event != target_event::answered;
@@ -199,6 +218,17 @@
     update_below_floor(state_of(target.record().service));
 }
 
+void dispatcher::record_path(traffic_target& target, attempt_result result,
+    time_point sent_at, time_point now)
+{
+    auto const before = target.path().state();
+    if (reaches_target(result))
+        target.record_reached(sent_at, now);
+    else if (event_of(result) == target_event::silent)
+        target.path().record_silence(now);
+    log_path(target, before);
+}
+
 void dispatcher::update_below_floor(service_state& service)
 {
     std::size_t available = 0;
@@ -225,6 +255,7 @@
             it->set_replaced();
         if (is_observation(result))
             record_observation(*it, event_of(result), now);
+        record_path(*it, result, now - latency, now);
     }
     if (result == attempt_result::answered)
         baselines_.add_latency(target.service, latency);
@@ -366,6 +397,7 @@
     for (auto& [id, it] : targets_) {
         auto const before = it->health().state();
         it->health().tick(now);
+        it->path().tick(now);
         if (it->health().state() != before)
             update_below_floor(state_of(it->record().service));
     }
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -92,7 +92,7 @@
     /// Returns whether an idle connection to the address is open.
     using connected_check = std::function<bool(std::string const& address)>;
 
-    dispatcher(chart<target_chart> const& health_chart, vm_id self,
+    dispatcher(target_charts const& charts, vm_id self,
         data_centre_id data_centre, std::uint64_t seed,
         connected_check connected);
 
@@ -188,6 +188,8 @@
     void set_cold_rates(time_point now);
     void record_observation(
         traffic_target& target, target_event event, time_point now);
+    void record_path(traffic_target& target, attempt_result result,
+        time_point sent_at, time_point now);
     void update_below_floor(service_state& service);
 
     traffic_target* choose(service_state& service,
@@ -204,8 +206,11 @@
         service_state& service, std::int64_t priority, time_point now);
     traffic_target* choose_suspect_to_probe(service_state& service,
         placement_request const& request, time_point now);
-    traffic_target* choose_up_to(target_state worst, service_state& service,
-        placement_request const& request, time_point now);
+    traffic_target* choose_up_to(target_state worst, bool only_in_use,
+        service_state& service, placement_request const& request,
+        time_point now);
+    bool can_take(traffic_target& target, placement_request const& request,
+        time_point now) const;
     bool has_eligible_target(
         service_state const& service, placement_request const& request) const;
     placement place(traffic_target& target, service_state& service,
@@ -216,7 +221,7 @@
     void serve_queue(service_id const& service, time_point now);
     void reject_expired(service_state& service, time_point now);
 
-    chart<target_chart> const& health_chart_;
+    target_charts const& charts_;
     vm_id self_;
     data_centre_id data_centre_;
     connected_check connected_;
--- a/servers/dispatch/target_selection.cpp
+++ b/servers/dispatch/target_selection.cpp
@@ -15,10 +15,11 @@
 constexpr duration short_probe_delay = std::chrono::milliseconds(1300);
 constexpr double failing_service_threshold = 0.06;
 
-/// A target counts as in use for this long after the last sign of a request to
-/// it. The floor applies to the targets used within two seconds; the remaining
-/// 600 ms allow for the delay of reports.
+/// A target counts as in use for this long after the last request reached it.
+/// The floor applies to the targets used within two seconds; the remaining time
+/// allows for the delay of reports and for the next request to be sent.
 constexpr duration use_window = std::chrono::milliseconds(1400);
+constexpr duration report_delay = std::chrono::milliseconds(600);
 
 /// Added to the floor, because the use of a target by other threads is reported
 /// with a delay.
@@ -65,12 +66,22 @@
 
 } // namespace
 
+/// Whether the target may get this request now, whatever its health.
+bool dispatcher::can_take(traffic_target& target,
+    placement_request const& request, time_point now) const
+{
+    return target.accepts_requests() &&
+        target.path().allows(target.in_flight()) &&
+        !was_tried(request, target.record().id) && target.has_capacity(now);
+}
+
 bool dispatcher::has_eligible_target(
     service_state const& service, placement_request const& request) const
 {
     return std::any_of(
         service.targets.begin(), service.targets.end(), [&](auto const* it) {
             return it->accepts_requests() &&
+                it->path().state() != path_state::closed &&
                 !was_tried(request, it->record().id);
         });
 }
@@ -82,10 +93,10 @@
         return nullptr;
     traffic_target* found = nullptr;
     for (auto* it : service.targets) {
-        bool const is_eligible = it->accepts_requests() &&
-            it->in_flight() == 0 &&
+        bool const is_eligible = it->in_flight() == 0 &&
+            it->path().state() == path_state::open &&
             it->health().state() == target_state::suspect &&
-            !was_tried(request, it->record().id) && it->has_capacity(now);
+            can_take(*it, request, now);
         if (!is_eligible)
             continue;
         bool const local = it->record().data_centre == data_centre_;
@@ -110,12 +121,13 @@
         : probe_delay;
     traffic_target* least_recent = nullptr;
     for (auto* it : service.targets) {
-        bool const is_eligible = it->accepts_requests() &&
-            it->in_flight() == 0 && it->in_flight_elsewhere() == 0 &&
+        bool const is_eligible = it->in_flight() == 0 &&
+            it->in_flight_elsewhere() == 0 &&
+            it->path().state() == path_state::open &&
             it->health().state() != target_state::trusted &&
             it->record().data_centre == data_centre_ &&
             now - it->health().last_observed_at() > delay &&
-            !was_tried(request, it->record().id) && it->has_capacity(now);
+            can_take(*it, request, now);
         if (is_eligible &&
             (least_recent == nullptr ||
                 it->health().last_observed_at() <
@@ -125,38 +137,44 @@
     return least_recent;
 }
 
-/// Returns an unused local target if the share of local targets in use is less
-/// than `floor_margin` above the floor. At low load the picker uses only a few
-/// targets, since it prefers those that answered most recently and avoids
-/// suspects. While many targets are suspected, the ones in use may all be
-/// suspects, so the share is also checked for the trusted targets alone.
+/// Returns an unused local target. Every trusted one stays in use, since any of
+/// them may be among the few that work while the others are disturbed; the rest
+/// stays in use up to `floor_margin` above the floor. The picker alone uses
+/// only a few targets at low load, since it prefers those that answered most
+/// recently.
 traffic_target* dispatcher::choose_for_floor(
     service_state& service, placement_request const& request, time_point now)
 {
     target_use all;
-    target_use trusted;
+    traffic_target* longest_unused = nullptr;
+    time_point earliest{};
+    std::uniform_int_distribution<duration::rep> jitter(
+        0, report_delay.count());
     for (auto* it : service.targets) {
         if (!it->accepts_requests() || it->record().data_centre != data_centre_)
             continue;
-        bool const in_use = now - it->last_used_at() < use_window;
-        auto* const free = in_use || was_tried(request, it->record().id) ||
-                !it->has_capacity(now)
-            ? nullptr
-            : it;
+        bool const in_use = it->is_in_use(use_window, now);
+        bool const is_free = !in_use &&
+            it->path().state() == path_state::open &&
+            can_take(*it, request, now);
+        auto* const free = is_free ? it : nullptr;
         all.count(in_use, free, now);
-        if (it->health().state() == target_state::trusted)
-            trusted.count(in_use, free, now);
+        if (free == nullptr || it->health().state() != target_state::trusted)
+            continue;
+        // Otherwise all entries would choose the same target until their
+        // reports are exchanged.
+        auto const since = it->last_reached_at() + duration(jitter(random_));
+        if (longest_unused == nullptr || since < earliest) {
+            longest_unused = it;
+            earliest = since;
+        }
     }
-    auto const min_share = floor_ + floor_margin;
-    if (trusted.is_below(min_share))
-        return trusted.healthiest;
-    if (!all.is_below(min_share))
+    if (longest_unused != nullptr)
+        return longest_unused;
+    if (!all.is_below(floor_ + floor_margin))
         return nullptr;
-    bool const is_untrusted =
-        all.healthiest->health().state() != target_state::trusted;
-    return is_untrusted && is_most_urgent(service, request.priority, now)
-        ? nullptr
-        : all.healthiest;
+    return is_most_urgent(service, request.priority, now) ? nullptr
+                                                          : all.healthiest;
 }
 
 /// Records a request of `priority`, and returns whether that is the most urgent
@@ -174,15 +192,15 @@
 }
 
 /// Lets the picker choose among the targets with a free slot whose state is
-/// `worst` or a better one.
-traffic_target* dispatcher::choose_up_to(target_state worst,
+/// `worst` or a better one, and which are in use if `only_in_use`.
+traffic_target* dispatcher::choose_up_to(target_state worst, bool only_in_use,
     service_state& service, placement_request const& request, time_point now)
 {
     candidates_.clear();
     eligible_.clear();
     for (auto* it : service.targets) {
-        if (it->health().state() > worst || !it->accepts_requests() ||
-            was_tried(request, it->record().id) || !it->has_capacity(now))
+        if (it->health().state() > worst || !can_take(*it, request, now) ||
+            (only_in_use && now - it->last_reached_at() >= use_window))
             continue;
         candidates_.push_back({eligible_.size(), it->load_with_one_more(now),
             it->record().data_centre == data_centre_,
@@ -198,17 +216,23 @@
 traffic_target* dispatcher::choose(
     service_state& service, placement_request const& request, time_point now)
 {
-    if (auto* const it = choose_suspect_to_probe(service, request, now))
-        return it;
-    if (auto* const it = choose_target_to_probe(service, request, now))
-        return it;
-    if (auto* const it = choose_for_floor(service, request, now))
+    // A request that has failed at one target goes to one that is in use.
+    if (request.tried.empty()) {
+        if (auto* const it = choose_suspect_to_probe(service, request, now))
+            return it;
+        if (auto* const it = choose_target_to_probe(service, request, now))
+            return it;
+        if (auto* const it = choose_for_floor(service, request, now))
+            return it;
+    } else if (auto* const it = choose_up_to(
+                   target_state::suspect, true, service, request, now)) {
         return it;
+    }
     if (auto* const it =
-            choose_up_to(target_state::suspect, service, request, now))
+            choose_up_to(target_state::suspect, false, service, request, now))
         return it;
     return service.is_below_floor
-        ? choose_up_to(target_state::ejected, service, request, now)
+        ? choose_up_to(target_state::ejected, false, service, request, now)
         : nullptr;
 }
 
--- a/servers/dispatch/traffic_target.cpp
+++ b/servers/dispatch/traffic_target.cpp
@@ -9,6 +9,9 @@
 /// Factor on the load of a cold target, which works at about half its speed.
 constexpr double cold_load_factor = 2;
 
+/// Assumed age of the requests whose ends a report counts.
+constexpr duration report_age = std::chrono::milliseconds(400);
+
 /// Requests that may be sent to a cold target in one burst.
 constexpr double cold_burst = 1;
 
@@ -57,26 +60,37 @@
         cold_bucket_->take(now);
 }
 
-void traffic_target::set_in_flight_elsewhere(
-    std::int64_t in_flight, time_point now)
+void traffic_target::record_reached(time_point sent_at, time_point now)
 {
-    if (in_flight == in_flight_elsewhere_)
-        return;
-    in_flight_elsewhere_ = in_flight;
-    elsewhere_changed_at_ = now;
+    last_reached_at_ = std::max(last_reached_at_, sent_at);
+    path_.record_reached(now);
+}
+
+void traffic_target::record_report(
+    target_report report, double baseline_failure_rate, time_point now)
+{
+    if (path_.is_confirmed(now) || report.answers > 0)
+        report.silences = 0;
+    if (report.answers > 0)
+        path_.record_reached_elsewhere(now);
+    if (report.answers > 0 || report.faults > 0)
+        last_reached_at_ = std::max(last_reached_at_, now - report_age);
+    health_.record_report(report, baseline_failure_rate, now);
 }
 
-time_point traffic_target::last_used_at() const
+bool traffic_target::is_in_use(duration window, time_point now) const
 {
-    return std::max(
-        {last_started_at_, elsewhere_changed_at_, health_.last_observed_at()});
+    bool const is_sending = in_flight_ > 0 &&
+        path_.state() == path_state::open && now - last_started_at_ < window;
+    return is_sending || now - last_reached_at_ < window;
 }
 
 target_report traffic_target::take_report()
 {
     auto report = std::exchange(pending_report_, {});
-    report.in_flight =
-        static_cast<std::uint32_t>(std::max<std::int64_t>(in_flight_, 0));
+    if (path_.state() == path_state::open)
+        report.in_flight =
+            static_cast<std::uint32_t>(std::max<std::int64_t>(in_flight_, 0));
     return report;
 }
 
--- a/servers/dispatch/traffic_target.hpp
+++ b/servers/dispatch/traffic_target.hpp
@@ -1,6 +1,8 @@
 #ifndef POMELOHINGE_SERVERS_DISPATCH_TRAFFIC_TARGET_HPP
 #define POMELOHINGE_SERVERS_DISPATCH_TRAFFIC_TARGET_HPP
 
+#include "servers/health/path_health.hpp"
+#include "servers/health/target_charts.hpp"
 #include "servers/health/target_health.hpp"
 #include "servers/limits/token_bucket.hpp"
 #include "servers/targets/target_catalogue.hpp"
@@ -13,15 +15,16 @@
 class traffic_target
 {
 public:
-    traffic_target(
-        target_record record, chart<target_chart> const& health_chart)
-        : record_(std::move(record)), health_(health_chart)
+    traffic_target(target_record record, target_charts const& charts)
+        : record_(std::move(record)), health_(charts.health), path_(charts.path)
     {
     }
 
     target_record const& record() const { return record_; }
     target_health& health() { return health_; }
     target_health const& health() const { return health_; }
+    path_health& path() { return path_; }
+    path_health const& path() const { return path_; }
 
     /// Replaces the record by a later one of the same incarnation.
     void set_record(target_record record);
@@ -55,14 +58,25 @@
     time_point last_started_at() const { return last_started_at_; }
 
     /// Requests in flight from other VMs and threads, as last reported.
-    void set_in_flight_elsewhere(std::int64_t in_flight, time_point now);
+    void set_in_flight_elsewhere(std::int64_t it) { in_flight_elsewhere_ = it; }
     std::int64_t in_flight_elsewhere() const { return in_flight_elsewhere_; }
 
-    /// Time of the last sign of use: a request sent from here, a change in the
-    /// number of requests in flight from elsewhere, or an observation. An
-    /// unchanged number does not count, since those requests may hang or their
-    /// VM may be gone.
-    time_point last_used_at() const;
+    /// Records that a request from here, sent at `sent_at`, has reached the
+    /// target.
+    void record_reached(time_point sent_at, time_point now);
+
+    /// Time at which the last request reached the target, as far as known.
+    time_point last_reached_at() const { return last_reached_at_; }
+
+    /// Records the observations of other VMs and threads. Their silences are
+    /// ignored while this thread or another VM gets answers.
+    void record_report(
+        target_report report, double baseline_failure_rate, time_point now);
+
+    /// Whether a request reached the target within `window`, or one from here
+    /// is on its way. Requests in flight from elsewhere do not count, since
+    /// they may hang or their VM may be gone.
+    bool is_in_use(duration window, time_point now) const;
 
     /// Requests in flight from here that take much longer than the median.
     void add_late_attempt() { ++late_attempts_; }
@@ -73,19 +87,21 @@
     target_report& pending_report() { return pending_report_; }
 
     /// Returns the pending report with the current number of requests in flight
-    /// from here, and clears it.
+    /// from here, and clears it. Requests on a path that may be cut do not
+    /// occupy the target, so they are not reported.
     target_report take_report();
 
 private:
     target_record record_;
     target_health health_;
+    path_health path_;
     bool accepts_requests_ = true;
     bool replaced_ = false;
     std::int64_t in_flight_ = 0;
     std::int64_t in_flight_elsewhere_ = 0;
     std::int64_t late_attempts_ = 0;
     time_point last_started_at_{};
-    time_point elsewhere_changed_at_{};
+    time_point last_reached_at_{};
     std::optional<token_bucket> cold_bucket_;
     target_report pending_report_;
 };
--- a/servers/requests/attempt.hpp
+++ b/servers/requests/attempt.hpp
@@ -60,6 +60,15 @@
         it == attempt_result::connect_failed;
 }
 
+/// Whether the request arrived at the target, as far as the result shows.
+constexpr bool reaches_target(attempt_result it)
+{
+    return it == attempt_result::answered ||
+        it == attempt_result::server_error || it == attempt_result::shed ||
+        it == attempt_result::connection_lost ||
+        it == attempt_result::wrong_answer || it == attempt_result::too_large;
+}
+
 /// Whether the attempt ended with a complete answer that can be forwarded.
 constexpr bool has_answer(attempt_result it)
 {
--- a/servers/requests/entry_state.hpp
+++ b/servers/requests/entry_state.hpp
@@ -14,11 +14,11 @@
 /// State that the requests of one traffic thread share.
 struct entry_state
 {
-    entry_state(chart<target_chart> const& health_chart, vm_id const& self,
+    entry_state(target_charts const& charts, vm_id const& self,
         data_centre_id const& data_centre, std::uint64_t seed,
         dispatcher::connected_check connected, fleet_bounds configured)
         : bounds(configured),
-          targets(health_chart, self, data_centre, seed, std::move(connected)),
+          targets(charts, self, data_centre, seed, std::move(connected)),
           retries(configured), random(seed)
     {
         targets.set_floor(configured.floor);
--- a/tests/servers/dispatch_test.cpp
+++ b/tests/servers/dispatch_test.cpp
@@ -167,6 +167,19 @@
         EXPECT_EQ(place(request), "t2");
 }
 
+/// Requests failed at one lost target after the other, since each of these was
+/// the next one that had not been in use.
+TEST_F(dispatch_test, request_that_failed_once_goes_to_a_target_in_use)
+{
+    for (auto const* it : {"lost-1", "lost-2", "lost-3", "works"})
+        add(it);
+    adopt();
+    attempt("works", attempt_result::answered);
+    auto request = make_request();
+    request.tried = {target_id("lost-1")};
+    EXPECT_EQ(place(request), "works");
+}
+
 TEST_F(dispatch_test, queued_request_gets_a_slot_that_becomes_free)
 {
     add("t", "east", 1);
--- a/tests/servers/health_test.cpp
+++ b/tests/servers/health_test.cpp
@@ -11,7 +11,9 @@
 class health_test : public testing::Test
 {
 protected:
-    health_test() : charts_(load_all_charts()), health_(charts_.target) {}
+    health_test() : charts_(load_all_charts()), health_(charts_.target.health)
+    {
+    }
 
     static chart_list load_all_charts()
     {
