Keep an organisation's rate in a window in which all VMs are lost

Buckets began with an even share of the whole burst, which the window had seen already. Even shares were divided among the 29 listed entries while callers used up to 97 VMs. Reports were called complete before the hub had heard from the other data centres, so that shares by demand added up to 1.4 and grants without a token were open.

Ruled out: answers lost (requests count when granted), several traffic threads (the platform's settings have one).

A new bucket begins with an even share of 7.5% of what a window allows. Until reports are complete, a VM in its first window has an even share among all VMs. Reports are complete only with every other data centre, for 4 s at most. In the first window half of the burst is not spread, and grants without a token stay below what the rate gives since the start.

Evidence. restarted_fleet_test plays 40 VMs in virtual time that restart at a random moment of a spike: all, half, twice in a row, and without reports.

--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -400,6 +400,7 @@
         for (auto const& it : members_.members())
             if (it.record.data_centre != self_.data_centre)
                 others.insert(it.record.data_centre);
+        sync_server_.expect_other_data_centres(others.size());
         for (auto const& it : others)
             exchange_with(it);
     }
--- a/servers/control/sync_server.hpp
+++ b/servers/control/sync_server.hpp
@@ -38,6 +38,13 @@
     /// The sum of the reports of this data centre, for the hub of another one.
     traffic_report report_for_remote(data_centre_id const& data_centre);
 
+    /// Sets the number of other data centres, whose reports are needed for a
+    /// complete sum.
+    void expect_other_data_centres(std::size_t n)
+    {
+        reports_.expect_remote_sources(n);
+    }
+
     /// Stores the report of another data centre.
     void add_remote_report(data_centre_id const& data_centre,
         traffic_report report, time_point now);
--- a/servers/exchange/fleet_reports.cpp
+++ b/servers/exchange/fleet_reports.cpp
@@ -17,6 +17,9 @@
 /// period.
 constexpr duration max_grants_age = std::chrono::milliseconds(1200);
 
+/// Remote sources that have not reported after this time are taken to be gone.
+constexpr duration max_start_time = std::chrono::seconds(4);
+
 /// How long the latest report of a source is used. Another data centre may be
 /// cut off from this one only and go on serving for longer.
 constexpr duration max_local_report_age = std::chrono::seconds(8);
@@ -93,11 +96,26 @@
     }
 }
 
+/// Whether sources that will report may still be missing from the sum.
+bool report_aggregator::is_starting(bool for_remote) const
+{
+    auto const reporting_time = last_report_at_ - reporting_since_;
+    if (reporting_time < max_grants_age)
+        return true;
+    auto const remotes = static_cast<std::size_t>(
+        std::count_if(sources_.begin(), sources_.end(), [](auto const& it) {
+            return it.second.remote && !it.second.last.partial;
+        }));
+    // A remote source gets the reports of other remote ones from these.
+    return !for_remote && remotes < expected_remotes_ &&
+        reporting_time < max_start_time;
+}
+
 traffic_report report_aggregator::report_for(
     std::string const& receiver, bool remote)
 {
     traffic_report sum;
-    sum.partial = last_report_at_ - reporting_since_ < max_grants_age;
+    sum.partial = is_starting(remote);
     for (auto const& [name, it] : sources_) {
         if (name == receiver || (remote && it.remote))
             continue;
--- a/servers/exchange/fleet_reports.hpp
+++ b/servers/exchange/fleet_reports.hpp
@@ -89,6 +89,10 @@
     void add_report(std::string const& source, bool remote,
         traffic_report report, time_point now);
 
+    /// Sets the number of remote sources that have to report before a sum that
+    /// begins now is complete.
+    void expect_remote_sources(std::size_t n) { expected_remotes_ = n; }
+
     /// The sum of what all sources but `receiver` report. Each observation is
     /// delivered to it once.
     traffic_report report_for(std::string const& receiver, bool remote);
@@ -120,12 +124,14 @@
         bool is_stale = false;
     };
 
+    bool is_starting(bool for_remote) const;
     void add_pending(std::string const& from, source_entry const& entry);
     static void count_grants(source_entry& it, time_point now);
     static void decay_grants(source_entry& it, time_point now);
     static void age_grants(source_entry& it, time_point now);
 
     text_map<source_entry> sources_;
+    std::size_t expected_remotes_ = 0;
     /// When the latest report of any source arrived.
     time_point last_report_at_{};
     /// Since when reports have arrived without a long gap. The sum is marked
--- a/servers/limits/organisation_limits.cpp
+++ b/servers/limits/organisation_limits.cpp
@@ -59,6 +59,10 @@
 /// In normal operation several reports are received in this time.
 constexpr duration max_spread_report_age = std::chrono::milliseconds(500);
 
+/// Part of what a window allows that all threads together may grant at once
+/// after a restart of all VMs, when the grants before it are unknown.
+constexpr double initial_part = 0.075;
+
 /// An organisation is removed if it was not used for this time.
 constexpr duration idle_timeout = std::chrono::seconds(60);
 
@@ -80,10 +84,7 @@
 double organisation_limits::compute_share(
     organisation_state const& it, rate_object const& rate, time_point now) const
 {
-    auto const entries = has_settled(now)
-        ? reported_entries_
-        : std::max(reported_entries_, listed_entries_);
-    auto const n = static_cast<double>(std::max<std::size_t>(entries, 1));
+    auto const n = count_granting_vms(now);
     bool const has_no_report = last_report_at_ == time_point{};
     if (has_no_report || now - last_report_at_ > max_share_age)
         return std::min(
@@ -94,12 +95,11 @@
     auto const own = it.demand.per_second(now);
     auto const by_demand =
         (own + even / n) / (own + it.elsewhere.demand + even);
-    if (!has_settled(now))
+    if (!has_settled(now) || (is_new(now) && !last_report_is_complete_))
         return std::min(by_demand, 1 / n);
     if (own + it.elsewhere.demand <= rate.requests_per_second)
         return by_demand;
-    auto const used_part =
-        now - first_report_at_ >= window ? 1 : first_window_part;
+    auto const used_part = is_new(now) ? first_window_part : 1;
     if (last_report_is_complete_)
         return by_demand * used_part;
     // The demand at VMs without a recent report may have grown as much as at
@@ -109,6 +109,15 @@
     return std::min(by_demand, before) * used_part;
 }
 
+double organisation_limits::count_granting_vms(time_point now) const
+{
+    bool const is_known =
+        has_settled(now) && (last_report_is_complete_ || !is_new(now));
+    auto const n =
+        is_known ? reported_entries_ : std::max(reported_entries_, listed_vms_);
+    return static_cast<double>(std::max<std::size_t>(n, 1));
+}
+
 bool organisation_limits::has_all_reports(time_point now) const
 {
     return last_report_is_complete_ &&
@@ -119,8 +128,8 @@
     organisation_state const& it, rate_object const& rate, time_point now) const
 {
     auto const burst = static_cast<double>(rate.burst);
-    bool const is_spread =
-        has_all_reports(now) && now - last_report_at_ <= max_spread_report_age;
+    bool const is_spread = has_all_reports(now) &&
+        now - last_report_at_ <= max_spread_report_age && !is_new(now);
     auto const spread =
         is_spread ? burst * spread_burst_part / to_seconds(window) : 0;
     // A bucket that holds less than one token would never grant a request.
@@ -136,9 +145,11 @@
 {
     if (has_settled(now))
         return 0;
-    auto const n =
-        static_cast<double>(std::max(reported_entries_, listed_entries_));
-    return static_cast<double>(rate.burst) / n;
+    auto const max_granted = rate.requests_per_second * to_seconds(window) +
+        static_cast<double>(rate.burst);
+    return std::min(
+               static_cast<double>(rate.burst), max_granted * initial_part) /
+        count_granting_vms(now);
 }
 
 bool organisation_limits::has_spare_rate(organisation_state const& it,
@@ -146,9 +157,11 @@
 {
     auto const& per_second = rate.requests_per_second;
     auto const max_demand = per_second + noise_factor * std::sqrt(per_second);
+    auto const known =
+        to_seconds(std::min<duration>(now - first_report_at_, window));
     return has_all_reports(now) &&
         it.demand.per_second(now) + it.elsewhere.demand <= max_demand &&
-        granted_by_all + 1 <= per_second * to_seconds(window) * spare_rate_part;
+        granted_by_all + 1 <= per_second * known * spare_rate_part;
 }
 
 double organisation_limits::estimate_unreported_grants(
@@ -254,9 +267,10 @@
         min_reported_part * static_cast<double>(listed_entries_);
 }
 
-void organisation_limits::set_listed_entries(std::size_t entries)
+void organisation_limits::set_listed_vms(std::size_t entries, std::size_t vms)
 {
     listed_entries_ = std::max<std::size_t>(entries, 1);
+    listed_vms_ = std::max(vms, listed_entries_);
 }
 
 text_map<organisation_report> organisation_limits::make_report(time_point now)
--- a/servers/limits/organisation_limits.hpp
+++ b/servers/limits/organisation_limits.hpp
@@ -68,9 +68,10 @@
     /// grants and with hardly any demand are left out.
     text_map<organisation_report> make_report(time_point now);
 
-    /// Sets the number of VMs that are listed as entries. The limits are
-    /// divided among them until enough of the others have reported.
-    void set_listed_entries(std::size_t entries);
+    /// Sets the number of VMs that are listed as entries, and of all VMs. Until
+    /// enough entries have reported, the limits are divided among all VMs,
+    /// since callers may still use the addresses of any.
+    void set_listed_vms(std::size_t entries, std::size_t vms);
 
     /// Removes organisations without demand that were not used recently.
     void remove_idle(time_point now);
@@ -119,16 +120,27 @@
     double estimate_unreported_grants(organisation_state const& it,
         rate_object const& rate, time_point now) const;
 
+    /// Number of VMs that may grant requests of any organisation.
+    double count_granting_vms(time_point now) const;
+
+    /// Whether this thread began less than a window ago, so that grants from
+    /// before may count that it does not know.
+    bool is_new(time_point now) const
+    {
+        return now - first_report_at_ < window;
+    }
+
     /// Whether reports have been received for long enough that they cover the
     /// demand of the whole fleet.
     bool has_settled(time_point now) const;
     void save_complete_shares(time_point now);
 
     text_map<organisation_state> organisations_;
-    /// Entries covered by the latest report, including this one, and entries
-    /// that are listed.
+    /// Entries covered by the latest report, including this one; entries and
+    /// VMs that are listed.
     std::size_t reported_entries_ = 1;
     std::size_t listed_entries_ = 1;
+    std::size_t listed_vms_ = 1;
     time_point first_report_at_{};
     time_point last_report_at_{};
     bool last_report_is_complete_ = false;
--- a/servers/requests/entry_state.cpp
+++ b/servers/requests/entry_state.cpp
@@ -21,7 +21,7 @@
     auto const entries = static_cast<std::size_t>(std::count_if(members.begin(),
         members.end(), [](auto const& it) { return it.entry; }));
     auto const n = entries > 0 ? entries : members.size();
-    limits.set_listed_entries(n);
+    limits.set_listed_vms(n, members.size());
     retries.set_entries(n, now);
     targets.adopt(next, now);
 }
--- a/tests/servers/limits_test.cpp
+++ b/tests/servers/limits_test.cpp
@@ -52,7 +52,7 @@
     {
         entries_ = std::vector<organisation_limits>(n);
         for (auto& it : entries_)
-            it.set_listed_entries(n);
+            it.set_listed_vms(n, n);
     }
 
     void exchange()
@@ -219,7 +219,7 @@
         for (std::size_t it = 0; it < 5; ++it) {
             demands_[it] = 0;
             entries_[it] = organisation_limits();
-            entries_[it].set_listed_entries(8);
+            entries_[it].set_listed_vms(8, 8);
         }
         simulate(700ms);
         demands_.assign(8, 3.8 * 7.5);
@@ -308,7 +308,7 @@
         for (std::size_t it = 0; it < 18; ++it) {
             demands_[it] = 0;
             entries_[it] = organisation_limits();
-            entries_[it].set_listed_entries(30);
+            entries_[it].set_listed_vms(30, 30);
         }
         for (std::size_t it = 18; it < entries_.size(); ++it)
             demands_[it] *= 2.5;
@@ -323,10 +323,109 @@
     EXPECT_LE(static_cast<double>(max_in_window_), max_grants());
 }
 
+/// Many entries that restart while an organisation asks for several times its
+/// rate, at a seeded moment of its window.
+class restarted_fleet_test : public shared_rate_test,
+                             public testing::WithParamInterface<std::uint64_t>
+{
+protected:
+    static constexpr std::size_t entry_count = 40;
+    static constexpr double usual_demand = 240;
+
+    restarted_fleet_test()
+    {
+        random_.seed(GetParam());
+        rate_ = {300, 306};
+        std::uniform_real_distribution<double> draw(1.2, 6);
+        spike_ = draw(random_);
+        restart_entries(entry_count);
+        set_demand(usual_demand);
+        simulate(10s);
+    }
+
+    void set_demand(double per_second)
+    {
+        demands_.assign(entry_count, per_second / entry_count);
+    }
+
+    void start_spike()
+    {
+        set_demand(usual_demand * spike_);
+        std::uniform_int_distribution<int> milliseconds(300, 5000);
+        simulate(std::chrono::milliseconds(milliseconds(random_)));
+    }
+
+    /// The first `n` entries lose their state, and get no requests for 300 ms.
+    /// Their reports come back one after the other. A third of the VMs that
+    /// get requests is listed as entries.
+    void restart_first(std::size_t n)
+    {
+        for (std::size_t it = 0; it < n; ++it) {
+            demands_[it] = 0;
+            entries_[it] = organisation_limits();
+            entries_[it].set_listed_vms(entry_count / 3, entry_count);
+        }
+        if (n == entry_count)
+            reports_ = {};
+        for (std::size_t it = 0; it < n; ++it)
+            isolated_.insert(it);
+        simulate(300ms);
+        set_demand(usual_demand * spike_);
+        for (std::size_t it = 0; it < n; ++it) {
+            isolated_.erase(it);
+            simulate(20ms);
+        }
+    }
+
+    double spike_ = 0;
+};
+
+TEST_P(
+    restarted_fleet_test, all_entries_restart_within_one_window_keep_the_rate)
+{
+    start_spike();
+    restart_first(entry_count);
+    simulate(6s);
+    EXPECT_LE(static_cast<double>(max_in_window_), max_grants());
+}
+
+TEST_P(restarted_fleet_test, half_of_the_entries_restart_keep_the_rate)
+{
+    start_spike();
+    restart_first(entry_count / 2);
+    simulate(6s);
+    EXPECT_LE(static_cast<double>(max_in_window_), max_grants());
+}
+
+TEST_P(restarted_fleet_test, all_entries_restart_twice_in_a_row_keep_the_rate)
+{
+    start_spike();
+    restart_first(entry_count);
+    simulate(1s);
+    restart_first(entry_count);
+    simulate(6s);
+    EXPECT_LE(static_cast<double>(max_in_window_), max_grants());
+}
+
+TEST_P(restarted_fleet_test, restarted_entries_without_reports_keep_the_rate)
+{
+    start_spike();
+    restart_first(entry_count);
+    for (std::size_t it = 0; it < entry_count; it += 2)
+        isolated_.insert(it);
+    simulate(3s);
+    isolated_.clear();
+    simulate(6s);
+    EXPECT_LE(static_cast<double>(max_in_window_), max_grants());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    seeds, restarted_fleet_test, testing::Range<std::uint64_t>(1, 31));
+
 TEST_F(limits_test, charge_without_reports_uses_an_even_share)
 {
     organisation_limits limits;
-    limits.set_listed_entries(10);
+    limits.set_listed_vms(10, 10);
     rate_object const rate{100, 100};
     int granted = 0;
     for (int it = 0; it < 10000; ++it) {
