Divide the extra retries among all VMs, listed as entries or not

The extra retries were divided by the VMs that are listed as entries, six of twelve, but callers with an older answer use others, which each took a share as large.

They are divided by all VMs.

--- a/servers/requests/entry_state.cpp
+++ b/servers/requests/entry_state.cpp
@@ -22,7 +22,7 @@
         members.end(), [](auto const& it) { return it.entry; }));
     auto const n = entries > 0 ? entries : members.size();
     limits.set_listed_vms(n, members.size());
-    retries.set_entries(n, now);
+    retries.set_vms(members.size(), now);
     targets.adopt(next, now);
 }
 
--- a/servers/retries/retry_budget.cpp
+++ b/servers/retries/retry_budget.cpp
@@ -48,7 +48,7 @@
         retries += slice.retries;
     }
     auto const allowed = (bounds_.retry_ratio * requests +
-                             bounds_.retry_extra / effective_entries(now)) *
+                             bounds_.retry_extra / effective_vms(now)) *
         usable_fraction;
     return retries + 1 <= allowed;
 }
@@ -61,20 +61,20 @@
     return true;
 }
 
-void retry_budget::set_entries(std::size_t entries, time_point now)
+void retry_budget::set_vms(std::size_t vms, time_point now)
 {
-    auto const n = std::max<std::size_t>(entries, 1);
-    if (entries_ >= peak_entries_ || now >= peak_until_) {
-        peak_entries_ = entries_;
+    auto const n = std::max<std::size_t>(vms, 1);
+    if (vms_ >= peak_vms_ || now >= peak_until_) {
+        peak_vms_ = vms_;
         peak_until_ = now + bounds_.retry_window;
     }
-    entries_ = n;
+    vms_ = n;
 }
 
-double retry_budget::effective_entries(time_point now) const
+double retry_budget::effective_vms(time_point now) const
 {
     return static_cast<double>(
-        now < peak_until_ ? std::max(entries_, peak_entries_) : entries_);
+        now < peak_until_ ? std::max(vms_, peak_vms_) : vms_);
 }
 
 } // namespace pomelohinge
--- a/servers/retries/retry_budget.hpp
+++ b/servers/retries/retry_budget.hpp
@@ -27,10 +27,11 @@
     /// Counts one retry if it may be sent now, and returns whether it may.
     bool take(std::string const& service, time_point now);
 
-    /// Sets the number of entry VMs by which the extra retries are divided. A
+    /// Sets the number of VMs by which the extra retries are divided: all of
+    /// them, since callers may use VMs that are not listed as entries. A
     /// smaller number takes effect only after a whole window, because the VMs
     /// that have left may have used their shares of the current one.
-    void set_entries(std::size_t entries, time_point now);
+    void set_vms(std::size_t vms, time_point now);
 
 private:
     /// Counts within one slice of the window.
@@ -49,14 +50,14 @@
     slice& current_slice(std::string const& service, time_point now);
     void remove_expired(history& it, time_point now) const;
 
-    /// Number of entry VMs by which the extra retries are divided at `now`.
-    double effective_entries(time_point now) const;
+    /// Number of VMs by which the extra retries are divided at `now`.
+    double effective_vms(time_point now) const;
 
     fleet_bounds bounds_;
-    std::size_t entries_ = 1;
-    /// Maximum number of entry VMs within the window, and the time until which
+    std::size_t vms_ = 1;
+    /// Maximum number of VMs within the window, and the time until which
     /// it is used.
-    std::size_t peak_entries_ = 1;
+    std::size_t peak_vms_ = 1;
     time_point peak_until_{};
     text_map<history> services_;
 };
--- a/tests/servers/limits_test.cpp
+++ b/tests/servers/limits_test.cpp
@@ -453,7 +453,7 @@
 
 TEST_F(retry_budget_test, retries_in_any_window_are_within_the_bound)
 {
-    budget_.set_entries(1, clock_.now());
+    budget_.set_vms(1, clock_.now());
     std::deque<std::pair<time_point, bool>> events;
     std::mt19937_64 random(3);
     for (int it = 0; it < 60'000; ++it) {
@@ -476,9 +476,9 @@
     }
 }
 
-TEST_F(retry_budget_test, extra_retries_with_several_entries_are_divided_evenly)
+TEST_F(retry_budget_test, extra_retries_with_several_vms_are_divided_evenly)
 {
-    budget_.set_entries(6, clock_.now());
+    budget_.set_vms(6, clock_.now());
     int taken = 0;
     while (budget_.take("s", clock_.now()))
         ++taken;
@@ -489,14 +489,14 @@
 TEST_F(retry_budget_test,
     shares_of_vms_that_are_gone_are_not_reused_within_the_window)
 {
-    budget_.set_entries(6, clock_.now());
+    budget_.set_vms(6, clock_.now());
     int taken = 0;
     while (budget_.take("s", clock_.now()))
         ++taken;
     clock_.advance(1s);
-    budget_.set_entries(2, clock_.now());
+    budget_.set_vms(2, clock_.now());
     EXPECT_FALSE(budget_.take("s", clock_.now()));
-    budget_.set_entries(1, clock_.now());
+    budget_.set_vms(1, clock_.now());
     EXPECT_FALSE(budget_.take("s", clock_.now()));
     clock_.advance(11s);
     int later = 0;
