Follow what targets say in their answers: leaving, and pauses

A target that shuts down was known from the store only, so a VM that does not reach the store, or a target that never reports it, went on getting requests. A target's Retry-After was dropped, so a target that had asked for a pause got the next request at once.

An answer's sign that its target leaves (platform: Server-Leaving, own dialect: Pomelohinge-Leaving) ends new requests from this VM for that incarnation, and counts like the store's word. A 503 with Retry-After pauses the target for this VM (charts/pause.jsonc); afterwards it gets one request at a time until it answers. Requests wait for a pause that ends in time and are otherwise rejected at once with the time until the first one ends. All traffic threads hear of both. Events 602 to 604; explain shows the first two. Two invariants check the choice of targets.

--- a/charts/chart_list.cpp
+++ b/charts/chart_list.cpp
@@ -50,11 +50,12 @@
 {
     auto health = load_chart<target_chart>(folder, "target", found);
     auto path = load_chart<path_chart>(folder, "path", found);
+    auto pause = load_chart<pause_chart>(folder, "pause", found);
     auto request = load_chart<request_chart>(folder, "request", found);
-    if (!health || !path || !request)
+    if (!health || !path || !pause || !request)
         return std::nullopt;
-    return chart_list{
-        {std::move(*health), std::move(*path)}, std::move(*request)};
+    return chart_list{{std::move(*health), std::move(*path), std::move(*pause)},
+        std::move(*request)};
 }
 
 } // namespace pomelohinge
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -52,6 +52,9 @@
     registration_failed,
     target_state_changed,
     target_path_changed,
+    target_leaving,
+    target_paused,
+    target_notice_unreadable,
 };
 
 template <>
@@ -88,6 +91,9 @@
     {log_event::registration_failed, "registration_failed"},
     {log_event::target_state_changed, "target_state_changed"},
     {log_event::target_path_changed, "target_path_changed"},
+    {log_event::target_leaving, "target_leaving"},
+    {log_event::target_paused, "target_paused"},
+    {log_event::target_notice_unreadable, "target_notice_unreadable"},
 });
 static_assert(is_ordered<log_event>());
 
@@ -133,6 +139,9 @@
     {log_event::registration_failed, 504, log_level::warning},
     {log_event::target_state_changed, 600, log_level::warning},
     {log_event::target_path_changed, 601, log_level::warning},
+    {log_event::target_leaving, 602, log_level::info},
+    {log_event::target_paused, 603, log_level::info},
+    {log_event::target_notice_unreadable, 604, log_level::warning},
 };
 
 /// Returns the catalogue entry of `event`.
--- a/drivers/http/header_names.hpp
+++ b/drivers/http/header_names.hpp
@@ -10,6 +10,7 @@
 inline constexpr std::string_view authorization = "Authorization";
 inline constexpr std::string_view deadline = "Pomelohinge-Deadline-Ms";
 inline constexpr std::string_view idempotency_key = "Idempotency-Key";
+inline constexpr std::string_view leaving = "Pomelohinge-Leaving";
 inline constexpr std::string_view organisation = "Pomelohinge-Organisation";
 inline constexpr std::string_view outcome = "Pomelohinge-Outcome";
 inline constexpr std::string_view request_id = "X-Request-Id";
--- a/drivers/upstream/native_upstream_dialect.cpp
+++ b/drivers/upstream/native_upstream_dialect.cpp
@@ -3,6 +3,7 @@
 #include "drivers/upstream/upstream_dialect.hpp"
 #include "servers/requests/refusal.hpp"
 
+#include <absl/strings/numbers.h>
 #include <fmt/format.h>
 
 namespace pomelohinge {
@@ -39,4 +40,33 @@
                                                : attempt_result::answered;
 }
 
+target_notice native_upstream_dialect::read_notice(
+    upstream_answer const& answer)
+{
+    return pomelohinge::read_notice(answer, header::leaving);
+}
+
+target_notice read_notice(
+    upstream_answer const& answer, std::string_view leaving_header)
+{
+    constexpr int service_unavailable = 503;
+    target_notice notice;
+    notice.leaving = find_header(answer.headers, leaving_header) == "1";
+    auto const pause = find_header(answer.headers, header::retry_after);
+    if (answer.status != service_unavailable || pause.empty())
+        return notice;
+    double seconds = 0;
+    bool const is_number =
+        absl::SimpleAtod({pause.data(), pause.size()}, &seconds);
+    if (!is_number || !(seconds >= 0)) {
+        notice.unreadable = true;
+    } else if (seconds > to_seconds(target_notice::max_pause)) {
+        notice.unreadable = true;
+        notice.pause = target_notice::default_pause;
+    } else {
+        notice.pause = from_seconds(seconds);
+    }
+    return notice;
+}
+
 } // namespace pomelohinge
--- a/drivers/upstream/upstream_dialect.hpp
+++ b/drivers/upstream/upstream_dialect.hpp
@@ -5,6 +5,7 @@
 
 #include <concepts>
 #include <string>
+#include <string_view>
 
 namespace pomelohinge {
 
@@ -26,8 +27,18 @@
     {
         Dialect::classify(answer)
         } -> std::same_as<attempt_result>;
+    /// What the target says of itself in the answer.
+    {
+        Dialect::read_notice(answer)
+        } -> std::same_as<target_notice>;
 };
 
+/// Reads the notice of an answer whose header `leaving_header` is `1` if the
+/// target shuts down, and whose header `Retry-After` asks for a pause, in
+/// seconds with an optional fraction, if its status is 503.
+target_notice read_notice(
+    upstream_answer const& answer, std::string_view leaving_header);
+
 /// The project's own HTTP interface for upstreams; see docs/UPSTREAMS.md.
 struct native_upstream_dialect
 {
@@ -36,6 +47,7 @@
     static bool matches_request(
         upstream_answer const& answer, upstream_request const& request);
     static attempt_result classify(upstream_answer const& answer);
+    static target_notice read_notice(upstream_answer const& answer);
 };
 
 } // namespace pomelohinge
--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -27,9 +27,13 @@
     {
         for (std::int64_t it = 0; it < settings_.traffic_threads; ++it)
             traffic_.push_back(std::make_unique<traffic_thread<Platform>>(
-                settings_, charts_, [this] {
+                settings_, charts_,
+                [this] {
                     control_.post(
                         [this] { control_.plane().report_failures(); });
+                },
+                [this](auto const& target, auto const& notice) {
+                    share_notice(target, notice);
                 }));
     }
 
@@ -67,6 +71,15 @@
     /// Timeout after which gRPC cancels calls that have not finished.
     static constexpr std::chrono::milliseconds grpc_shutdown_timeout{50};
 
+    /// Tells all traffic threads what a target has said of itself to one.
+    void share_notice(target_record const& target, target_notice const& notice)
+    {
+        for (auto const& it : traffic_)
+            it->post([target, notice, &thread = *it] {
+                thread.record_notice(target, notice);
+            });
+    }
+
     absl::Status listen()
     {
         if (auto status = peer_server_.listen(settings_.peers_address);
--- a/main/explain/request_timeline.cpp
+++ b/main/explain/request_timeline.cpp
@@ -30,6 +30,8 @@
     {log_event::entries_chosen, nullptr},
     {log_event::target_state_changed, "target"},
     {log_event::target_path_changed, "target"},
+    {log_event::target_leaving, "target"},
+    {log_event::target_paused, "target"},
 };
 
 /// Returns null if `event` does not report state.
--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -23,12 +23,17 @@
 class traffic_thread
 {
 public:
+    using notice_callback =
+        std::function<void(target_record const&, target_notice const&)>;
+
     /// `on_report_due` is called on this thread when a target starts to fail,
-    /// so that the other VMs receive a report at once.
+    /// so that the other VMs receive a report at once. `on_notice` is called on
+    /// it with what a target says of itself, for the other threads.
     traffic_thread(settings const& configured, chart_list const& charts,
-        std::function<void()> on_report_due)
+        std::function<void()> on_report_due, notice_callback on_notice)
         : settings_(configured), charts_(charts),
           on_report_due_(std::move(on_report_due)),
+          on_notice_(std::move(on_notice)),
           upstreams_(
               context_, static_cast<std::size_t>(configured.answer_body_bytes)),
           entry_state_(
@@ -89,6 +94,11 @@
         entry_state_.adopt(policy_, now());
     }
     void set_read_at(time_point at) { read_at_ = at; }
+    /// Records what a target has said of itself to another thread.
+    void record_notice(target_record const& target, target_notice const& notice)
+    {
+        entry_state_.targets.record_notice(target, notice, now());
+    }
     void apply_report(traffic_report const& report)
     {
         entry_state_.apply_report(report, now());
@@ -119,7 +129,9 @@
         upstream_request request, std::function<void(attempt_end)> done)
     {
         return upstreams_.send(target, std::move(request),
-            [this, done = std::move(done)](attempt_end end) {
+            [this, target, done = std::move(done)](attempt_end end) {
+                if (!end.notice.empty())
+                    on_notice_(target, end.notice);
                 done(std::move(end));
                 notify_if_report_due();
             });
@@ -286,6 +298,7 @@
     settings const& settings_;
     chart_list const& charts_;
     std::function<void()> on_report_due_;
+    notice_callback on_notice_;
     asio::io_context context_{1};
     upstream_client<typename Platform::upstream_dialect> upstreams_;
     entry_state entry_state_;
--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "servers/dispatch/dispatcher.hpp"
 
+#include "core/invariant.hpp"
 #include "core/log.hpp"
 #include "servers/selection/cold_senders.hpp"
 
@@ -26,6 +27,9 @@
 constexpr duration min_retry_after = std::chrono::milliseconds(100);
 constexpr duration max_retry_after = std::chrono::seconds(5);
 
+/// How long a target that leaves is remembered when it is not listed.
+constexpr duration leaving_retention = std::chrono::minutes(2);
+
 /// Retry delay for a service without any eligible target.
 constexpr duration no_target_retry_after = std::chrono::seconds(1);
 
@@ -88,6 +92,10 @@
                        : std::make_unique<traffic_target>(record, charts_);
         it->set_record(record);
         it->set_accepts_requests(next->accepts_requests(record));
+        auto const leaving = leaving_.find(record.id);
+        if (leaving != leaving_.end() &&
+            leaving->second.incarnation == record.incarnation)
+            it->set_leaving();
         targets.emplace(record.id, std::move(it));
     }
     targets_ = std::move(targets);
@@ -244,8 +252,30 @@
         floor_ * static_cast<double>(available);
 }
 
+void dispatcher::record_notice(
+    target_record const& target, target_notice const& notice, time_point now)
+{
+    auto* const it = find_current(target);
+    if (it == nullptr)
+        return;
+    if (notice.leaving && !it->is_leaving()) {
+        it->set_leaving();
+        leaving_[target.id] = {target.incarnation, now};
+        log(log_event::target_leaving, {{"target", target.id.text()}});
+    }
+    if (notice.unreadable && it->is_first_unreadable_notice())
+        log(log_event::target_notice_unreadable,
+            {{"target", target.id.text()}});
+    if (!notice.pause)
+        return;
+    it->pause().record_asked(*notice.pause, now);
+    log(log_event::target_paused,
+        {{"target", target.id.text()}, {"ms", to_milliseconds(*notice.pause)}});
+}
+
 void dispatcher::attempt_ended(target_record const& target,
-    attempt_result result, duration latency, time_point now)
+    attempt_result result, duration latency, time_point now,
+    target_notice const& notice)
 {
     auto& service = state_of(target.service);
     service.completions.add(now);
@@ -253,6 +283,10 @@
         it->request_ended();
         if (result == attempt_result::misdirected)
             it->set_replaced();
+        else if (!notice.empty())
+            record_notice(target, notice, now);
+        if (has_answer(result))
+            it->pause().record_answer(now);
         if (is_observation(result))
             record_observation(*it, event_of(result), now);
         record_path(*it, result, now - latency, now);
@@ -287,6 +321,10 @@
 placement dispatcher::place(traffic_target& target, service_state& service,
     placement_request const& request, time_point now)
 {
+    check_invariant(invariant::closed_target_gets_no_work,
+        target.accepts_requests(), target.record().id.text());
+    check_invariant(invariant::paused_target_gets_no_work,
+        target.pause().allows(target.in_flight()), target.record().id.text());
     placement_reason const reason{target.health().state(), target.in_flight(),
         target.in_flight_elsewhere(), service.targets.size(),
         target.record().data_centre == data_centre_};
@@ -299,10 +337,17 @@
     service_id const& name, std::size_t ahead, time_point now) const
 {
     double slots = 0;
-    for (auto const* it : service.targets)
-        if (it->accepts_requests() &&
-            it->health().state() != target_state::ejected)
-            slots += static_cast<double>(it->record().slots);
+    std::optional<duration> pause_left;
+    for (auto const* it : service.targets) {
+        if (!it->accepts_requests() ||
+            it->health().state() == target_state::ejected)
+            continue;
+        slots += static_cast<double>(it->record().slots);
+        bool const is_paused = it->pause().state() == pause_state::paused;
+        auto const left =
+            is_paused ? it->pause().ends_at() - now : duration::zero();
+        pause_left = std::min(pause_left.value_or(left), left);
+    }
     auto const median = median_latency(name);
     auto const latency = median > duration::zero() ? median : assumed_latency;
     // The estimated rate of starts is the recent rate of completions on this
@@ -315,7 +360,8 @@
         std::max(service.completions.per_second(now), equal_share);
     if (starts <= 0)
         return max_retry_after;
-    return from_seconds(static_cast<double>(ahead + 1) / starts);
+    return pause_left.value_or(duration::zero()) +
+        from_seconds(static_cast<double>(ahead + 1) / starts);
 }
 
 std::variant<placement_decision, ticket> dispatcher::submit(
@@ -324,8 +370,7 @@
     auto& service = state_of(request.service);
     service.queue.add_arrival(request.priority, now);
     if (!has_eligible_target(service, request))
-        return placement_decision(placement_rejection{
-            rejection_reason::no_target, no_target_retry_after});
+        return placement_decision(reject_without_target(service, request, now));
     auto const ahead = service.queue.count_ahead_of(request.priority);
     if (ahead == 0)
         if (auto* const it = choose(service, request, now))
@@ -342,6 +387,25 @@
     return id;
 }
 
+/// The time until a retry is that until the first pause ends, if pauses are the
+/// reason.
+placement_rejection dispatcher::reject_without_target(
+    service_state const& service, placement_request const& request,
+    time_point now) const
+{
+    std::optional<time_point> first_end;
+    for (auto const* it : service.targets)
+        if (it->accepts_requests() &&
+            it->pause().state() == pause_state::paused &&
+            !was_tried(request, it->record().id))
+            first_end = std::min(
+                first_end.value_or(time_point::max()), it->pause().ends_at());
+    if (!first_end)
+        return {rejection_reason::no_target, no_target_retry_after};
+    return {rejection_reason::overloaded,
+        std::max<duration>(*first_end - now, min_retry_after)};
+}
+
 void dispatcher::withdraw(ticket id)
 {
     auto const it = queued_requests_.find(id);
@@ -398,9 +462,11 @@
         auto const before = it->health().state();
         it->health().tick(now);
         it->path().tick(now);
+        it->pause().tick(now);
         if (it->health().state() != before)
             update_below_floor(state_of(it->record().service));
     }
+    forget_leaving(now);
     std::vector<std::string> names;
     for (auto const& [name, it] : services_)
         if (!it.queue.empty())
@@ -409,6 +475,14 @@
         serve_queue(service_id(it), now);
 }
 
+void dispatcher::forget_leaving(time_point now)
+{
+    std::erase_if(leaving_, [&](auto const& it) {
+        return now - it.second.said_at > leaving_retention &&
+            !targets_.contains(it.first);
+    });
+}
+
 text_map<target_report> dispatcher::take_reports()
 {
     text_map<target_report> reports;
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include "servers/selection/picker.hpp"
 #include "servers/selection/service_baselines.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -50,6 +51,13 @@
     time_point start_deadline{};
 };
 
+/// Whether the request was already sent to the target.
+inline bool was_tried(placement_request const& request, target_id const& target)
+{
+    return std::find(request.tried.begin(), request.tried.end(), target) !=
+        request.tried.end();
+}
+
 /// State of the chosen target before the request was sent, for the log.
 struct placement_reason
 {
@@ -112,9 +120,15 @@
     /// Removes a queued request. Does nothing if it is no longer queued.
     void withdraw(ticket id);
 
-    /// Records the end of an attempt at a target that was assigned.
+    /// Records the end of an attempt at a target that was assigned, and what
+    /// the target says of itself in the answer.
     void attempt_ended(target_record const& target, attempt_result result,
-        duration latency, time_point now);
+        duration latency, time_point now, target_notice const& notice = {});
+
+    /// Records what a target says of itself in an answer to this thread or to
+    /// another one of this VM. It concerns the incarnation in `target` only.
+    void record_notice(target_record const& target, target_notice const& notice,
+        time_point now);
 
     /// Records that an attempt is late. Several attempts that are late at the
     /// same time count as a failure of the target.
@@ -173,6 +187,12 @@
         std::map<std::int64_t, time_point> priorities;
     };
 
+    struct leaving_target
+    {
+        std::uint64_t incarnation = 0;
+        time_point said_at{};
+    };
+
     struct queued_request
     {
         placement_request request;
@@ -213,6 +233,9 @@
         time_point now) const;
     bool has_eligible_target(
         service_state const& service, placement_request const& request) const;
+    void forget_leaving(time_point now);
+    placement_rejection reject_without_target(service_state const& service,
+        placement_request const& request, time_point now) const;
     placement place(traffic_target& target, service_state& service,
         placement_request const& request, time_point now);
     duration expected_wait(service_state const& service, service_id const& name,
@@ -232,6 +255,9 @@
     policy_pointer policy_;
     std::size_t local_entries_ = 1;
     std::map<target_id, std::unique_ptr<traffic_target>> targets_;
+    /// Targets that have said that they shut down. Kept when they leave the
+    /// list, since an older list may bring them back.
+    std::map<target_id, leaving_target> leaving_;
     text_map<service_state> services_;
     service_baselines baselines_;
     std::map<ticket, queued_request> queued_requests_;
--- a/servers/dispatch/target_selection.cpp
+++ b/servers/dispatch/target_selection.cpp
@@ -28,12 +28,6 @@
 /// A priority without requests for this long does not count as recent.
 constexpr duration priority_expiry = std::chrono::seconds(5);
 
-bool was_tried(placement_request const& request, target_id const& target)
-{
-    return std::find(request.tried.begin(), request.tried.end(), target) !=
-        request.tried.end();
-}
-
 /// Counts how many of a set of targets are in use, and finds the unused target
 /// with the lowest failure probability.
 struct target_use
@@ -72,6 +66,7 @@
 {
     return target.accepts_requests() &&
         target.path().allows(target.in_flight()) &&
+        target.pause().allows(target.in_flight()) &&
         !was_tried(request, target.record().id) && target.has_capacity(now);
 }
 
@@ -82,6 +77,8 @@
         service.targets.begin(), service.targets.end(), [&](auto const* it) {
             return it->accepts_requests() &&
                 it->path().state() != path_state::closed &&
+                (it->pause().state() != pause_state::paused ||
+                    it->pause().ends_at() <= request.start_deadline) &&
                 !was_tried(request, it->record().id);
         });
 }
--- a/servers/dispatch/traffic_target.hpp
+++ b/servers/dispatch/traffic_target.hpp
@@ -4,10 +4,12 @@
 #include "servers/health/path_health.hpp"
 #include "servers/health/target_charts.hpp"
 #include "servers/health/target_health.hpp"
+#include "servers/health/target_pause.hpp"
 #include "servers/limits/token_bucket.hpp"
 #include "servers/targets/target_catalogue.hpp"
 
 #include <optional>
+#include <utility>
 
 namespace pomelohinge {
 
@@ -16,7 +18,8 @@
 {
 public:
     traffic_target(target_record record, target_charts const& charts)
-        : record_(std::move(record)), health_(charts.health), path_(charts.path)
+        : record_(std::move(record)), health_(charts.health),
+          path_(charts.path), pause_(charts.pause)
     {
     }
 
@@ -25,18 +28,34 @@
     target_health const& health() const { return health_; }
     path_health& path() { return path_; }
     path_health const& path() const { return path_; }
+    target_pause& pause() { return pause_; }
+    target_pause const& pause() const { return pause_; }
 
     /// Replaces the record by a later one of the same incarnation.
     void set_record(target_record record);
 
     /// Whether the target may get new requests.
-    bool accepts_requests() const { return accepts_requests_ && !replaced_; }
+    bool accepts_requests() const
+    {
+        return accepts_requests_ && !replaced_ && !leaving_;
+    }
     void set_accepts_requests(bool it) { accepts_requests_ = it; }
 
     /// Marks the target as replaced, because another target answers at its
     /// address. The list of targets may show this only later.
     void set_replaced() { replaced_ = true; }
 
+    /// Marks the target as shutting down, as its answers say. This holds for
+    /// its incarnation, whatever the list of targets says.
+    void set_leaving() { leaving_ = true; }
+    bool is_leaving() const { return leaving_; }
+
+    /// Whether this is the first notice of the target that cannot be read.
+    bool is_first_unreadable_notice()
+    {
+        return !std::exchange(has_unreadable_notice_, true);
+    }
+
     bool is_cold(time_point now) const { return now < record_.cold_until; }
 
     /// Sets how many requests per second this thread may send while the
@@ -95,8 +114,11 @@
     target_record record_;
     target_health health_;
     path_health path_;
+    target_pause pause_;
     bool accepts_requests_ = true;
     bool replaced_ = false;
+    bool leaving_ = false;
+    bool has_unreadable_notice_ = false;
     std::int64_t in_flight_ = 0;
     std::int64_t in_flight_elsewhere_ = 0;
     std::int64_t late_attempts_ = 0;
--- a/servers/exchange/fleet_reports.cpp
+++ b/servers/exchange/fleet_reports.cpp
@@ -106,7 +106,7 @@
         std::count_if(sources_.begin(), sources_.end(), [](auto const& it) {
             return it.second.remote && !it.second.last.partial;
         }));
-    // A remote source gets the reports of other remote ones from these.
+    // Remote sources exchange their reports directly.
     return !for_remote && remotes < expected_remotes_ &&
         reporting_time < max_start_time;
 }
--- a/servers/health/path_health.hpp
+++ b/servers/health/path_health.hpp
@@ -58,9 +58,12 @@
     void perform(path_action action);
 
 private:
+    /// Delay until a closed path is tried again; it doubles from trial to
+    /// trial.
     static constexpr duration min_trial_delay = std::chrono::seconds(2);
     static constexpr duration max_trial_delay = std::chrono::seconds(16);
 
+    /// An answer confirms the path for this long.
     static constexpr duration confirmation_period = std::chrono::seconds(2);
 
     void fire(path_event event, time_point now);
--- a/servers/health/target_charts.hpp
+++ b/servers/health/target_charts.hpp
@@ -3,6 +3,7 @@
 
 #include "core/chart.hpp"
 #include "servers/health/path_chart.hpp"
+#include "servers/health/pause_chart.hpp"
 #include "servers/health/target_chart.hpp"
 
 namespace pomelohinge {
@@ -12,6 +13,7 @@
 {
     chart<target_chart> health;
     chart<path_chart> path;
+    chart<pause_chart> pause;
 };
 
 } // namespace pomelohinge
--- a/servers/limits/organisation_limits.hpp
+++ b/servers/limits/organisation_limits.hpp
@@ -123,8 +123,8 @@
     /// Number of VMs that may grant requests of any organisation.
     double count_granting_vms(time_point now) const;
 
-    /// Whether this thread began less than a window ago, so that grants from
-    /// before may count that it does not know.
+    /// Whether this thread began less than a window ago. Grants from before
+    /// still count then, and it may not know them.
     bool is_new(time_point now) const
     {
         return now - first_report_at_ < window;
--- a/servers/requests/attempt.hpp
+++ b/servers/requests/attempt.hpp
@@ -5,6 +5,7 @@
 #include "servers/requests/refusal.hpp"
 #include "servers/requests/request.hpp"
 #include "servers/targets/target_catalogue.hpp"
+#include "servers/targets/target_notice.hpp"
 
 namespace pomelohinge {
 
@@ -112,6 +113,8 @@
 {
     attempt_result result = attempt_result::connect_failed;
     upstream_answer answer;
+    /// What the target says of itself in the answer.
+    target_notice notice;
     /// Whether the connection had been used for earlier requests.
     bool reused = false;
 };
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -473,14 +473,15 @@
         state().targets.attempt_late(target_, environment_.now());
     }
 
-    void finish_attempt(attempt_result result)
+    void finish_attempt(attempt_result result, target_notice const& notice = {})
     {
         auto const now = environment_.now();
         in_progress_ = false;
         if (std::exchange(is_late_, false))
             state().targets.late_attempt_ended(target_);
         statistics_.upstream_time += now - sent_at_;
-        state().targets.attempt_ended(target_, result, now - sent_at_, now);
+        state().targets.attempt_ended(
+            target_, result, now - sent_at_, now, notice);
     }
 
     void attempt_ended(attempt_end it)
@@ -493,7 +494,7 @@
         last_result_ = it.result;
         record_attempt_end(it.result);
         answer_ = std::move(it.answer);
-        finish_attempt(it.result);
+        finish_attempt(it.result, it.notice);
         if (last_result_ == attempt_result::answered)
             return fire(request_event::answer);
         refusal_ = refusal_after(last_result_, may_have_run_);
--- a/tests/platform/dialects_test.cpp
+++ b/tests/platform/dialects_test.cpp
@@ -109,6 +109,13 @@
         return upstream_dialect::classify(answer(status, std::move(headers)));
     }
 
+    std::optional<duration> pause(int status, std::string seconds) const
+    {
+        return upstream_dialect::read_notice(
+            answer(status, {id_, {"Retry-After", std::move(seconds)}}))
+            .pause;
+    }
+
     header_field const id_{"X-Request-Id", "r1"};
     header_field const signature_{"X-Response-Signature", "s"};
 };
@@ -135,6 +142,36 @@
         answer(200, {{"X-Request-Id", "r2"}}), request));
 }
 
+TEST_F(upstream_dialect_test, notice_of_leaving_is_read_from_any_answer)
+{
+    header_field const leaves{"Server-Leaving", "1"};
+    for (int const status : {200, 404, 500, 503})
+        EXPECT_TRUE(upstream_dialect::read_notice(answer(status, {id_, leaves}))
+                        .leaving);
+    EXPECT_TRUE(upstream_dialect::read_notice(answer(200, {id_})).empty());
+}
+
+TEST_F(upstream_dialect_test, pause_is_read_from_a_503_with_seconds)
+{
+    EXPECT_EQ(pause(503, "2"), std::chrono::seconds(2));
+    EXPECT_EQ(pause(503, "0.25"), std::chrono::milliseconds(250));
+    EXPECT_EQ(pause(500, "2"), std::nullopt);
+    EXPECT_EQ(pause(200, "2"), std::nullopt);
+}
+
+TEST_F(upstream_dialect_test, unreadable_pause_is_bounded_and_reported)
+{
+    for (auto const* it : {"-1", "soon", "nan", "1e400", "9999999999",
+             "Sat, 05 Dec 2026 04:00:00 GMT"}) {
+        auto const notice = upstream_dialect::read_notice(
+            answer(503, {id_, {"Retry-After", it}}));
+        EXPECT_TRUE(notice.unreadable) << it;
+        EXPECT_LE(notice.pause.value_or(duration::zero()),
+            target_notice::default_pause)
+            << it;
+    }
+}
+
 TEST_F(upstream_dialect_test, success_without_signature_or_id_is_a_wrong_answer)
 {
     EXPECT_EQ(classify(200, {id_, signature_}), attempt_result::answered);
--- a/tests/servers/entry_state_test.cpp
+++ b/tests/servers/entry_state_test.cpp
@@ -1,17 +1,11 @@
-#include "charts/chart_list.hpp"
 #include "servers/requests/entry_state.hpp"
+#include "tests/servers/test_charts.hpp"
 
 #include <gtest/gtest.h>
 
 namespace pomelohinge {
 namespace {
 
-chart_list load_all_charts()
-{
-    findings found("charts");
-    return std::move(*load_charts("", found));
-}
-
 class entry_state_test : public testing::Test
 {
 protected:
--- a/tests/servers/floor_test.cpp
+++ b/tests/servers/floor_test.cpp
@@ -1,5 +1,5 @@
-#include "charts/chart_list.hpp"
 #include "servers/dispatch/dispatcher.hpp"
+#include "tests/servers/test_charts.hpp"
 
 #include <algorithm>
 #include <gtest/gtest.h>
@@ -24,11 +24,7 @@
     static constexpr duration report_period = 200ms;
     static constexpr duration step = 10ms;
 
-    floor_test() : random_(GetParam())
-    {
-        findings found("charts");
-        charts_ = load_charts("", found);
-    }
+    floor_test() : random_(GetParam()), charts_(load_all_charts()) {}
 
     void start(std::size_t entries, std::size_t targets)
     {
@@ -56,7 +52,7 @@
         next->members = members;
         next->ready = true;
         for (auto const& it : *members) {
-            entries_.push_back(std::make_unique<dispatcher>(charts_->target,
+            entries_.push_back(std::make_unique<dispatcher>(charts_.target,
                 it.record.vm, it.record.data_centre, random_(),
                 [](std::string const&) { return false; }));
             entries_.back()->set_floor(floor);
@@ -206,7 +202,7 @@
     }
 
     std::mt19937_64 random_;
-    std::optional<chart_list> charts_;
+    chart_list charts_;
     std::vector<std::unique_ptr<dispatcher>> entries_;
     std::set<std::pair<std::size_t, std::string>> cuts_;
     std::map<std::string, double> failing_;
--- a/tests/servers/path_health_test.cpp
+++ b/tests/servers/path_health_test.cpp
@@ -1,5 +1,5 @@
-#include "charts/chart_list.hpp"
 #include "servers/health/path_health.hpp"
+#include "tests/servers/test_charts.hpp"
 
 #include <gtest/gtest.h>
 
@@ -8,12 +8,6 @@
 
 using namespace std::chrono_literals;
 
-chart_list load_all_charts()
-{
-    findings found("charts");
-    return std::move(*load_charts("", found));
-}
-
 class path_health_test : public testing::Test
 {
 protected:
