Reuse connections to targets that reset requests as often on new ones

Cause: a request that was lost on a reused connection halved the idle time after which any connection is reused, for 15 s, and was no observation of the target.

Change: connection_reuse compares the losses on reused connections with those on new ones. Only an excess limits the reuse and makes the loss one of an idle connection, which counts half as an observation; otherwise the loss counts as any other.

--- a/drivers/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -3,6 +3,7 @@
 #include "drivers/http/answer_parser.hpp"
 #include "drivers/http/curl_loop.hpp"
 #include "drivers/http/endpoint.hpp"
+#include "servers/selection/connection_reuse.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/numbers.h>
@@ -33,10 +34,6 @@
 /// stops using a connection before the upstream closes it.
 constexpr duration idle_timeout_margin = std::chrono::milliseconds(1000);
 
-/// After a reused connection was lost, `max_safe_idle` limits the reuse of idle
-/// connections for this time.
-constexpr duration reuse_limit_period = std::chrono::seconds(15);
-
 /// Limit on the answers to other requests that one exchange skips. After a
 /// further one, the exchange fails and its connection is closed.
 constexpr int max_skipped_answers = 3;
@@ -78,30 +75,19 @@
         return it != idle_.end() && !it->second.empty();
     }
 
-    duration max_safe_idle() const
-    {
-        return boottime_clock::now() < max_safe_idle_expires_at_
-            ? max_safe_idle_
-            : duration::max();
-    }
-
 private:
     class connection;
     using connection_pointer = std::shared_ptr<connection>;
 
     connection_pointer take_idle(std::string const& address, duration max_idle);
-    void finished(connection_pointer const& it, exchange_result result);
     void keep_idle(connection_pointer it);
     void remove_idle(connection_pointer const& it);
-    void record_reused_loss(duration idle);
 
     asio::io_context& context_;
     std::uint64_t last_id_ = 0;
     absl::flat_hash_map<std::uint64_t, connection_pointer> exchanges_;
     absl::flat_hash_map<std::string, std::vector<connection_pointer>> idle_;
-    /// In force until `max_safe_idle_expires_at_`.
-    duration max_safe_idle_ = duration::max();
-    time_point max_safe_idle_expires_at_{};
+    connection_reuse reuse_;
 };
 
 /// One connection. The pool and the pending operations on the socket share
@@ -266,6 +252,7 @@
         idle_timeout_ = stated_idle_timeout(answer).value_or(
                             default_idle_timeout + idle_timeout_margin) -
             idle_timeout_margin;
+        record_use(false);
         auto* const pool = pool_;
         auto const self = shared_from_this();
         exchange_result result{
@@ -279,6 +266,17 @@
         on_end(std::move(result));
     }
 
+    /// Records whether the connection ended without an answer. Returns whether
+    /// the target has probably closed it while it was idle.
+    bool record_use(bool lost)
+    {
+        if (reused_)
+            return pool_->reuse_.record_reused(
+                lost, idle_duration_, boottime_clock::now());
+        pool_->reuse_.record_new(lost);
+        return false;
+    }
+
     /// Skips an answer to an earlier request.
     void skip(std::string_view rest)
     {
@@ -296,10 +294,9 @@
         if (ec == asio::error::eof &&
             parser_->end_of_input() == answer_parser::progress::complete)
             return on_answer({});
-        bool const unanswered = reused_ && !parser_->has_input();
-        if (unanswered)
-            pool_->record_reused_loss(idle_duration_);
-        fail(unanswered ? exchange_end::kept_lost : exchange_end::lost);
+        bool const was_closed_while_idle = record_use(!parser_->has_input());
+        fail(was_closed_while_idle ? exchange_end::kept_lost
+                                   : exchange_end::lost);
     }
 
     void start_timer(duration wait)
@@ -360,7 +357,8 @@
     exchange_call call, callback on_end)
 {
     auto const id = ++last_id_;
-    auto it = take_idle(call.address, std::min(call.max_idle, max_safe_idle()));
+    auto it = take_idle(call.address,
+        std::min(call.max_idle, reuse_.max_idle(boottime_clock::now())));
     if (it == nullptr)
         it = std::make_shared<connection>(*this, call.address);
     exchanges_.emplace(id, it);
@@ -416,15 +414,6 @@
         idle_.erase(list);
 }
 
-void connection_pool::detail::record_reused_loss(duration idle)
-{
-    auto const now = boottime_clock::now();
-    auto const before =
-        now < max_safe_idle_expires_at_ ? max_safe_idle_ : duration::max();
-    max_safe_idle_ = std::min(before, idle / 2);
-    max_safe_idle_expires_at_ = now + reuse_limit_period;
-}
-
 void connection_pool::detail::close_expired()
 {
     auto const now = boottime_clock::now();
@@ -466,9 +455,4 @@
     detail_->close_expired();
 }
 
-duration connection_pool::max_safe_idle() const
-{
-    return detail_->max_safe_idle();
-}
-
 } // namespace pomelohinge
--- a/drivers/http/connection_pool.hpp
+++ b/drivers/http/connection_pool.hpp
@@ -20,7 +20,8 @@
     connect_failed,
     /// The connection ended before the answer was complete.
     lost,
-    /// A reused connection ended before any byte of an answer was received.
+    /// A reused connection ended before any byte of an answer was received, and
+    /// the target has probably closed it while it was idle.
     kept_lost,
     timed_out,
     /// The received bytes are not a valid HTTP answer, or the answers do not
@@ -103,11 +104,6 @@
     /// timeout.
     void close_expired();
 
-    /// Longest idle time after which a connection is currently reused. A
-    /// recent loss of a reused connection limits it to half of the idle time
-    /// of that connection; without one, it is `duration::max()`.
-    duration max_safe_idle() const;
-
 private:
     class detail;
     std::unique_ptr<detail> detail_;
--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -41,6 +41,8 @@
     case attempt_result::connect_failed:
     case attempt_result::timed_out:
         return target_event::silent;
+    case attempt_result::kept_connection_lost:
+        return target_event::dropped;
     default:
         return target_event::faulted;
     }
@@ -51,8 +53,7 @@
 {
     return result != attempt_result::cancelled &&
         result != attempt_result::misdirected &&
-        result != attempt_result::too_large &&
-        result != attempt_result::kept_connection_lost;
+        result != attempt_result::too_large;
 }
 
 /// Logs that the path is now closed, or works again.
@@ -212,6 +213,7 @@
         ++target.pending_report().faults;
         break;
     case target_event::silent:
+    case target_event::dropped:
         ++target.pending_report().silences;
         break;
     case target_event::rested:
--- a/servers/health/target_chart.hpp
+++ b/servers/health/target_chart.hpp
@@ -31,6 +31,9 @@
     faulted,
     /// An attempt got no answer; the network path may be the cause.
     silent,
+    /// A reused connection ended without an answer; the target has probably
+    /// closed it while it was idle.
+    dropped,
     /// Fired periodically: the failure probability may have decayed.
     rested,
 };
@@ -40,6 +43,7 @@
     {target_event::answered, "answered"},
     {target_event::faulted, "faulted"},
     {target_event::silent, "silent"},
+    {target_event::dropped, "dropped"},
     {target_event::rested, "rested"},
 });
 static_assert(is_ordered<target_event>());
--- a/servers/health/target_health.cpp
+++ b/servers/health/target_health.cpp
@@ -21,8 +21,10 @@
 /// Probability that the target and not the network path caused a failure. An
 /// attempt without any answer may have been lost on the network path, and an
 /// unanswered attempt of another VM may have been lost on that VM's own path.
+/// A reused connection has probably been closed while it was idle.
 constexpr double fault_certainty = 1;
 constexpr double silence_certainty = 0.95;
+constexpr double drop_certainty = 0.5;
 constexpr double reported_silence_certainty = 0.7;
 
 /// Maximum number of observations of one kind that count per report.
@@ -53,6 +55,10 @@
         failure_probability_.record_failure(
             baseline_failure_rate, silence_certainty, now);
         break;
+    case target_event::dropped:
+        failure_probability_.record_failure(
+            baseline_failure_rate, drop_certainty, now);
+        break;
     case target_event::rested:
         break;
     }
--- a/servers/requests/attempt.hpp
+++ b/servers/requests/attempt.hpp
@@ -23,8 +23,8 @@
     connect_failed,
     /// The connection was closed before the answer was complete.
     connection_lost,
-    /// A reused connection was closed without any answer: the target may have
-    /// closed it before the request arrived.
+    /// A reused connection was closed without any answer: the target has
+    /// probably closed it before the request arrived.
     kept_connection_lost,
     /// No complete answer was received within the time limit.
     timed_out,
--- a/tests/servers/health_test.cpp
+++ b/tests/servers/health_test.cpp
@@ -108,6 +108,18 @@
     EXPECT_EQ(health_.state(), target_state::trusted);
 }
 
+TEST_F(health_test, dropped_connection_counts_less_than_a_fault)
+{
+    record_answers();
+    auto dropped = health_;
+    dropped.record_attempt(
+        target_event::dropped, baseline_failure_rate_, clock_.now());
+    attempt(target_event::faulted);
+    EXPECT_EQ(dropped.state(), target_state::trusted);
+    EXPECT_LT(dropped.failure_probability_at(clock_.now()),
+        health_.failure_probability_at(clock_.now()));
+}
+
 TEST_F(health_test, target_with_failures_in_reports_is_ejected)
 {
     record_answers();
