Keep orders away from targets that are known to fail

Three targets in ten fail most requests at any time, in spells of about nine seconds.

The prior of the failure probability was a constant far below the share that failed, so suspects seemed to recover within seconds; orders probed every suspect every 1.3 to 4 s, also where lookups did so at no cost; a suspect of the own data centre went before any trusted target of another; and the floor of all targets, including those that fail, sent orders to suspects all the time.

Change: the prior is estimated per service. Requests that may be repeated probe, one at a time over the fleet; orders only where there are no others and the trusted targets are fewer than the floor asks of those that work, after a delay that follows the target's own record. Distance is a cost like others. The floor adds suspects only while requests to trusted targets fail. The cause of each choice is in the log.

Ruled out: a longer ejection (targets must be tried again within two seconds), and estimating the spells' length from the few that a VM sees in a minute.

--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -21,7 +21,15 @@
 constexpr duration log_window = std::chrono::seconds(5);
 
 /// Weight of one request in the moving average of failed requests.
-constexpr double failure_rate_weight = 0.02;
+constexpr double failure_rate_weight = 0.01;
+
+/// The share of failing targets is estimated over this time, in steps.
+constexpr duration failing_share_period = std::chrono::seconds(8);
+constexpr duration failing_share_step = std::chrono::milliseconds(500);
+
+/// Bounds of the estimated share of failing targets.
+constexpr double min_failing_share = 0.05;
+constexpr double max_failing_share = 0.5;
 
 /// Bounds of the retry delay that a rejection carries.
 constexpr duration min_retry_after = std::chrono::milliseconds(100);
@@ -254,6 +262,30 @@
         floor_ * static_cast<double>(available);
 }
 
+/// The estimate is the mean failure probability of the targets. One without
+/// observations has the estimate itself as its probability, so it does not move
+/// the mean.
+void dispatcher::update_failing_share(service_state& service, time_point now)
+{
+    auto const elapsed = now - service.failing_share_updated_at;
+    if (service.targets.empty() || elapsed < failing_share_step)
+        return;
+    double sum = 0;
+    for (auto const* it : service.targets)
+        sum += it->health().failure_probability_at(now);
+    auto const mean = sum / static_cast<double>(service.targets.size());
+    auto& share = service.failing_share;
+    if (share == 0)
+        share = min_failing_share;
+    auto const weight =
+        std::min(1.0, to_seconds(elapsed) / to_seconds(failing_share_period));
+    share = std::clamp(
+        share + (mean - share) * weight, min_failing_share, max_failing_share);
+    service.failing_share_updated_at = now;
+    for (auto* it : service.targets)
+        it->health().set_failing_share(share, now);
+}
+
 void dispatcher::record_notice(
     target_record const& target, target_notice const& notice, time_point now)
 {
@@ -320,16 +352,17 @@
         record_observation(*it, target_event::silent, now);
 }
 
-placement dispatcher::place(traffic_target& target, service_state& service,
+placement dispatcher::place(choice const& chosen, service_state& service,
     placement_request const& request, time_point now)
 {
+    auto& target = *chosen.target;
     check_invariant(invariant::closed_target_gets_no_work,
         target.accepts_requests(), target.record().id.text());
     check_invariant(invariant::paused_target_gets_no_work,
         target.pause().allows(target.in_flight()), target.record().id.text());
-    placement_reason const reason{target.health().state(), target.in_flight(),
-        target.in_flight_elsewhere(), service.targets.size(),
-        target.record().data_centre == data_centre_};
+    placement_reason const reason{chosen.cause, target.health().state(),
+        target.in_flight(), target.in_flight_elsewhere(),
+        service.targets.size(), target.record().data_centre == data_centre_};
     target.request_started(now);
     service.queue.add_start(request.priority, now);
     return {target.record(), reason};
@@ -371,12 +404,14 @@
 {
     auto& service = state_of(request.service);
     service.queue.add_arrival(request.priority, now);
+    if (request.retryable)
+        service.last_retryable_at = now;
     if (!has_eligible_target(service, request))
         return placement_decision(reject_without_target(service, request, now));
     auto const ahead = service.queue.count_ahead_of(request.priority);
     if (ahead == 0)
-        if (auto* const it = choose(service, request, now))
-            return placement_decision(place(*it, service, request, now));
+        if (auto const it = choose(service, request, now); it.target != nullptr)
+            return placement_decision(place(it, service, request, now));
     auto const wait = expected_wait(service, request.service, ahead, now);
     if (now + wait > request.start_deadline)
         return placement_decision(
@@ -436,23 +471,26 @@
         auto const queued = queued_requests_.find(it.id);
         if (queued == queued_requests_.end())
             continue;
-        auto* const target = choose(service, queued->second.request, now);
-        if (target == nullptr) {
+        auto const chosen = choose(service, queued->second.request, now);
+        if (chosen.target == nullptr) {
             // A request that excludes the targets it was already sent to may
             // find none, while a request behind it finds one.
             if (queued->second.request.tried.empty())
                 return;
             continue;
         }
-        auto decision = place(*target, service, queued->second.request, now);
+        auto decision = place(chosen, service, queued->second.request, now);
         service.queue.remove(it.id);
         auto node = queued_requests_.extract(queued);
         node.mapped().on_decision(std::move(decision));
     }
 }
 
-void dispatcher::request_ended(service_id const& service, bool succeeded)
+void dispatcher::request_ended(service_id const& service, bool succeeded,
+    std::optional<target_state> last_state)
 {
+    if (!succeeded && last_state && *last_state != target_state::trusted)
+        return;
     auto& failure_rate = state_of(service).failure_rate;
     failure_rate +=
         ((succeeded ? 0.0 : 1.0) - failure_rate) * failure_rate_weight;
@@ -470,9 +508,11 @@
     }
     forget_leaving(now);
     std::vector<std::string> names;
-    for (auto const& [name, it] : services_)
+    for (auto& [name, it] : services_) {
+        update_failing_share(it, now);
         if (!it.queue.empty())
             names.push_back(name);
+    }
     for (auto const& it : names)
         serve_queue(service_id(it), now);
 }
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -58,9 +58,35 @@
         request.tried.end();
 }
 
+/// Why a target was chosen.
+enum class placement_cause {
+    /// It has the lowest cost of load, distance and failure probability.
+    lowest_cost,
+    /// The request shows whether a target that has failed works again.
+    probe,
+    /// The target was unused for long, and the floor keeps it in use.
+    floor,
+    /// The request failed elsewhere, so it goes to a target in use.
+    retry,
+    /// Too few targets are not ejected, so ejected ones are used as well.
+    below_floor,
+};
+
+template <>
+inline constexpr auto
+    name_table<placement_cause> = make_name_table<placement_cause>({
+        {placement_cause::lowest_cost, "lowest_cost"},
+        {placement_cause::probe, "probe"},
+        {placement_cause::floor, "floor"},
+        {placement_cause::retry, "retry"},
+        {placement_cause::below_floor, "below_floor"},
+    });
+static_assert(is_ordered<placement_cause>());
+
 /// State of the chosen target before the request was sent, for the log.
 struct placement_reason
 {
+    placement_cause cause = placement_cause::lowest_cost;
     target_state state = target_state::trusted;
     /// Requests in flight from this thread, and from other threads and VMs.
     std::int64_t in_flight = 0;
@@ -145,9 +171,11 @@
     /// queues.
     void tick(time_point now);
 
-    /// Records the end of a request; `succeeded` is whether the upstream
-    /// answered without a server error.
-    void request_ended(service_id const& service, bool succeeded);
+    /// Records the end of a request that was submitted; `succeeded` is whether
+    /// the upstream answered without a server error, and `last_state` the state
+    /// of the last target when it was chosen, if the request was sent to any.
+    void request_ended(service_id const& service, bool succeeded,
+        std::optional<target_state> last_state);
 
     /// Whether a failure has changed the state of a target since the last
     /// call, so that a report should be sent to the other VMs at once.
@@ -180,8 +208,14 @@
         /// The share of targets that are not ejected is below the floor, so
         /// ejected targets are used when the others have no capacity.
         bool is_below_floor = false;
-        /// Moving average of the share of requests that failed.
+        /// Moving average of the share of requests that failed. Failures at
+        /// targets that were known to fail do not count.
         double failure_rate = 0;
+        /// Estimated share of the targets that fail at any time.
+        double failing_share = 0;
+        time_point failing_share_updated_at{};
+        /// When a request that may be repeated was last submitted.
+        time_point last_retryable_at{};
         /// Recent priorities with the time of their last request. Requests of
         /// any but the most urgent one may be used as probes.
         std::map<std::int64_t, time_point> priorities;
@@ -211,9 +245,17 @@
     void record_path(traffic_target& target, attempt_result result,
         time_point sent_at, time_point now);
     void update_below_floor(service_state& service);
+    void update_failing_share(service_state& service, time_point now);
 
-    traffic_target* choose(service_state& service,
-        placement_request const& request, time_point now);
+    /// A chosen target, or none.
+    struct choice
+    {
+        traffic_target* target = nullptr;
+        placement_cause cause = placement_cause::lowest_cost;
+    };
+
+    choice choose(service_state& service, placement_request const& request,
+        time_point now);
     traffic_target* choose_target_to_probe(service_state& service,
         placement_request const& request, time_point now);
     traffic_target* choose_for_floor(service_state& service,
@@ -222,6 +264,7 @@
     {
         return baselines_.baseline(service).failure_rate;
     }
+    bool has_too_few_trusted(service_state const& service) const;
     bool is_most_urgent(
         service_state& service, std::int64_t priority, time_point now);
     traffic_target* choose_suspect_to_probe(service_state& service,
@@ -236,7 +279,7 @@
     void forget_leaving(time_point now);
     placement_rejection reject_without_target(service_state const& service,
         placement_request const& request, time_point now) const;
-    placement place(traffic_target& target, service_state& service,
+    placement place(choice const& chosen, service_state& service,
         placement_request const& request, time_point now);
     duration expected_wait(service_state const& service, service_id const& name,
         std::size_t ahead, time_point now) const;
--- a/servers/dispatch/target_selection.cpp
+++ b/servers/dispatch/target_selection.cpp
@@ -6,14 +6,15 @@
 namespace pomelohinge {
 namespace {
 
-/// A target that is not trusted and was not observed for this long is probed
-/// with a request that is not of the most urgent priority. The shorter delay
-/// applies while the share of failed requests to the service is above
-/// `failing_service_threshold`, since every target that may have recovered is
-/// needed then.
-constexpr duration probe_delay = std::chrono::milliseconds(4000);
-constexpr duration short_probe_delay = std::chrono::milliseconds(1300);
-constexpr double failing_service_threshold = 0.06;
+/// While the share of failed requests to the service is above
+/// `failing_service_threshold`, every target that may have recovered is needed,
+/// so those that are not trusted are probed after this time at the latest.
+constexpr duration max_probe_delay = std::chrono::milliseconds(1300);
+constexpr double failing_service_threshold = 0.1;
+
+/// A service has requests that may be repeated, which serve as probes, if one
+/// was submitted within this time.
+constexpr duration retryable_expiry = std::chrono::seconds(2);
 
 /// A target counts as in use for this long after the last request reached it.
 /// The floor applies to the targets used within two seconds; the remaining time
@@ -91,6 +92,7 @@
     traffic_target* found = nullptr;
     for (auto* it : service.targets) {
         bool const is_eligible = it->in_flight() == 0 &&
+            it->in_flight_elsewhere() == 0 &&
             it->path().state() == path_state::open &&
             it->health().state() == target_state::suspect &&
             can_take(*it, request, now);
@@ -105,19 +107,41 @@
     return local_entries_ == 0 ? found : nullptr;
 }
 
+/// Whether the trusted local targets are fewer than the floor requires of those
+/// that work, as far as the estimated share of failing targets tells.
+bool dispatcher::has_too_few_trusted(service_state const& service) const
+{
+    double available = 0;
+    double trusted = 0;
+    for (auto const* it : service.targets) {
+        if (!it->accepts_requests() || it->record().data_centre != data_centre_)
+            continue;
+        ++available;
+        trusted += it->health().state() == target_state::trusted ? 1 : 0;
+    }
+    return trusted <
+        (floor_ + floor_margin) * (1 - service.failing_share) * available;
+}
+
 /// Returns the local target that is due for a probe and has not been observed
-/// for the longest time, if any. `choose_suspect_to_probe` needs retryable
-/// requests; for services without them, less urgent requests are the probes.
+/// for the longest time, if any. Requests that may be repeated are better
+/// probes (see `choose_suspect_to_probe`); for services without them, less
+/// urgent requests are the probes while too few targets are trusted.
 traffic_target* dispatcher::choose_target_to_probe(
     service_state& service, placement_request const& request, time_point now)
 {
-    if (is_most_urgent(service, request.priority, now))
+    bool const is_failing = service.failure_rate > failing_service_threshold;
+    bool const has_better_probes =
+        now - service.last_retryable_at < retryable_expiry;
+    bool const is_needed =
+        is_failing || (!has_better_probes && has_too_few_trusted(service));
+    if (is_most_urgent(service, request.priority, now) || !is_needed)
         return nullptr;
-    auto const delay = service.failure_rate > failing_service_threshold
-        ? short_probe_delay
-        : probe_delay;
     traffic_target* least_recent = nullptr;
     for (auto* it : service.targets) {
+        auto const delay = is_failing
+            ? std::min<duration>(max_probe_delay, it->health().recovery_delay())
+            : it->health().recovery_delay();
         bool const is_eligible = it->in_flight() == 0 &&
             it->in_flight_elsewhere() == 0 &&
             it->path().state() == path_state::open &&
@@ -168,7 +192,8 @@
     }
     if (longest_unused != nullptr)
         return longest_unused;
-    if (!all.is_below(floor_ + floor_margin))
+    if (!all.is_below(floor_ + floor_margin) ||
+        service.failure_rate <= failing_service_threshold)
         return nullptr;
     return is_most_urgent(service, request.priority, now) ? nullptr
                                                           : all.healthiest;
@@ -210,27 +235,27 @@
     return at ? eligible_[*at] : nullptr;
 }
 
-traffic_target* dispatcher::choose(
+dispatcher::choice dispatcher::choose(
     service_state& service, placement_request const& request, time_point now)
 {
-    // A request that has failed at one target goes to one that is in use.
     if (request.tried.empty()) {
         if (auto* const it = choose_suspect_to_probe(service, request, now))
-            return it;
+            return {it, placement_cause::probe};
         if (auto* const it = choose_target_to_probe(service, request, now))
-            return it;
+            return {it, placement_cause::probe};
         if (auto* const it = choose_for_floor(service, request, now))
-            return it;
+            return {it, placement_cause::floor};
     } else if (auto* const it = choose_up_to(
                    target_state::suspect, true, service, request, now)) {
-        return it;
+        return {it, placement_cause::retry};
     }
     if (auto* const it =
             choose_up_to(target_state::suspect, false, service, request, now))
-        return it;
-    return service.is_below_floor
-        ? choose_up_to(target_state::ejected, false, service, request, now)
-        : nullptr;
+        return {it, placement_cause::lowest_cost};
+    if (!service.is_below_floor)
+        return {};
+    return {choose_up_to(target_state::ejected, false, service, request, now),
+        placement_cause::below_floor};
 }
 
 } // namespace pomelohinge
--- a/servers/health/failure_probability.cpp
+++ b/servers/health/failure_probability.cpp
@@ -35,7 +35,14 @@
 double failure_probability::at(time_point now) const
 {
     auto const decay = std::exp(-to_seconds(now - updated_at_) / decay_seconds);
-    return prior + (value_ - prior) * decay;
+    return prior_ + (value_ - prior_) * decay;
+}
+
+void failure_probability::set_prior(double prior, time_point now)
+{
+    value_ = at(now);
+    updated_at_ = now;
+    prior_ = prior;
 }
 
 void failure_probability::update(
--- a/servers/health/failure_probability.hpp
+++ b/servers/health/failure_probability.hpp
@@ -7,7 +7,8 @@
 
 /// The probability that a target currently fails most requests. It is
 /// updated by Bayes' rule with the outcome of each attempt and decays
-/// exponentially towards the prior while there are no observations.
+/// exponentially towards the prior while there are no observations. The prior
+/// is the share of the service's targets that fail at any time.
 class failure_probability
 {
 public:
@@ -24,15 +25,19 @@
     void record_failure(
         double baseline_failure_rate, double certainty, time_point now);
 
+    /// Sets the prior, 0 to 1. The probability at `now` does not change.
+    void set_prior(double prior, time_point now);
+
 private:
     void update(double likelihood_if_failing, double likelihood_if_healthy,
         time_point now);
 
-    double value_ = prior;
-    time_point updated_at_{};
+    /// Prior until the share of failing targets is known.
+    static constexpr double default_prior = 0.08;
 
-    /// Probability for a target without observations.
-    static constexpr double prior = 0.08;
+    double prior_ = default_prior;
+    double value_ = default_prior;
+    time_point updated_at_{};
 };
 
 } // namespace pomelohinge
--- a/servers/health/target_health.cpp
+++ b/servers/health/target_health.cpp
@@ -27,6 +27,13 @@
 constexpr double drop_certainty = 0.5;
 constexpr double reported_silence_certainty = 0.7;
 
+/// Bounds of the recovery delay, and its minimum from `confirming_failures`
+/// failures on.
+constexpr duration min_recovery_delay = std::chrono::milliseconds(1300);
+constexpr duration confirmed_recovery_delay = std::chrono::seconds(7);
+constexpr duration max_recovery_delay = std::chrono::seconds(15);
+constexpr int confirming_failures = 2;
+
 /// Maximum number of observations of one kind that count per report.
 /// Simultaneous observations of other VMs are hardly independent of each other.
 constexpr std::uint32_t max_counted_per_report = 3;
@@ -37,6 +44,10 @@
 {
     now_ = now;
     state_.fire(event, *this);
+    if (state() == target_state::trusted)
+        failures_ = 0;
+    else if (event != target_event::answered && event != target_event::rested)
+        count_failure(now);
 }
 
 void target_health::record_attempt(
@@ -90,6 +101,21 @@
         fire(target_event::answered, now);
 }
 
+void target_health::count_failure(time_point now)
+{
+    if (failures_++ == 0)
+        first_failure_at_ = now;
+    last_failure_at_ = now;
+}
+
+duration target_health::recovery_delay() const
+{
+    if (failures_ < confirming_failures)
+        return min_recovery_delay;
+    return std::clamp<duration>(last_failure_at_ - first_failure_at_,
+        confirmed_recovery_delay, max_recovery_delay);
+}
+
 bool target_health::check(target_guard guard) const
 {
     auto const probability = failure_probability_.at(now_);
--- a/servers/health/target_health.hpp
+++ b/servers/health/target_health.hpp
@@ -36,8 +36,19 @@
     /// while there are no observations.
     void tick(time_point now) { fire(target_event::rested, now); }
 
+    /// Sets the share of the service's targets that fail at any time, 0 to 1.
+    void set_failing_share(double share, time_point now)
+    {
+        failure_probability_.set_prior(share, now);
+    }
+
     target_state state() const { return state_.state(); }
 
+    /// Delay after the latest observation until a target that is not trusted
+    /// may have recovered. The longer it has failed, the longer it is likely to
+    /// go on; after a single failure it probably works.
+    duration recovery_delay() const;
+
     /// The probability that the target currently fails most requests, 0 to 1.
     double failure_probability_at(time_point now) const
     {
@@ -53,11 +64,17 @@
 
 private:
     void fire(target_event event, time_point now);
+    void count_failure(time_point now);
 
     chart_instance<target_chart> state_;
     failure_probability failure_probability_;
     time_point now_{};
     time_point last_observed_at_{};
+    /// The first and the latest failure since the target was last trusted, and
+    /// their number.
+    time_point first_failure_at_{};
+    time_point last_failure_at_{};
+    int failures_ = 0;
 };
 
 } // namespace pomelohinge
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -184,9 +184,14 @@
                 statistics_.attempts, environment_.now() - started_at_,
                 admitted_.time_limit, admitted_.goal});
         auto const* const answer = std::get_if<upstream_answer>(&result);
-        if (!admitted_.service.empty())
+        bool const was_placed = placement_requested_at_ != time_point{};
+        if (was_placed)
             state().targets.request_ended(admitted_.service,
-                answer != nullptr && answer->status < first_server_error);
+                answer != nullptr &&
+                        answer
+                            ->status<first_server_error, statistics_.attempts> 0
+                    ? std::optional(reason_.state)
+                    : std::nullopt);
         if (auto const callback = std::exchange(on_end_, nullptr))
             callback(std::move(result));
     }
--- a/servers/requests/request_log.cpp
+++ b/servers/requests/request_log.cpp
@@ -37,6 +37,7 @@
         {{"request", request}, {"attempt", it.number},
             {"target", it.target.id.text()},
             {"target_revision", it.target.revision},
+            {"cause", to_name(it.reason.cause)},
             {"state", to_name(it.reason.state)},
             {"in_flight", it.reason.in_flight},
             {"in_flight_elsewhere", it.reason.in_flight_elsewhere},
--- a/servers/selection/picker.hpp
+++ b/servers/selection/picker.hpp
@@ -73,11 +73,10 @@
     }
 
 private:
-    /// Exceeds any cost of load and failure probability, so that local targets
-    /// always go first.
-    static constexpr double distance_cost = 10;
+    /// Cost of a target in another data centre, in units of load.
+    static constexpr double distance_cost = 1;
     /// Cost of certain failure, in units of load.
-    static constexpr double failure_cost = 3;
+    static constexpr double failure_cost = 3.75;
     /// Failure probability below which it lowers the cost for a retryable
     /// request.
     static constexpr double probe_threshold = 0.25;
--- a/tests/servers/dispatch_test.cpp
+++ b/tests/servers/dispatch_test.cpp
@@ -1,129 +1,12 @@
-#include "servers/dispatch/dispatcher.hpp"
-#include "tests/servers/test_charts.hpp"
+#include "tests/servers/dispatch_fixture.hpp"
 
 #include <deque>
-#include <gtest/gtest.h>
-#include <set>
 
 namespace pomelohinge {
 namespace {
 
-using namespace std::chrono_literals;
-
-/// One entry VM with the targets of one service.
-class dispatch_test : public testing::Test
+class dispatch_test : public dispatch_fixture
 {
-protected:
-    dispatch_test()
-        : charts_(load_all_charts()),
-          dispatcher_(charts_.target, vm_id("a"), data_centre_id("east"), 1,
-              [](std::string const&) { return false; })
-    {
-        dispatcher_.set_floor(0.5);
-    }
-
-    target_record& add(std::string name, std::string data_centre = "east",
-        std::int64_t slots = 2)
-    {
-        target_record it;
-        it.id = target_id(name);
-        it.service = service_id("shop");
-        it.data_centre = data_centre_id(std::move(data_centre));
-        it.address = "10.0.0.1:80";
-        it.slots = slots;
-        it.revision = 1;
-        records_.push_back(std::move(it));
-        return records_.back();
-    }
-
-    void adopt()
-    {
-        auto next = std::make_shared<policy>();
-        configuration source;
-        service_object service;
-        service.cold_requests_per_second = cold_rate_;
-        source =
-            source.with({{object_kind::service, "shop", any_object(service)}});
-        next->index = std::make_shared<configuration_index>(source, 1);
-        next->targets = std::make_shared<target_catalogue>(records_, 1);
-        auto members = std::make_shared<fleet_members>();
-        members->push_back({{vm_id("a"), data_centre_id("east"), "", "", 1,
-                                vm_standing::serving, 1, 1000},
-            true, true, 0});
-        next->members = members;
-        next->closed = closed_;
-        next->ready = true;
-        dispatcher_.adopt(next, clock_.now());
-    }
-
-    placement_request make_request(
-        std::int64_t priority = 1, bool retryable = false)
-    {
-        placement_request request;
-        request.service = service_id("shop");
-        request.priority = priority;
-        request.retryable = retryable;
-        request.start_deadline = clock_.now() + 1s;
-        return request;
-    }
-
-    /// Returns the target that a request gets at once; empty if none.
-    std::string place(placement_request request)
-    {
-        auto const it = dispatcher_.submit(
-            std::move(request), [](placement_decision) {}, clock_.now());
-        auto const* const decided = std::get_if<placement_decision>(&it);
-        if (decided == nullptr || !std::holds_alternative<placement>(*decided))
-            return {};
-        last_ = std::get<placement>(*decided).target;
-        return last_.id.text();
-    }
-
-    void end_attempt(target_record const& target,
-        attempt_result result = attempt_result::answered,
-        duration latency = 100ms)
-    {
-        dispatcher_.attempt_ended(target, result, latency, clock_.now());
-    }
-
-    /// Ends an attempt at the target with `result`.
-    void attempt(std::string const& name, attempt_result result)
-    {
-        std::vector<target_record> others;
-        while (place(make_request()) != name)
-            others.push_back(last_);
-        end_attempt(record(name), result);
-        for (auto const& it : others)
-            end_attempt(it);
-    }
-
-    static target_notice leaving()
-    {
-        target_notice notice;
-        notice.leaving = true;
-        return notice;
-    }
-
-    static target_notice pause(duration length)
-    {
-        target_notice notice;
-        notice.pause = length;
-        return notice;
-    }
-
-    target_record const& record(std::string const& name) const
-    {
-        return *std::find_if(records_.begin(), records_.end(),
-            [&](auto const& it) { return it.id.text() == name; });
-    }
-
-    chart_list charts_;
-    manual_clock clock_;
-    std::vector<target_record> records_;
-    std::set<data_centre_id> closed_;
-    double cold_rate_ = 0;
-    dispatcher dispatcher_;
-    target_record last_;
 };
 
 TEST_F(dispatch_test, requests_fill_local_targets_before_remote_ones)
@@ -285,6 +168,51 @@
     EXPECT_TRUE(received.contains("t1") || received.contains("t2"));
 }
 
+/// Suspects of the own data centre went before trusted targets of others, so
+/// requests that cannot be repeated were lost while targets were free.
+TEST_F(dispatch_test, order_goes_to_a_remote_target_before_a_local_suspect)
+{
+    add("local-1", "east", 6);
+    add("local-2", "east", 1);
+    add("remote-1", "west", 6);
+    adopt();
+    attempt("local-1", attempt_result::server_error);
+    attempt("local-1", attempt_result::server_error);
+    clock_.advance(1s);
+    dispatcher_.tick(clock_.now());
+    ASSERT_EQ(dispatcher_.find(target_id("local-1"))->health().state(),
+        target_state::suspect);
+    EXPECT_EQ(place(make_request()), "local-2");
+    EXPECT_EQ(place(make_request()), "remote-1");
+}
+
+TEST_F(dispatch_test, failing_target_is_probed_by_requests_that_may_be_repeated)
+{
+    for (int it = 0; it < 4; ++it)
+        add("t" + std::to_string(it), "east", 6);
+    adopt();
+    attempt("t0", attempt_result::server_error);
+    attempt("t0", attempt_result::server_error);
+    clock_.advance(5s);
+    dispatcher_.tick(clock_.now());
+    EXPECT_EQ(place(make_request(2, true)), "t0");
+    for (int it = 0; it < 12; ++it)
+        EXPECT_NE(place(make_request()), "t0");
+}
+
+TEST_F(dispatch_test, probe_of_another_vm_is_enough)
+{
+    add("t0", "east", 6);
+    add("t1", "east", 6);
+    adopt();
+    attempt("t0", attempt_result::server_error);
+    clock_.advance(2s);
+    traffic_report others;
+    others.targets["t0"].in_flight = 1;
+    dispatcher_.apply_report(others, clock_.now());
+    EXPECT_EQ(place(make_request(2, true)), "t1");
+}
+
 TEST_F(dispatch_test, target_with_two_late_attempts_becomes_suspect)
 {
     add("slow");
@@ -519,113 +447,6 @@
 }
 
 /// A target's leaving was known from the store only, which a VM may not reach.
-TEST_F(dispatch_test, target_that_says_that_it_leaves_gets_no_requests)
-{
-    dispatcher_.set_floor(1);
-    add("leaves");
-    add("stays");
-    adopt();
-    dispatcher_.record_notice(record("leaves"), leaving(), clock_.now());
-    for (int it = 0; it < 20; ++it) {
-        EXPECT_EQ(place(make_request()), "stays");
-        end_attempt(last_);
-        clock_.advance(500ms);
-        dispatcher_.tick(clock_.now());
-    }
-}
-
-TEST_F(
-    dispatch_test, leaving_target_that_the_store_lists_again_gets_no_requests)
-{
-    add("leaves");
-    adopt();
-    dispatcher_.record_notice(record("leaves"), leaving(), clock_.now());
-    auto const listed = std::exchange(records_, {});
-    adopt();
-    clock_.advance(10s);
-    dispatcher_.tick(clock_.now());
-    records_ = listed;
-    adopt();
-    EXPECT_EQ(place(make_request()), "");
-}
-
-TEST_F(dispatch_test, late_notice_of_an_earlier_incarnation_is_ignored)
-{
-    add("t");
-    adopt();
-    auto const before = record("t");
-    dispatcher_.record_notice(before, leaving(), clock_.now());
-    records_.front().incarnation = 2;
-    adopt();
-    EXPECT_EQ(place(make_request()), "t");
-    end_attempt(last_);
-    dispatcher_.record_notice(before, leaving(), clock_.now());
-    EXPECT_EQ(place(make_request()), "t");
-}
-
-TEST_F(dispatch_test, paused_target_gets_nothing_and_then_one_request_at_a_time)
-{
-    dispatcher_.set_floor(1);
-    add("pauses", "east", 4);
-    add("other", "east", 1);
-    adopt();
-    dispatcher_.record_notice(record("pauses"), pause(2s), clock_.now());
-    // A shorter pause that is asked for later does not shorten it.
-    dispatcher_.record_notice(record("pauses"), pause(100ms), clock_.now());
-    for (int it = 0; it < 19; ++it) {
-        clock_.advance(100ms);
-        dispatcher_.tick(clock_.now());
-        EXPECT_EQ(place(make_request()), "other");
-        end_attempt(last_);
-    }
-    clock_.advance(200ms);
-    dispatcher_.tick(clock_.now());
-    ASSERT_EQ(place(make_request()), "pauses");
-    EXPECT_EQ(place(make_request()), "other");
-    EXPECT_EQ(place(make_request()), "");
-    end_attempt(record("pauses"));
-    EXPECT_EQ(place(make_request()), "pauses");
-    EXPECT_EQ(place(make_request()), "pauses");
-}
-
-TEST_F(dispatch_test, requests_wait_for_pauses_that_end_in_time)
-{
-    add("a");
-    add("b");
-    adopt();
-    for (auto const* it : {"a", "b"})
-        dispatcher_.record_notice(record(it), pause(300ms), clock_.now());
-    int placed = 0;
-    for (int it = 0; it < 4; ++it)
-        (void)dispatcher_.submit(
-            make_request(),
-            [&](placement_decision decision) {
-                placed += std::holds_alternative<placement>(decision) ? 1 : 0;
-            },
-            clock_.now());
-    dispatcher_.tick(clock_.now());
-    EXPECT_EQ(placed, 0);
-    clock_.advance(310ms);
-    dispatcher_.tick(clock_.now());
-    // One for each target, although all of them wait.
-    EXPECT_EQ(placed, 2);
-}
-
-TEST_F(dispatch_test, requests_are_rejected_with_the_wait_for_the_first_pause)
-{
-    add("a");
-    add("b");
-    adopt();
-    dispatcher_.record_notice(record("a"), pause(9s), clock_.now());
-    dispatcher_.record_notice(record("b"), pause(4s), clock_.now());
-    auto const it = dispatcher_.submit(
-        make_request(), [](placement_decision) {}, clock_.now());
-    auto const& rejection =
-        std::get<placement_rejection>(std::get<placement_decision>(it));
-    EXPECT_EQ(rejection.reason, rejection_reason::overloaded);
-    EXPECT_EQ(rejection.retry_after, 4s);
-}
-
 TEST_F(dispatch_test, target_whose_address_was_reused_gets_no_requests)
 {
     add("t1");
@@ -655,7 +476,8 @@
     // While the service fails, targets that may have recovered are probed
     // sooner.
     for (int it = 0; it < 50; ++it)
-        dispatcher_.request_ended(service_id("shop"), false);
+        dispatcher_.request_ended(
+            service_id("shop"), false, target_state::trusted);
     clock_.advance(1900ms);
     EXPECT_NE(place(make_request(0)), "failing");
     EXPECT_EQ(place(make_request(2)), "failing");
--- a/tests/servers/floor_test.cpp
+++ b/tests/servers/floor_test.cpp
@@ -118,6 +118,7 @@
         std::size_t entry;
         target_record target;
         attempt_result result;
+        target_state state;
         duration length;
         time_point ends_at;
 
@@ -162,7 +163,8 @@
         auto const& target = it->target;
         if (cuts_.contains({entry, target.id.text()})) {
             attempts_.push({entry, target, attempt_result::connect_failed,
-                connect_timeout, clock_.now() + connect_timeout});
+                it->reason.state, connect_timeout,
+                clock_.now() + connect_timeout});
             return;
         }
         arrivals_[target.id.text()].push_back(clock_.now());
@@ -172,7 +174,7 @@
             failing != failing_.end() && draw(random_) < failing->second;
         attempts_.push({entry, target,
             fails ? attempt_result::server_error : attempt_result::answered,
-            latency, clock_.now() + latency});
+            it->reason.state, latency, clock_.now() + latency});
     }
 
     void end_attempts()
@@ -182,8 +184,8 @@
             attempts_.pop();
             entries_[it.entry]->attempt_ended(
                 it.target, it.result, it.length, clock_.now());
-            entries_[it.entry]->request_ended(
-                it.target.service, it.result == attempt_result::answered);
+            entries_[it.entry]->request_ended(it.target.service,
+                it.result == attempt_result::answered, it.state);
         }
     }
 
--- a/tests/servers/health_test.cpp
+++ b/tests/servers/health_test.cpp
@@ -108,6 +108,31 @@
     EXPECT_EQ(health_.state(), target_state::trusted);
 }
 
+TEST_F(health_test, recovery_delay_after_a_single_failure_is_short)
+{
+    record_answers();
+    attempt(target_event::faulted);
+    EXPECT_LE(health_.recovery_delay(), 2s);
+}
+
+TEST_F(health_test, recovery_delay_grows_with_the_time_of_failing)
+{
+    record_answers();
+    attempt(target_event::faulted);
+    attempt(target_event::faulted);
+    auto const confirmed = health_.recovery_delay();
+    EXPECT_GT(confirmed, 2s);
+    advance(10s);
+    attempt(target_event::faulted);
+    EXPECT_GE(health_.recovery_delay(), 10s);
+    for (int it = 0; it < 4; ++it)
+        attempt(target_event::answered);
+    ASSERT_EQ(health_.state(), target_state::trusted);
+    attempt(target_event::faulted);
+    attempt(target_event::faulted);
+    EXPECT_EQ(health_.recovery_delay(), confirmed);
+}
+
 TEST_F(health_test, dropped_connection_counts_less_than_a_fault)
 {
     record_answers();
--- a/tests/simulation/fake_target.hpp
+++ b/tests/simulation/fake_target.hpp
@@ -61,7 +61,18 @@
     target_record const& record() const { return record_; }
     target_record& record() { return record_; }
     void set_mode(target_mode mode) { mode_ = mode; }
+
+    /// Sets the bounds of the time that the target works on a request.
+    void set_run_time(duration min, duration max)
+    {
+        min_run_time_ = min;
+        max_run_time_ = max;
+    }
+
+    /// Sets the share of requests that the target fails while it is healthy.
+    void set_error_probability(double it) { error_probability_ = it; }
     target_mode mode() const { return mode_; }
+    time_point last_received_at() const { return last_received_at_; }
 
     /// Stops the target: it refuses connections, and requests in execution end
     /// with a lost connection even if the target has started again by then.
@@ -80,6 +91,7 @@
             return;
         if (mode_ == target_mode::down)
             return done(make_end(attempt_result::connect_failed));
+        last_received_at_ = simulator_.now();
         checker_.on_request_received(vm, record_, request, simulator_.now());
         bool const sheds = mode_ == target_mode::shedding &&
             simulator_.chance(shed_probability);
@@ -93,8 +105,6 @@
     static constexpr std::int64_t max_queued = 24;
     static constexpr double shed_probability = 0.5;
     static constexpr double server_error_probability = 0.8;
-    static constexpr duration min_run_time = std::chrono::milliseconds(50);
-    static constexpr duration max_run_time = std::chrono::milliseconds(300);
 
     static attempt_end make_end(attempt_result result)
     {
@@ -111,14 +121,17 @@
             record_, is_cold, cold_rate_, request, simulator_.now());
         if (mode_ == target_mode::hanging)
             return;
-        bool const fails = mode_ == target_mode::failing &&
-            simulator_.chance(server_error_probability);
+        auto const error_probability = mode_ == target_mode::failing
+            ? server_error_probability
+            : error_probability_;
+        bool const fails =
+            error_probability > 0 && simulator_.chance(error_probability);
         if (fails)
             return done(make_end(attempt_result::server_error));
         ++running_;
         auto const generation = generation_;
         simulator_.schedule_after(
-            simulator_.draw_between(min_run_time, max_run_time),
+            simulator_.draw_between(min_run_time_, max_run_time_),
             [this, generation, done = std::move(done)] {
                 --running_;
                 if (generation == generation_)
@@ -132,8 +145,12 @@
     invariant_checker& checker_;
     target_record record_;
     double cold_rate_;
+    duration min_run_time_ = std::chrono::milliseconds(50);
+    duration max_run_time_ = std::chrono::milliseconds(300);
+    double error_probability_ = 0;
     target_mode mode_ = target_mode::healthy;
     std::int64_t running_ = 0;
+    time_point last_received_at_{};
     /// Increases with each stop, so that requests from before it fail.
     std::uint64_t generation_ = 0;
 };
