--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -43,6 +43,20 @@
     manual_clock clock_;
 };
 
+TEST_F(documents_test, downloads_may_be_repeated)
+{
+    std::string document = text;
+    std::string const kind = "\"non_idempotent\"";
+    auto const at = document.find(kind);
+    ASSERT_NE(at, std::string::npos);
+    document.replace(at, kind.size(), "\"download\"");
+    auto const it = decode_configuration(document, found_);
+    ASSERT_TRUE(it) << found_.to_text();
+    auto const* const route = it->find<route_object>("shop.example/a/");
+    ASSERT_NE(route, nullptr);
+    EXPECT_EQ(route->request_idempotency, idempotency_mode::idempotent);
+}
+
 TEST_F(documents_test, configuration_is_decoded_to_routes_rates_and_keys)
 {
     auto const it = decode_configuration(text, found_);
