Run requests that callers send ahead on one connection

Cause: RESTinio was told to read two requests ahead, only to notice closed connections, and each request started as soon as it was read.

Change: request_pipeline decides when a request starts; see docs/DESIGN.md. RESTinio keeps the order of the answers. Refusals of single requests go through it as well, so their order holds and a stop ends behind the last answer. The waiting time counts for the time limit.

Weighed: a server of our own on Asio and http_parser. RESTinio does what is needed; what it cannot do is to answer the requests before one that cannot be parsed, since it closes the connection at once. This stays open.

--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -25,6 +25,9 @@
     std::function<std::function<void()>(
         incoming_request, std::function<void(entry_result)>)>
         request;
+    /// Whether the request may be repeated, so that others received on its
+    /// connection may run at the same time.
+    std::function<bool(request_head const&)> is_repeatable;
     /// Answers an entry question about a data centre; an empty id stands for
     /// the VM's own.
     std::function<entry_answer(data_centre_id const&)> entries;
@@ -97,9 +100,9 @@
     static constexpr std::uint64_t max_body_bytes_read = 32 << 20;
 
     /// RESTinio detects that a caller has closed its connection only while it
-    /// reads from the connection. If it accepts two pipelined requests, it
-    /// keeps reading while the first one is handled.
-    static constexpr std::size_t max_pipelined_requests = 2;
+    /// reads from the connection, so it reads one request more than a caller
+    /// may send ahead.
+    static constexpr std::size_t max_pipelined_requests = 17;
 
     static constexpr auto idle_timeout = std::chrono::seconds(120);
     static constexpr auto handling_timeout = std::chrono::minutes(11);
@@ -148,142 +151,175 @@
         return settings;
     }
 
+    /// A received request and the connection that it was received on.
+    struct open_request
+    {
+        request_handle request;
+        std::shared_ptr<connection_state> connection;
+        request_pipeline::request_number number = 0;
+        std::string id;
+    };
+    using open_request_pointer = std::shared_ptr<open_request>;
+
     restinio::request_handling_status_t handle(request_handle request)
     {
-        std::string const target(request->header().request_target());
+        auto const it = std::make_shared<open_request>();
+        it->connection = connection_state::current()
+            ? connection_state::current()
+            : std::make_shared<connection_state>();
+        it->connection->mark_received();
+        it->request = std::move(request);
+        std::string const target(it->request->header().request_target());
         if constexpr (Dialect::entries_at_front)
-            if (auto const data_centre = Dialect::entry_question(target))
-                return answer_entry_question(*request, *data_centre);
+            if (auto const data_centre = Dialect::entry_question(target)) {
+                add(it, true, [this, it, data_centre](duration) {
+                    answer_entry_question(*it, *data_centre);
+                });
+                return restinio::request_accepted();
+            }
+        receive(it, target);
+        return restinio::request_accepted();
+    }
+
+    void receive(open_request_pointer const& it, std::string const& target)
+    {
+        auto const& header = it->request->header();
         std::vector<header_field> headers;
-        request->header().for_each_field([&](auto const& field) {
+        header.for_each_field([&](auto const& field) {
             headers.push_back(
                 {std::string(field.name()), std::string(field.value())});
         });
-        auto parsed =
-            Dialect::parse(request->header().method().c_str(), target, headers);
-        if (auto const* const it = std::get_if<refusal>(&parsed)) {
-            mark_handled();
+        auto parsed = Dialect::parse(header.method().c_str(), target, headers);
+        if (auto* const refused = std::get_if<refusal>(&parsed)) {
             log(log_event::request_refused,
-                {{"request", ""}, {"kind", to_name(it->kind)},
-                    {"outcome", to_name(it->result)}, {"detail", it->detail}});
-            return answer_refusal(*request, *it, {});
+                {{"request", ""}, {"kind", to_name(refused->kind)},
+                    {"outcome", to_name(refused->result)},
+                    {"detail", refused->detail}});
+            return refuse(it, std::move(*refused));
         }
-        return start(
-            std::move(request), std::get<incoming_request>(std::move(parsed)));
-    }
-
-    /// Marks the bytes received on the connection as a complete request that
-    /// is answered at once.
-    static void mark_handled()
-    {
-        if (auto const& connection = connection_state::current())
-            connection->end_request(connection->begin_request([] {}));
+        auto& message = std::get<incoming_request>(parsed);
+        it->id = message.head.request_id;
+        auto const& body = it->request->body();
+        if (body.size() > limits_.max_body_bytes)
+            return refuse(it,
+                {refusal_kind::body_too_large, outcome::not_run,
+                    "a body may have " +
+                        std::to_string(limits_.max_body_bytes) + " bytes",
+                    {}});
+        message.head.body_bytes = body.size();
+        message.body = body;
+        bool const repeatable = handlers_.is_repeatable(message.head);
+        add(it, repeatable,
+            [this, it,
+                message = std::make_shared<incoming_request>(
+                    std::move(message))](duration waited) {
+                message->waited = waited;
+                run(it, std::move(*message));
+            });
     }
 
-    restinio::request_handling_status_t answer_entry_question(
-        restinio::request_t& request, data_centre_id const& data_centre)
+    /// Adds a request to the pipeline of its connection.
+    void add(open_request_pointer const& it, bool repeatable,
+        request_pipeline::start_callback start)
     {
-        mark_handled();
-        auto response = request.create_response(status_line(200));
-        response.append_header("Content-Type", "application/json");
-        set_connection_header(response);
-        return response
-            .set_body(
-                Dialect::encode_entry_answer(handlers_.entries(data_centre)))
-            .done();
+        auto& pipeline = it->connection->pipeline();
+        // The answer that closes the connection is the last one, so requests
+        // behind it would get none.
+        if (closing_ && !pipeline.empty())
+            pipeline.stop();
+        it->number = pipeline.next_number();
+        pipeline.add(repeatable, boottime_clock::now(), std::move(start));
+        if (!it->request->header().should_keep_alive())
+            pipeline.stop();
     }
 
-    restinio::request_handling_status_t start(
-        request_handle request, incoming_request message)
+    void refuse(open_request_pointer const& it, refusal refused)
     {
-        if (request->body().size() > limits_.max_body_bytes) {
-            mark_handled();
-            refusal const refused{refusal_kind::body_too_large,
-                outcome::not_run,
-                "a body may have " + std::to_string(limits_.max_body_bytes) +
-                    " bytes",
-                {}};
-            return answer_refusal(*request, refused, message.head.request_id);
-        }
-        message.head.body_bytes = request->body().size();
-        message.body = request->body();
-        run(std::move(request), std::move(message));
-        return restinio::request_accepted();
+        add(it, true, [this, it, refused = std::move(refused)](duration) {
+            answer_refusal(*it, refused);
+        });
     }
 
-    void run(request_handle request, incoming_request message)
+    void run(open_request_pointer const& it, incoming_request message)
     {
         ++open_requests_;
-        auto const connection = connection_state::current()
-            ? connection_state::current()
-            : std::make_shared<connection_state>();
         auto const on_closed = std::make_shared<std::function<void()>>();
-        auto const id = connection->begin_request([this, on_closed] {
+        auto const id = it->connection->begin_request([this, on_closed] {
             --open_requests_;
             if (*on_closed)
                 (*on_closed)();
         });
-        auto request_id = message.head.request_id;
-        *on_closed = handlers_.request(std::move(message),
-            [this, request, connection, id, on_closed,
-                request_id = std::move(request_id)](entry_result result) {
+        *on_closed = handlers_.request(
+            std::move(message), [this, it, id, on_closed](entry_result result) {
                 --open_requests_;
-                connection->end_request(id);
+                it->connection->end_request(id);
                 *on_closed = nullptr;
-                answer(*request, std::move(result), request_id);
+                answer(*it, std::move(result));
             });
     }
 
-    void answer(restinio::request_t& request, entry_result result,
-        std::string const& request_id)
+    void answer_entry_question(
+        open_request const& it, data_centre_id const& data_centre)
     {
-        if (auto const* const it = std::get_if<refusal>(&result)) {
-            answer_refusal(request, *it, request_id);
-            return;
-        }
-        if (auto* const it = std::get_if<recorded_answer>(&result)) {
-            auto response = request.create_response(status_line(it->status));
-            if (!it->content_type.empty())
-                response.append_header("Content-Type", it->content_type);
-            finish(response, request_id, std::move(it->body));
-            return;
+        auto response = it.request->create_response(status_line(200));
+        response.append_header("Content-Type", "application/json");
+        finish(it, response,
+            Dialect::encode_entry_answer(handlers_.entries(data_centre)));
+    }
+
+    void answer(open_request const& it, entry_result result)
+    {
+        if (auto const* const refused = std::get_if<refusal>(&result))
+            return answer_refusal(it, *refused);
+        if (auto* const recorded = std::get_if<recorded_answer>(&result)) {
+            auto response =
+                it.request->create_response(status_line(recorded->status));
+            if (!recorded->content_type.empty())
+                response.append_header("Content-Type", recorded->content_type);
+            add_answer_headers(response, it.id);
+            return finish(it, response, std::move(recorded->body));
         }
         auto& upstream = std::get<upstream_answer>(result);
-        auto response = request.create_response(status_line(upstream.status));
-        for (auto const& it : upstream.headers)
-            if (!is_hop_by_hop(it.name) && Dialect::forwards_header(it.name))
-                response.append_header(it.name, it.value);
-        finish(response, request_id, std::move(upstream.body));
+        auto response =
+            it.request->create_response(status_line(upstream.status));
+        for (auto const& field : upstream.headers)
+            if (!is_hop_by_hop(field.name) &&
+                Dialect::forwards_header(field.name))
+                response.append_header(field.name, field.value);
+        add_answer_headers(response, it.id);
+        finish(it, response, std::move(upstream.body));
+    }
+
+    void answer_refusal(open_request const& it, refusal const& refused)
+    {
+        auto encoded = Dialect::encode_refusal(refused, it.id);
+        auto response =
+            it.request->create_response(status_line(encoded.status));
+        for (auto const& field : encoded.headers)
+            response.append_header(field.name, field.value);
+        finish(it, response, std::move(encoded.body));
     }
 
     template <class Response>
-    void finish(
-        Response& response, std::string const& request_id, std::string body)
+    static void add_answer_headers(
+        Response& response, std::string const& request_id)
     {
         for (auto const& it : Dialect::answer_headers(request_id))
             response.append_header(it.name, it.value);
-        set_connection_header(response);
-        response.set_body(std::move(body));
-        response.done();
     }
 
     template <class Response>
-    void set_connection_header(Response& response)
+    void finish(open_request const& it, Response& response, std::string body)
     {
+        auto& pipeline = it.connection->pipeline();
         if (closing_)
+            pipeline.stop();
+        if (pipeline.is_last(it.number))
             response.connection_close();
-    }
-
-    restinio::request_handling_status_t answer_refusal(
-        restinio::request_t& request, refusal const& refused,
-        std::string const& request_id)
-    {
-        auto encoded = Dialect::encode_refusal(refused, request_id);
-        auto response = request.create_response(status_line(encoded.status));
-        for (auto const& it : encoded.headers)
-            response.append_header(it.name, it.value);
-        set_connection_header(response);
-        return response.set_body(std::move(encoded.body)).done();
+        auto const bytes = body.size();
+        response.set_body(std::move(body));
+        response.done();
+        pipeline.answered(it.number, bytes, boottime_clock::now());
     }
 
     asio::io_context& context_;
--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -1,6 +1,8 @@
 #ifndef POMELOHINGE_DRIVERS_FRONT_FRONT_SOCKET_HPP
 #define POMELOHINGE_DRIVERS_FRONT_FRONT_SOCKET_HPP
 
+#include "servers/requests/request_pipeline.hpp"
+
 #include <asio/associated_executor.hpp>
 #include <asio/bind_executor.hpp>
 #include <asio/ip/tcp.hpp>
@@ -21,11 +23,13 @@
 class connection_state
 {
 public:
-    /// Registers a request and returns its id. `on_closed` is called if the
-    /// caller closes the connection before `end_request`.
+    /// Marks the bytes received so far as those of a complete request.
+    void mark_received() { unhandled_bytes_ = 0; }
+
+    /// Registers a request that runs and returns its id. `on_closed` is called
+    /// if the caller closes the connection before `end_request`.
     std::uint64_t begin_request(std::function<void()> on_closed)
     {
-        unhandled_bytes_ = 0;
         auto const id = ++last_id_;
         if (!closed_)
             on_closed_.emplace(id, std::move(on_closed));
@@ -35,6 +39,12 @@
     /// Unregisters a request, so that its `on_closed` is no longer called.
     void end_request(std::uint64_t id) { on_closed_.erase(id); }
 
+    /// When the requests received on the connection start.
+    request_pipeline& pipeline() { return pipeline_; }
+
+    /// Whether the caller has closed the connection.
+    bool is_closed() const { return closed_; }
+
     /// Counts received bytes until a request handler has taken them.
     void add_received(std::size_t bytes) { unhandled_bytes_ += bytes; }
 
@@ -43,17 +53,18 @@
     void mark_closed_by_caller()
     {
         closed_ = true;
+        pipeline_.stop();
         for (auto const& [id, callback] : std::exchange(on_closed_, {}))
             callback();
     }
 
     /// Whether the caller has not closed the connection, no request is
-    /// registered and bytes were received that no request handler has taken.
+    /// unanswered and bytes were received that no request handler has taken.
     /// If the server closes the connection in this state, it has rejected a
     /// request without an answer.
     bool needs_refusal() const
     {
-        return !closed_ && on_closed_.empty() && unhandled_bytes_ > 0;
+        return !closed_ && pipeline_.empty() && unhandled_bytes_ > 0;
     }
 
     /// The connection whose socket handler is running on this thread; null
@@ -69,6 +80,7 @@
     std::size_t unhandled_bytes_ = 0;
     bool closed_ = false;
     std::map<std::uint64_t, std::function<void()>> on_closed_;
+    request_pipeline pipeline_;
 };
 
 /// The complete HTTP response to a request that cannot be parsed.
--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -202,6 +202,10 @@
                                std::function<void(entry_result)> done) {
             return begin_request(std::move(message), std::move(done));
         };
+        handlers.is_repeatable = [this](request_head const& head) {
+            return policy_ == nullptr ||
+                policy_->index->routes.is_repeatable(head);
+        };
         handlers.entries = [this](data_centre_id const& requested) {
             return make_entry_answer(requested);
         };
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -7,6 +7,7 @@
 #include "servers/requests/idempotency_guard.hpp"
 #include "servers/requests/request_chart.hpp"
 #include "servers/requests/request_log.hpp"
+#include "servers/requests/request_times.hpp"
 
 #include <algorithm>
 #include <memory>
@@ -49,8 +50,8 @@
         // The environment may refer to this class, so its type is complete only
         // here.
         static_assert(EntryEnvironment<Environment>);
-        started_at_ = environment_.now();
-        state().load.add(started_at_);
+        auto const now = environment_.now();
+        state().load.add(now);
         auto const& policy = environment_.current_policy();
         if (policy == nullptr || !policy->ready)
             return refuse(refusal_kind::not_ready,
@@ -65,13 +66,16 @@
         admitted_ = std::get<admitted_request>(std::move(admitted));
         statistics_.organisation = admitted_.organisation;
         statistics_.service = admitted_.service;
-        deadline_ = started_at_ + admitted_.time_limit;
+        times_ = request_times(admitted_, now - message_.waited);
+        if (times_.deadline - now <= answer_reserve)
+            return refuse(refusal_kind::overloaded,
+                "the time has passed behind others of the connection");
         if (!is_key_fresh())
             return refuse_stale();
         if (!passes_poison_guard())
             return;
-        state().retries.request_began(admitted_.service.text(), started_at_);
-        environment_.after(admitted_.time_limit,
+        state().retries.request_began(admitted_.service.text(), now);
+        environment_.after(times_.deadline - now,
             if_alive([this] { fire(request_event::deadline); }));
         fire(request_event::admitted);
     }
@@ -143,16 +147,6 @@
     /// short-term differences between VMs, which count grants separately.
     static constexpr duration max_charge_wait = std::chrono::milliseconds(150);
 
-    /// Multiples of the service's median latency: after `reroute_factor` an
-    /// unanswered retryable request is sent to another target, after
-    /// `late_factor` the attempt is late, and after `overdue_factor` it counts
-    /// as a failure of the target by itself.
-    static constexpr int reroute_factor = 5;
-    static constexpr int late_factor = 3;
-    static constexpr int overdue_factor = 7;
-    static constexpr duration min_reroute_delay =
-        std::chrono::milliseconds(400);
-
     /// Number of attempts beyond the route's limit that are allowed while
     /// attempts fail to connect.
     static constexpr std::size_t extra_unsent_attempts = 3;
@@ -170,6 +164,14 @@
         };
     }
 
+    /// Time since the request was received; zero before it is admitted.
+    duration elapsed()
+    {
+        return times_.received_at == time_point{}
+            ? duration::zero()
+            : environment_.now() - times_.received_at;
+    }
+
     void fire(request_event event) { chart_.fire(event, *this); }
 
     void end(entry_result result)
@@ -181,8 +183,8 @@
             message_.head.request_id);
         log_request_ended(message_.head.request_id, result,
             {admitted_.organisation, admitted_.service, target_.id,
-                statistics_.attempts, environment_.now() - started_at_,
-                admitted_.time_limit, admitted_.goal});
+                statistics_.attempts, elapsed(), admitted_.time_limit,
+                admitted_.goal});
         auto const* const answer = std::get_if<upstream_answer>(&result);
         bool const was_placed = placement_requested_at_ != time_point{};
         if (was_placed)
@@ -264,26 +266,13 @@
 
     void on_record_reply(record_outcome result)
     {
-        switch (result) {
-        case record_outcome::accepted:
+        if (result == record_outcome::accepted)
             return fire(request_event::record_created);
-        case record_outcome::done:
+        if (result == record_outcome::done)
             return fire(request_event::record_found);
-        case record_outcome::running:
-            may_have_run_ = true;
-            return refuse(refusal_kind::repeat_running,
-                "a request with this key is running", short_retry_after);
-        case record_outcome::unknown:
-            may_have_run_ = true;
-            return refuse(refusal_kind::repeat_unknown,
-                "a request with this key may have run");
-        case record_outcome::differs:
-            return refuse(refusal_kind::repeat_differs,
-                "the key was used for another request");
-        case record_outcome::unavailable:
-            return refuse(refusal_kind::not_ready, "the store does not answer",
-                short_retry_after);
-        }
+        auto const refused = refusal_for(result);
+        may_have_run_ = refused.may_have_run;
+        refuse(refused.kind, std::string(refused.detail), refused.retry_after);
     }
 
     /// The state to store in the idempotency record; `started` if the request
@@ -336,20 +325,6 @@
 
     // Placement.
 
-    /// Latest time to send the request, so that enough time is left for the
-    /// answer. It depends on the latency goal if the route has one, and on the
-    /// time limit otherwise.
-    time_point start_deadline()
-    {
-        auto const median = state().targets.median_latency(admitted_.service);
-        auto const limit = admitted_.goal > duration::zero()
-            ? std::min(admitted_.goal, admitted_.time_limit)
-            : admitted_.time_limit;
-        auto const wait = std::max<duration>(limit - median, limit / 4);
-        return std::min(started_at_ + wait,
-            deadline_ - std::min<duration>(median, admitted_.time_limit / 2));
-    }
-
     bool has_attempts_left() const
     {
         return sent_attempts_ < admitted_.attempts &&
@@ -368,7 +343,9 @@
     {
         placement_requested_at_ = environment_.now();
         placement_request request{admitted_.service, admitted_.priority,
-            is_retryable(), tried_, start_deadline()};
+            is_retryable(), tried_,
+            times_.start_deadline(
+                state().targets.median_latency(admitted_.service))};
         auto decided = state().targets.submit(std::move(request),
             if_alive([this](placement_decision decision) {
                 ticket_ = 0;
@@ -409,7 +386,7 @@
     void send()
     {
         auto const now = environment_.now();
-        auto const left = deadline_ - now;
+        auto const left = times_.deadline - now;
         // The configuration may have changed, or become stale, while the
         // request waited.
         if (!is_key_fresh() || !is_key_valid()) {
@@ -456,20 +433,19 @@
         if (median <= duration::zero())
             return;
         auto const after = [&](duration wait, auto action) {
-            if (sent_at_ + wait < deadline_)
+            if (sent_at_ + wait < times_.deadline)
                 environment_.after(wait, if_alive([this, number, action] {
                     if (number == statistics_.attempts && in_progress_)
                         action();
                 }));
         };
-        after(median * late_factor, [this] { mark_late(); });
-        after(median * overdue_factor, [this] {
+        attempt_delays const delays(median);
+        after(delays.late, [this] { mark_late(); });
+        after(delays.overdue, [this] {
             state().targets.attempt_overdue(target_, environment_.now());
         });
         if (is_retryable())
-            after(
-                std::max<duration>(median * reroute_factor, min_reroute_delay),
-                [this] { fire(request_event::reroute_due); });
+            after(delays.reroute, [this] { fire(request_event::reroute_due); });
     }
 
     void mark_late()
@@ -529,7 +505,8 @@
             return false;
         auto const now = environment_.now();
         auto const median = state().targets.median_latency(admitted_.service);
-        if (deadline_ - now < std::max<duration>(median / 2, answer_reserve))
+        if (times_.deadline - now <
+            std::max<duration>(median / 2, answer_reserve))
             return false;
         // The retry budget limits the extra load on targets, so it does not
         // apply to a request that has reached none.
@@ -544,7 +521,8 @@
     {
         auto const now = environment_.now();
         auto const median = state().targets.median_latency(admitted_.service);
-        if (!in_progress_ || !is_retryable() || deadline_ - now < median * 2)
+        if (!in_progress_ || !is_retryable() ||
+            times_.deadline - now < median * 2)
             return false;
         return state().retries.take(admitted_.service.text(), now);
     }
@@ -574,8 +552,7 @@
     end_callback on_end_;
 
     admitted_request admitted_;
-    time_point started_at_{};
-    time_point deadline_{};
+    request_times times_;
     fingerprint fingerprint_ = 0;
     refusal refusal_;
     upstream_answer answer_;
--- a/servers/requests/idempotency_guard.hpp
+++ b/servers/requests/idempotency_guard.hpp
@@ -4,10 +4,41 @@
 #include "servers/requests/entry_environment.hpp"
 
 #include <memory>
+#include <string_view>
 #include <utility>
 
 namespace pomelohinge {
 
+/// The refusal of a request that its idempotency record does not let run.
+struct record_refusal
+{
+    refusal_kind kind;
+    std::string_view detail;
+    /// An earlier request with the key may have run.
+    bool may_have_run = false;
+    std::optional<duration> retry_after;
+};
+
+/// The refusal for an outcome other than `accepted` and `done`.
+inline record_refusal refusal_for(record_outcome result)
+{
+    constexpr duration retry_after = std::chrono::seconds(1);
+    switch (result) {
+    case record_outcome::running:
+        return {refusal_kind::repeat_running,
+            "a request with this key is running", true, retry_after};
+    case record_outcome::unknown:
+        return {refusal_kind::repeat_unknown,
+            "a request with this key may have run", true, {}};
+    case record_outcome::differs:
+        return {refusal_kind::repeat_differs,
+            "the key was used for another request", false, {}};
+    default:
+        return {refusal_kind::not_ready, "the store does not answer", false,
+            retry_after};
+    }
+}
+
 /// Ensures that a request with an `Idempotency-Key` runs at most once. A record
 /// is created in the store before the request runs, and holds the result
 /// afterwards.
--- a/servers/requests/request.hpp
+++ b/servers/requests/request.hpp
@@ -47,6 +47,9 @@
     request_head head;
     std::vector<header_field> headers;
     std::string body;
+    /// Time since it was received, for which it has waited behind others of its
+    /// connection.
+    duration waited{};
 };
 
 /// A request that routing has accepted, with the parameters of its route.
--- /dev/null
+++ b/servers/requests/request_times.hpp
@@ -0,0 +1,67 @@
+#ifndef POMELOHINGE_SERVERS_REQUESTS_REQUEST_TIMES_HPP
+#define POMELOHINGE_SERVERS_REQUESTS_REQUEST_TIMES_HPP
+
+#include "servers/requests/request.hpp"
+
+#include <algorithm>
+
+namespace pomelohinge {
+
+/// Delays after which an unanswered attempt counts as late, as a failure of its
+/// target, and is sent to another target if it may be, all from the service's
+/// median latency.
+struct attempt_delays
+{
+    duration late{};
+    duration overdue{};
+    duration reroute{};
+
+    explicit attempt_delays(duration median)
+        : late(median * late_factor), overdue(median * overdue_factor),
+          reroute(
+              std::max<duration>(median * reroute_factor, min_reroute_delay))
+    {
+    }
+
+private:
+    static constexpr int late_factor = 3;
+    static constexpr int overdue_factor = 7;
+    static constexpr int reroute_factor = 5;
+    static constexpr duration min_reroute_delay =
+        std::chrono::milliseconds(400);
+};
+
+/// The times that bound a request.
+struct request_times
+{
+    time_point received_at{};
+    /// When the caller, or the route, gives the request up.
+    time_point deadline{};
+    /// Time for the whole request, and for an answer of full use.
+    duration limit{};
+    duration goal{};
+
+    request_times() = default;
+    request_times(admitted_request const& admitted, time_point received)
+        : received_at(received), deadline(received + admitted.time_limit),
+          limit(admitted.time_limit),
+          goal(admitted.goal > duration::zero()
+                  ? std::min(admitted.goal, admitted.time_limit)
+                  : admitted.time_limit)
+    {
+    }
+
+    /// Latest time to send the request, so that enough time is left for an
+    /// answer that takes `median`. It depends on the latency goal if the route
+    /// has one, and on the time limit otherwise.
+    time_point start_deadline(duration median) const
+    {
+        auto const wait = std::max<duration>(goal - median, goal / 4);
+        return std::min(received_at + wait,
+            deadline - std::min<duration>(median, limit / 2));
+    }
+};
+
+} // namespace pomelohinge
+
+#endif
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -112,6 +112,13 @@
     return it != nullptr && it->requests_per_second > 0 ? it : nullptr;
 }
 
+bool router::is_repeatable(request_head const& head) const
+{
+    auto const found = find(head);
+    return found.entry == nullptr ||
+        is_request_idempotent(found.entry->route, head.method);
+}
+
 router::match router::find(request_head const& head) const
 {
     auto const host = hosts_.find(head.host);
--- a/servers/routing/router.hpp
+++ b/servers/routing/router.hpp
@@ -34,6 +34,10 @@
     /// except on open routes. `draw` selects a service of a traffic split.
     admission admit(request_head const& head, split_draw draw) const;
 
+    /// Whether the request may be repeated. True if it has no route, since it
+    /// is refused then.
+    bool is_repeatable(request_head const& head) const;
+
     /// The rate limit of an organisation, or null if it has none.
     rate_object const* rate_of(organisation_id const& organisation) const;
 
--- a/tests/drivers/front_test.cpp
+++ b/tests/drivers/front_test.cpp
@@ -24,6 +24,7 @@
                    std::function<void(entry_result)> done) {
                    return handle(std::move(message), std::move(done));
                },
+                  [](request_head const&) { return true; },
                   [](data_centre_id const&) {
                       return entry_answer{
                           {"127.0.0.1:1"}, std::chrono::seconds(9)};
--- /dev/null
+++ b/tests/drivers/pipelining_test.cpp
@@ -0,0 +1,254 @@
+#include "drivers/front/front_server.hpp"
+#include "drivers/front/http_messages.hpp"
+
+#include <algorithm>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+#include <condition_variable>
+#include <gtest/gtest.h>
+#include <mutex>
+#include <thread>
+
+namespace pomelohinge {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A front server on loopback and a caller that sends several requests on one
+/// connection. The test answers them by their path. Requests by POST must run
+/// only once.
+class pipelining_test : public testing::Test
+{
+protected:
+    static constexpr std::uint16_t port = 18080;
+
+    pipelining_test()
+        : front_(context_,
+              {[this](incoming_request message,
+                   std::function<void(entry_result)> done) {
+                   return handle(std::move(message), std::move(done));
+               },
+                  [](request_head const& head) { return head.method == "GET"; },
+                  [](data_centre_id const&) {
+                      return entry_answer{};
+                  }},
+              {}),
+          work_guard_(context_.get_executor()), caller_(caller_context_)
+    {
+        auto const status = front_.listen("127.0.0.1:" + std::to_string(port));
+        EXPECT_TRUE(status.ok()) << status.message();
+        thread_ = std::thread([this] { context_.run(); });
+        caller_.connect({asio::ip::make_address("127.0.0.1"), port});
+    }
+
+    ~pipelining_test() override
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    std::function<void()> handle(
+        incoming_request message, std::function<void(entry_result)> done)
+    {
+        std::lock_guard const lock(mutex_);
+        auto const path = message.head.target;
+        started_.push_back(path);
+        waited_[path] = message.waited;
+        pending_[path] = std::move(done);
+        changed_.notify_all();
+        return [this, path] {
+            std::lock_guard const closed_lock(mutex_);
+            cancelled_.push_back(path);
+            changed_.notify_all();
+        };
+    }
+
+    static std::string get(std::string const& path)
+    {
+        return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
+    }
+
+    static std::string post(std::string const& path)
+    {
+        return "POST " + path +
+            " HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok";
+    }
+
+    void send(std::string const& bytes)
+    {
+        asio::write(caller_, asio::buffer(bytes));
+    }
+
+    /// Waits until `n` requests have started; returns their paths.
+    std::vector<std::string> await_started(std::size_t n)
+    {
+        std::unique_lock lock(mutex_);
+        changed_.wait_for(lock, 2s, [&] { return started_.size() >= n; });
+        return started_;
+    }
+
+    /// The requests that have started after some time without events.
+    std::vector<std::string> started_in_the_end()
+    {
+        std::this_thread::sleep_for(100ms);
+        std::lock_guard const lock(mutex_);
+        return started_;
+    }
+
+    /// Answers a request with its path as the body.
+    void answer(std::string const& path, std::string body = {})
+    {
+        std::function<void(entry_result)> done;
+        {
+            std::lock_guard const lock(mutex_);
+            done = std::move(pending_.at(path));
+        }
+        asio::post(context_, [done, body = body.empty() ? path : body] {
+            done(upstream_answer{200, {}, body});
+        });
+    }
+
+    void stop()
+    {
+        asio::post(
+            context_, [this] { front_.close_connections_after_answers(); });
+    }
+
+    /// Reads one answer; returns its body, with a star if it closes the
+    /// connection, or nothing if the connection has ended.
+    std::string read_answer()
+    {
+        asio::error_code ec;
+        auto const n = asio::read_until(
+            caller_, asio::dynamic_buffer(input_), "\r\n\r\n", ec);
+        if (ec)
+            return {};
+        auto const head = input_.substr(0, n);
+        auto const at = head.find("Content-Length: ");
+        auto const length = std::stoul(head.substr(at + 16));
+        while (input_.size() < n + length && !ec) {
+            std::array<char, 65536> buf;
+            auto const size = caller_.read_some(asio::buffer(buf), ec);
+            input_.append(buf.data(), size);
+        }
+        auto body = input_.substr(n, length);
+        input_.erase(0, n + length);
+        if (head.find("Connection: close") != std::string::npos)
+            body += "*";
+        return body;
+    }
+
+    asio::io_context context_{1};
+    asio::io_context caller_context_{1};
+    front_server<native_front_dialect> front_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_guard_;
+    std::thread thread_;
+    asio::ip::tcp::socket caller_;
+    std::string input_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::vector<std::string> started_;
+    std::vector<std::string> cancelled_;
+    std::map<std::string, duration> waited_;
+    std::map<std::string, std::function<void(entry_result)>> pending_;
+};
+
+using paths = std::vector<std::string>;
+
+TEST_F(pipelining_test, five_requests_in_a_row_run_at_the_same_time)
+{
+    send(get("/1") + get("/2") + get("/3") + get("/4") + get("/5"));
+    EXPECT_EQ(await_started(5), (paths{"/1", "/2", "/3", "/4", "/5"}));
+}
+
+TEST_F(pipelining_test, answers_come_in_the_order_of_the_requests)
+{
+    send(get("/1") + get("/2") + get("/3") + get("/4") + get("/5"));
+    await_started(5);
+    for (auto const* it : {"/4", "/2", "/5", "/3", "/1"})
+        answer(it, "answer to " + std::string(it));
+    for (auto const* it : {"/1", "/2", "/3", "/4", "/5"})
+        EXPECT_EQ(read_answer(), "answer to " + std::string(it));
+}
+
+TEST_F(pipelining_test, order_behind_a_lookup_starts_after_its_answer)
+{
+    send(get("/1") + post("/2") + get("/3"));
+    EXPECT_EQ(await_started(1), (paths{"/1"}));
+    EXPECT_EQ(started_in_the_end(), (paths{"/1"}));
+    answer("/1");
+    EXPECT_EQ(await_started(2), (paths{"/1", "/2"}));
+    EXPECT_EQ(started_in_the_end(), (paths{"/1", "/2"}));
+    EXPECT_GE(waited_["/2"], 100ms);
+    answer("/2");
+    EXPECT_EQ(await_started(3), (paths{"/1", "/2", "/3"}));
+    answer("/3");
+    for (auto const* it : {"/1", "/2", "/3"})
+        EXPECT_EQ(read_answer(), it);
+}
+
+/// The first answer closed the connection, and the requests behind it, which
+/// targets ran already, were never answered.
+TEST_F(pipelining_test, stop_answers_every_request_that_has_started)
+{
+    send(get("/1") + get("/2") + get("/3") + post("/4") + get("/5"));
+    await_started(3);
+    stop();
+    for (auto const* it : {"/1", "/2", "/3"})
+        answer(it);
+    EXPECT_EQ(read_answer(), "/1");
+    EXPECT_EQ(read_answer(), "/2");
+    EXPECT_EQ(read_answer(), "/3*");
+    EXPECT_EQ(read_answer(), "");
+    EXPECT_EQ(started_in_the_end(), (paths{"/1", "/2", "/3"}));
+}
+
+TEST_F(pipelining_test, request_behind_another_after_the_stop_does_not_start)
+{
+    send(get("/1"));
+    await_started(1);
+    stop();
+    std::this_thread::sleep_for(50ms);
+    send(get("/2"));
+    EXPECT_EQ(started_in_the_end(), (paths{"/1"}));
+    answer("/1");
+    EXPECT_EQ(read_answer(), "/1*");
+    EXPECT_EQ(read_answer(), "");
+}
+
+TEST_F(pipelining_test, closed_connection_cancels_all_its_requests)
+{
+    send(get("/1") + get("/2") + get("/3") + post("/4"));
+    await_started(3);
+    caller_.close();
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, 2s, [&] { return cancelled_.size() >= 3; });
+    std::sort(cancelled_.begin(), cancelled_.end());
+    EXPECT_EQ(cancelled_, (paths{"/1", "/2", "/3"}));
+    EXPECT_EQ(started_.size(), 3u);
+}
+
+TEST_F(pipelining_test, request_behind_one_that_closes_does_not_start)
+{
+    send("GET /1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" + get("/2"));
+    await_started(1);
+    answer("/1");
+    EXPECT_EQ(read_answer(), "/1*");
+    EXPECT_EQ(started_in_the_end(), (paths{"/1"}));
+}
+
+TEST_F(pipelining_test, refusal_behind_a_lookup_keeps_its_place)
+{
+    send(get("/1") + "PURGE /2 HTTP/1.1\r\nHost: x\r\n\r\n" + get("/3"));
+    await_started(2);
+    answer("/3");
+    answer("/1");
+    EXPECT_EQ(read_answer(), "/1");
+    EXPECT_NE(read_answer().find("method_not_allowed"), std::string::npos);
+    EXPECT_EQ(read_answer(), "/3");
+}
+
+} // namespace
+} // namespace pomelohinge
--- a/tests/servers/entry_request_test.cpp
+++ b/tests/servers/entry_request_test.cpp
@@ -133,9 +133,10 @@
 
     entry_request_test() : charts_(load_all_charts()), environment_(charts_) {}
 
-    void begin(std::string method, std::string target)
+    void begin(std::string method, std::string target, duration waited = {})
     {
         incoming_request message;
+        message.waited = waited;
         message.head.method = std::move(method);
         message.head.target = std::move(target);
         message.head.host = "shop.example";
@@ -233,5 +234,23 @@
     EXPECT_EQ(environment_.sent().size(), 1u);
 }
 
+TEST_F(entry_request_test, time_spent_behind_others_counts_for_the_time_limit)
+{
+    environment_.set_targets({"t1", "t2"});
+    begin("POST", "/pay/1", 1500ms);
+    environment_.advance(499ms);
+    EXPECT_FALSE(refused_outcome());
+    environment_.advance(2ms);
+    EXPECT_EQ(refused_outcome(), outcome::unknown);
+}
+
+TEST_F(entry_request_test, request_whose_time_passed_behind_others_is_not_sent)
+{
+    environment_.set_targets({"t1", "t2"});
+    begin("POST", "/pay/1", 2s);
+    EXPECT_EQ(refused_outcome(), outcome::not_run);
+    EXPECT_TRUE(environment_.sent().empty());
+}
+
 } // namespace
 } // namespace pomelohinge
