Turn requests away that may outlast a planned stop

What callers saw: requests that came late in the grace were taken and passed on, and at its end cut without an answer, among them such as must not be repeated.

Cause: a stopping VM took every request on a kept connection until the end; and between the moment at which no request was open and the end of the process another one could start.

Change: a request is refused as not run when it is not likely to have ended before the process does: at its deadline, or after eight times the median latency of its service. Before the process ends, all requests are refused for a moment, so that none starts unseen.

Evidence: entry_request_test.request_that_may_outlast_the_stop_is_not_sent and short_request_is_sent_shortly_before_the_stop fail on the code before, which has no such time.

--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -64,6 +64,10 @@
     /// requests are still open.
     static constexpr double stop_deadline_fraction = 0.9;
 
+    /// Time before the end of the process in which the last answers are
+    /// written.
+    static constexpr duration last_answer_time = std::chrono::milliseconds(100);
+
     /// Period at which a stopping VM checks whether all requests have ended.
     static constexpr duration open_requests_poll_period =
         std::chrono::milliseconds(50);
@@ -212,8 +216,8 @@
                 settings_.stop_timeout * stop_deadline_fraction);
         control_.plane().leave();
         for (auto const& it : traffic_)
-            it->post([&thread = *it] {
-                thread.server().close_connections_after_answers();
+            it->post([&thread = *it, at = stop_deadline_] {
+                thread.stop_at(at - last_answer_time);
             });
         auto const listen_time = std::min<duration>(
             max_listen_after_leave, settings_.stop_timeout / 2);
@@ -241,16 +245,29 @@
             });
     }
 
+    /// Ends the process once all requests have ended. New ones are refused
+    /// before that, so that none starts in between.
     void await_open_requests()
     {
         count_open_requests([this](std::size_t open) {
-            if (open == 0 || control_.now() >= stop_deadline_)
+            bool const ends = open == 0 && refuses_all_;
+            if (ends || control_.now() >= stop_deadline_)
                 return control_.context().stop();
+            if (open == 0)
+                refuse_all();
             control_.after(
                 open_requests_poll_period, [this] { await_open_requests(); });
         });
     }
 
+    void refuse_all()
+    {
+        refuses_all_ = true;
+        for (auto const& it : traffic_)
+            it->post(
+                [&thread = *it, now = control_.now()] { thread.stop_at(now); });
+    }
+
     settings const settings_;
     chart_list const charts_;
     traffic_threads<Platform> traffic_;
@@ -261,6 +278,8 @@
     asio::signal_set signals_;
     settings_watch settings_watch_;
     bool stopping_ = false;
+    /// Requests are refused since all earlier ones have ended.
+    bool refuses_all_ = false;
     time_point stop_deadline_{};
 };
 
--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -107,6 +107,13 @@
     /// The server that accepts the requests of callers.
     front_server<typename Platform::front_dialect>& server() { return server_; }
     traffic_metrics& metrics() { return metrics_; }
+    /// Refuses requests that are not likely to end before `at`, and closes each
+    /// caller's connection behind its last answer.
+    void stop_at(time_point at)
+    {
+        entry_state_.stops_at = at;
+        server_.close_connections_after_answers();
+    }
     void stop_directory() { directory_server_.stop(); }
 
     /// The number of requests that have not been answered yet.
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -70,6 +70,9 @@
         if (times_.deadline - now <= answer_reserve)
             return refuse(refusal_kind::overloaded,
                 "the time has passed behind others of the connection");
+        if (!ends_before_stop(now))
+            return refuse(refusal_kind::stopping,
+                "the VM stops before an answer is likely", duration::zero());
         if (!is_key_fresh())
             return refuse_stale();
         if (!passes_poison_guard())
@@ -230,6 +233,12 @@
                 *message_.head.key, admitted_.organisation);
     }
 
+    bool ends_before_stop(time_point now)
+    {
+        auto const median = state().targets.median_latency(admitted_.service);
+        return times_.likely_end(median, now) <= state().stops_at;
+    }
+
     void refuse_stale()
     {
         log_stale_configuration(message_.head.request_id,
--- a/servers/requests/entry_state.hpp
+++ b/servers/requests/entry_state.hpp
@@ -46,6 +46,9 @@
     organisation_limits limits;
     retry_budget retries;
     poison_guard poison;
+    /// When the process ends. A request that is not likely to end before it is
+    /// refused.
+    time_point stops_at = time_point::max();
     /// Requests from callers.
     rate_meter load;
     /// Random numbers for traffic splits.
--- a/servers/requests/request_times.hpp
+++ b/servers/requests/request_times.hpp
@@ -51,6 +51,15 @@
     {
     }
 
+    /// Time by which the request has very likely ended if it starts at `now`
+    /// and the median latency is `median`; its deadline if that is unknown.
+    time_point likely_end(duration median, time_point now) const
+    {
+        return median > duration::zero()
+            ? std::min(deadline, now + median * likely_latency_factor)
+            : deadline;
+    }
+
     /// Latest time to send the request, so that enough time is left for an
     /// answer that takes `median`. It depends on the latency goal if the route
     /// has one, and on the time limit otherwise.
@@ -60,6 +69,10 @@
         return std::min(received_at + wait,
             deadline - std::min<duration>(median, limit / 2));
     }
+
+private:
+    /// Hardly any answer takes longer than this multiple of the median.
+    static constexpr int likely_latency_factor = 8;
 };
 
 } // namespace pomelohinge
--- a/tests/servers/entry_request_test.cpp
+++ b/tests/servers/entry_request_test.cpp
@@ -252,5 +252,41 @@
     EXPECT_TRUE(environment_.sent().empty());
 }
 
+/// Requests that came late in a planned stop were passed on and cut at its end.
+TEST_F(entry_request_test, request_that_may_outlast_the_stop_is_not_sent)
+{
+    environment_.set_targets({"t1", "t2"});
+    environment_.state().stops_at = environment_.now() + 1900ms;
+    begin("POST", "/pay/1");
+    EXPECT_EQ(refused_outcome(), outcome::not_run);
+    EXPECT_TRUE(environment_.sent().empty());
+}
+
+TEST_F(entry_request_test, request_that_ends_before_the_stop_is_sent)
+{
+    environment_.set_targets({"t1", "t2"});
+    environment_.state().stops_at = environment_.now() + 2100ms;
+    begin("POST", "/pay/1");
+    EXPECT_EQ(environment_.sent().size(), 1u);
+}
+
+TEST_F(entry_request_test, short_request_is_sent_shortly_before_the_stop)
+{
+    environment_.set_targets({"t1", "t2"});
+    for (int it = 0; it < 30; ++it) {
+        begin("GET", "/look/1");
+        environment_.advance(50ms);
+        environment_.end_attempt(attempt_result::answered, 200);
+    }
+    auto const sent = environment_.sent().size();
+    environment_.state().stops_at = environment_.now() + 500ms;
+    begin("POST", "/pay/1");
+    EXPECT_EQ(environment_.sent().size(), sent + 1);
+    environment_.state().stops_at = environment_.now() + 300ms;
+    begin("POST", "/pay/1");
+    EXPECT_EQ(environment_.sent().size(), sent + 1);
+    EXPECT_EQ(refused_outcome(), outcome::not_run);
+}
+
 } // namespace
 } // namespace pomelohinge
