Believe a first failure as far as earlier ones were confirmed

Where healthy targets never reset a request, a single reset tells as much as two; where they fail 1.2% of their requests with an error, it does not. A target that had failed last stayed trusted and unused, so that the floor chose it next.

Change: each thread counts per service how often a first failure was followed by another one. That share is the least failure probability after a first failure, and above a half it confirms the failure. The floor leaves out trusted targets that failed last, for their recovery delay. Lookups probe confirmed failures after a third of that delay instead of all the time.

--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -178,8 +178,12 @@
         it->set_in_flight_elsewhere(reported->second.in_flight);
         auto const before = it->health().state();
         auto const path_before = it->path().state();
+        if (before != target_state::trusted &&
+            reported->second.has_observations() && it->health().failures() == 1)
+            baselines_.add_confirmation(
+                it->record().service, reported->second.faults > 0);
         it->record_report(
-            reported->second, baseline_failure_rate(it->record().service), now);
+            reported->second, baselines_.baseline(it->record().service), now);
         log_path(*it, path_before);
         bool const matters = now - it->last_started_at() < log_window;
         if (matters && it->health().state() != before)
@@ -211,7 +215,9 @@
     // Targets that may be failing do not count towards the service's baseline.
     if (before == target_state::trusted)
         baselines_.add_attempt(service, is_failure);
-    target.health().record_attempt(event, baseline_failure_rate(service), now);
+    else if (target.health().failures() == 1)
+        baselines_.add_confirmation(service, is_failure);
+    target.health().record_attempt(event, baselines_.baseline(service), now);
     report_due_ |= is_failure && target.health().state() != before;
     switch (event) {
     case target_event::answered:
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -265,6 +265,10 @@
         return baselines_.baseline(service).failure_rate;
     }
     bool has_too_few_trusted(service_state const& service) const;
+    double confirmation_rate(service_id const& service) const
+    {
+        return baselines_.baseline(service).confirmation_rate;
+    }
     bool is_most_urgent(
         service_state& service, std::int64_t priority, time_point now);
     traffic_target* choose_suspect_to_probe(service_state& service,
--- a/servers/dispatch/target_selection.cpp
+++ b/servers/dispatch/target_selection.cpp
@@ -6,6 +6,11 @@
 namespace pomelohinge {
 namespace {
 
+/// Requests that may be repeated probe a target that is confirmed to fail after
+/// this part of its recovery delay, and others at once, since a failure costs
+/// only another attempt.
+constexpr int repeatable_probe_divisor = 3;
+
 /// While the share of failed requests to the service is above
 /// `failing_service_threshold`, every target that may have recovered is needed,
 /// so those that are not trusted are probed after this time at the latest.
@@ -89,12 +94,17 @@
 {
     if (!request.retryable)
         return nullptr;
+    auto const baseline = baselines_.baseline(request.service);
     traffic_target* found = nullptr;
     for (auto* it : service.targets) {
+        auto const delay = it->health().is_confirmed(baseline)
+            ? it->health().recovery_delay(baseline) / repeatable_probe_divisor
+            : duration::zero();
         bool const is_eligible = it->in_flight() == 0 &&
             it->in_flight_elsewhere() == 0 &&
             it->path().state() == path_state::open &&
             it->health().state() == target_state::suspect &&
+            now - it->health().last_observed_at() >= delay &&
             can_take(*it, request, now);
         if (!is_eligible)
             continue;
@@ -137,11 +147,13 @@
         is_failing || (!has_better_probes && has_too_few_trusted(service));
     if (is_most_urgent(service, request.priority, now) || !is_needed)
         return nullptr;
+    auto const baseline = baselines_.baseline(request.service);
     traffic_target* least_recent = nullptr;
     for (auto* it : service.targets) {
+        auto const recovery_delay = it->health().recovery_delay(baseline);
         auto const delay = is_failing
-            ? std::min<duration>(max_probe_delay, it->health().recovery_delay())
-            : it->health().recovery_delay();
+            ? std::min<duration>(max_probe_delay, recovery_delay)
+            : recovery_delay;
         bool const is_eligible = it->in_flight() == 0 &&
             it->in_flight_elsewhere() == 0 &&
             it->path().state() == path_state::open &&
@@ -171,6 +183,7 @@
     time_point earliest{};
     std::uniform_int_distribution<duration::rep> jitter(
         0, report_delay.count());
+    auto const baseline = baselines_.baseline(request.service);
     for (auto* it : service.targets) {
         if (!it->accepts_requests() || it->record().data_centre != data_centre_)
             continue;
@@ -180,7 +193,8 @@
             can_take(*it, request, now);
         auto* const free = is_free ? it : nullptr;
         all.count(in_use, free, now);
-        if (free == nullptr || it->health().state() != target_state::trusted)
+        if (free == nullptr || it->health().state() != target_state::trusted ||
+            it->health().is_recovering(baseline, now))
             continue;
         // Otherwise all entries would choose the same target until their
         // reports are exchanged.
--- a/servers/dispatch/traffic_target.cpp
+++ b/servers/dispatch/traffic_target.cpp
@@ -67,7 +67,7 @@
 }
 
 void traffic_target::record_report(
-    target_report report, double baseline_failure_rate, time_point now)
+    target_report report, service_baseline const& service, time_point now)
 {
     if (path_.is_confirmed(now) || report.answers > 0)
         report.silences = 0;
@@ -75,7 +75,7 @@
         path_.record_reached_elsewhere(now);
     if (report.answers > 0 || report.faults > 0)
         last_reached_at_ = std::max(last_reached_at_, now - report_age);
-    health_.record_report(report, baseline_failure_rate, now);
+    health_.record_report(report, service, now);
 }
 
 bool traffic_target::is_in_use(duration window, time_point now) const
--- a/servers/dispatch/traffic_target.hpp
+++ b/servers/dispatch/traffic_target.hpp
@@ -90,7 +90,7 @@
     /// Records the observations of other VMs and threads. Their silences are
     /// ignored while this thread or another VM gets answers.
     void record_report(
-        target_report report, double baseline_failure_rate, time_point now);
+        target_report report, service_baseline const& service, time_point now);
 
     /// Whether a request reached the target within `window`, or one from here
     /// is on its way. Requests in flight from elsewhere do not count, since
--- a/servers/health/failure_probability.cpp
+++ b/servers/health/failure_probability.cpp
@@ -38,6 +38,12 @@
     return prior_ + (value_ - prior_) * decay;
 }
 
+void failure_probability::raise_to(double value, time_point now)
+{
+    value_ = std::min(std::max(at(now), value), max_probability);
+    updated_at_ = now;
+}
+
 void failure_probability::set_prior(double prior, time_point now)
 {
     value_ = at(now);
--- a/servers/health/failure_probability.hpp
+++ b/servers/health/failure_probability.hpp
@@ -25,6 +25,9 @@
     void record_failure(
         double baseline_failure_rate, double certainty, time_point now);
 
+    /// Raises the probability at `now` to `value`, if it is lower.
+    void raise_to(double value, time_point now);
+
     /// Sets the prior, 0 to 1. The probability at `now` does not change.
     void set_prior(double prior, time_point now);
 
--- a/servers/health/target_health.hpp
+++ b/servers/health/target_health.hpp
@@ -6,6 +6,7 @@
 #include "servers/exchange/fleet_reports.hpp"
 #include "servers/health/failure_probability.hpp"
 #include "servers/health/target_chart.hpp"
+#include "servers/selection/service_baselines.hpp"
 
 namespace pomelohinge {
 
@@ -23,14 +24,13 @@
     }
 
     /// Records that an attempt of this thread has ended, or counts as failed
-    /// before it has ended. `baseline_failure_rate` is the share of failures
-    /// over the whole service, 0 to 1.
+    /// before it has ended.
     void record_attempt(
-        target_event event, double baseline_failure_rate, time_point now);
+        target_event event, service_baseline const& service, time_point now);
 
     /// Records the observations in a report of other VMs.
     void record_report(target_report const& report,
-        double baseline_failure_rate, time_point now);
+        service_baseline const& service, time_point now);
 
     /// Updates the state to the failure probability at `now`, which decays
     /// while there are no observations.
@@ -44,10 +44,25 @@
 
     target_state state() const { return state_.state(); }
 
-    /// Delay after the latest observation until a target that is not trusted
-    /// may have recovered. The longer it has failed, the longer it is likely to
-    /// go on; after a single failure it probably works.
-    duration recovery_delay() const;
+    /// Delay after a failure until the target may have recovered. The longer it
+    /// has failed, the longer it is likely to go on. A single failure that is
+    /// not confirmed probably means nothing.
+    duration recovery_delay(service_baseline const& service) const;
+
+    /// Whether the target fails most requests, not just one: there were several
+    /// failures, or most single failures of the service have meant that.
+    bool is_confirmed(service_baseline const& service) const;
+
+    /// Whether the latest observation was a failure, and the recovery delay has
+    /// not passed since.
+    bool is_recovering(service_baseline const& service, time_point now) const
+    {
+        return last_failed_ &&
+            now - last_observed_at_ < recovery_delay(service);
+    }
+
+    /// Number of observed failures since the target was last trusted.
+    int failures() const { return failures_; }
 
     /// The probability that the target currently fails most requests, 0 to 1.
     double failure_probability_at(time_point now) const
@@ -65,6 +80,8 @@
 private:
     void fire(target_event event, time_point now);
     void count_failure(time_point now);
+    void record_first_failure(
+        service_baseline const& service, bool was_trusted, time_point now);
 
     chart_instance<target_chart> state_;
     failure_probability failure_probability_;
@@ -75,6 +92,7 @@
     time_point first_failure_at_{};
     time_point last_failure_at_{};
     int failures_ = 0;
+    bool last_failed_ = false;
 };
 
 } // namespace pomelohinge
--- a/servers/selection/service_baselines.cpp
+++ b/servers/selection/service_baselines.cpp
@@ -12,6 +12,9 @@
 /// Weight of one attempt in the moving average of failures.
 constexpr double failure_weight = 0.05;
 
+/// Weight of one target in the moving average of confirmations.
+constexpr double confirmation_weight = 0.1;
+
 } // namespace
 
 void service_baselines::add_latency(service_id const& service, duration latency)
@@ -33,6 +36,13 @@
         ((failed ? 1.0 : 0.0) - it.failure_rate) * failure_weight;
 }
 
+void service_baselines::add_confirmation(service_id const& service, bool failed)
+{
+    auto& it = services_[service];
+    it.confirmation_rate +=
+        ((failed ? 1.0 : 0.0) - it.confirmation_rate) * confirmation_weight;
+}
+
 service_baseline service_baselines::baseline(service_id const& service) const
 {
     auto const it = services_.find(service);
@@ -42,7 +52,7 @@
     auto const median_latency =
         found.answers < min_answers ? 0 : found.median_latency;
     return {duration(static_cast<duration::rep>(median_latency)),
-        found.failure_rate};
+        found.failure_rate, found.confirmation_rate};
 }
 
 } // namespace pomelohinge
--- a/servers/selection/service_baselines.hpp
+++ b/servers/selection/service_baselines.hpp
@@ -15,6 +15,10 @@
     duration median_latency{};
     /// Moving average of the share of attempts that fail, 0 to 1.
     double failure_rate = 0;
+    /// Moving average of the share of first failures of a target that are
+    /// followed by another one, 0 to 1. It tells targets that fail from healthy
+    /// ones, which fail a request at times.
+    double confirmation_rate = 0;
 };
 
 /// The baselines of all services on one traffic thread.
@@ -27,6 +31,9 @@
     /// Adds the result of an attempt at a trusted target.
     void add_attempt(service_id const& service, bool failed);
 
+    /// Adds the observation of a target that followed its first failure.
+    void add_confirmation(service_id const& service, bool failed);
+
     /// Returns the baseline of a service; all zero without attempts.
     service_baseline baseline(service_id const& service) const;
 
@@ -37,6 +44,7 @@
         /// value (frugal streaming; Ma, Muthukrishnan and Sandler, 2013).
         double median_latency = 0;
         double failure_rate = 0;
+        double confirmation_rate = 0;
         std::size_t answers = 0;
     };
 
--- a/tests/servers/health_test.cpp
+++ b/tests/servers/health_test.cpp
@@ -23,13 +23,12 @@
 
     void attempt(target_event event)
     {
-        health_.record_attempt(event, baseline_failure_rate_, clock_.now());
+        health_.record_attempt(event, baseline_, clock_.now());
     }
 
     void report(std::uint32_t answers, std::uint32_t faults)
     {
-        health_.record_report(
-            {0, answers, faults, 0}, baseline_failure_rate_, clock_.now());
+        health_.record_report({0, answers, faults, 0}, baseline_, clock_.now());
     }
 
     void advance(duration time)
@@ -50,7 +49,7 @@
     chart_list charts_;
     manual_clock clock_;
     target_health health_;
-    double baseline_failure_rate_ = 0.01;
+    service_baseline baseline_{{}, 0.01, 0};
 };
 
 TEST_F(health_test, healthy_target_after_one_failure_is_suspect)
@@ -79,7 +78,7 @@
 
 TEST_F(health_test, target_that_fails_at_the_baseline_rate_is_not_ejected)
 {
-    baseline_failure_rate_ = 0.55;
+    baseline_.failure_rate = 0.55;
     record_answers();
     for (int it = 0; it < 20; ++it) {
         attempt(it % 2 == 0 ? target_event::faulted : target_event::answered);
@@ -112,7 +111,7 @@
 {
     record_answers();
     attempt(target_event::faulted);
-    EXPECT_LE(health_.recovery_delay(), 2s);
+    EXPECT_LE(health_.recovery_delay(baseline_), 2s);
 }
 
 TEST_F(health_test, recovery_delay_grows_with_the_time_of_failing)
@@ -120,25 +119,44 @@
     record_answers();
     attempt(target_event::faulted);
     attempt(target_event::faulted);
-    auto const confirmed = health_.recovery_delay();
+    auto const confirmed = health_.recovery_delay(baseline_);
     EXPECT_GT(confirmed, 2s);
     advance(10s);
     attempt(target_event::faulted);
-    EXPECT_GE(health_.recovery_delay(), 10s);
+    EXPECT_GE(health_.recovery_delay(baseline_), 10s);
     for (int it = 0; it < 4; ++it)
         attempt(target_event::answered);
     ASSERT_EQ(health_.state(), target_state::trusted);
     attempt(target_event::faulted);
     attempt(target_event::faulted);
-    EXPECT_EQ(health_.recovery_delay(), confirmed);
+    EXPECT_EQ(health_.recovery_delay(baseline_), confirmed);
+}
+
+/// Where healthy targets hardly ever fail, one failure tells as much as two.
+TEST_F(health_test, recovery_delay_follows_what_single_failures_have_meant)
+{
+    record_answers();
+    attempt(target_event::faulted);
+    EXPECT_TRUE(health_.is_recovering(baseline_, clock_.now() + 1s));
+    EXPECT_FALSE(health_.is_recovering(baseline_, clock_.now() + 2s));
+    baseline_.confirmation_rate = 0.8;
+    EXPECT_TRUE(health_.is_recovering(baseline_, clock_.now() + 3s));
+}
+
+TEST_F(health_test, first_failure_is_believed_as_far_as_others_were_confirmed)
+{
+    baseline_.failure_rate = 0.2;
+    baseline_.confirmation_rate = 0.8;
+    record_answers();
+    attempt(target_event::faulted);
+    EXPECT_GE(health_.failure_probability_at(clock_.now()), 0.8);
 }
 
 TEST_F(health_test, dropped_connection_counts_less_than_a_fault)
 {
     record_answers();
     auto dropped = health_;
-    dropped.record_attempt(
-        target_event::dropped, baseline_failure_rate_, clock_.now());
+    dropped.record_attempt(target_event::dropped, baseline_, clock_.now());
     attempt(target_event::faulted);
     EXPECT_EQ(dropped.state(), target_state::trusted);
     EXPECT_LT(dropped.failure_probability_at(clock_.now()),
