--- a/review/4/case.py
+++ b/review/4/case.py
@@ -88,7 +88,8 @@
         self.valid_until = time.monotonic() + 1
         for it in self.all:
             try:
-                path = f"/{ENTRY_QUESTION}?name={HOST}&zone={it.zone}"
+                path = (f"/{ENTRY_QUESTION}?name={HOST}&region=r"
+                        f"&zone={it.zone}")
                 answer = await asyncio.wait_for(
                     fetch(it.ip, it.directory, path), 1)
             except (OSError, asyncio.TimeoutError,
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -661,7 +661,8 @@
           attempts: int = 2, priority: int = 1) -> dict[str, Any]:
     return {"name": name, field("path", "prefix"): prefix, "kind": kind,
             field("timeout", "s"): timeout_s, field("aim", "s"): 0.8,
-            "priority": priority, "service": service, "attempts": attempts, "public": False}
+            "priority": priority, "service": service, "attempts": attempts,
+            "public": False}
 
 
 def main(script: str, play: Callable[[Deployment], Any]) -> None:
