Bound the nesting of values that other programs write

Cause: operations on a JSON value that recurse once a level, on values whose depth another program chooses. object_client copied each parsed answer. The configuration is printed again to be passed on, which recurses as well.

Change: parse_foreign_json keeps 64 levels and makes arrays and objects below null; all answers of either store, configurations and log lines are read with it. An entry whose needed field is cut off is left out, the others hold.

Evidence: the six tests of store_test, which read from a server on loopback, all end with SIGSEGV on the code before.

--- a/core/json_text.cpp
+++ b/core/json_text.cpp
@@ -229,6 +229,11 @@
 
     bool open(nlohmann::json value)
     {
+        if (open_containers_.size() >= max_json_depth) {
+            found_.add(next_position(), open_containers_.back().pointer,
+                fmt::format("nested more than {} levels deep", max_json_depth));
+            return false;
+        }
         auto pointer = recorded_ == record_positions::yes ? child_pointer()
                                                           : std::string();
         auto* const added = add_value(std::move(value));
--- a/core/json_text.hpp
+++ b/core/json_text.hpp
@@ -11,6 +11,9 @@
 
 namespace pomelohinge {
 
+/// Arrays and objects may be nested this deep.
+inline constexpr std::size_t max_json_depth = 64;
+
 /// A parsed JSON text with comments that gives the position of each value.
 class json_document
 {
@@ -31,8 +34,9 @@
     mutable std::optional<text_map<text_position>> positions_;
 };
 
-/// Parses JSON with comments. Syntax errors and duplicate keys are added to
-/// `found`; the result is empty if there are any.
+/// Parses JSON with comments. Syntax errors, duplicate keys and values that are
+/// nested too deeply are added to `found`; the result is empty if there are
+/// any.
 std::optional<json_document> parse_json_text(
     std::string_view text, findings& found);
 
--- a/drivers/platform/http_object_store.cpp
+++ b/drivers/platform/http_object_store.cpp
@@ -1,9 +1,9 @@
 #include "drivers/platform/http_object_store.hpp"
 
+#include "core/foreign_json.hpp"
 #include "core/log.hpp"
 
 #include <charconv>
-#include <nlohmann/json.hpp>
 
 namespace pomelohinge {
 namespace {
@@ -42,7 +42,7 @@
     watch_reply reply;
     if (status_of(result) != store_status::done)
         return reply;
-    auto const body = nlohmann::json::parse(result.body, nullptr, false);
+    auto const body = parse_foreign_json(result.body);
     if (!body.is_object() || !body.contains("revision") ||
         !body.contains("changed"))
         return reply;
--- a/drivers/platform/object_encoding.cpp
+++ b/drivers/platform/object_encoding.cpp
@@ -1,5 +1,6 @@
 #include "drivers/platform/object_encoding.hpp"
 
+#include "core/foreign_json.hpp"
 #include "core/object_reader.hpp"
 
 #include <absl/strings/escaping.h>
@@ -91,7 +92,7 @@
 
 std::optional<split_reference> decode_split_reference(std::string_view value)
 {
-    auto const body = nlohmann::json::parse(value, nullptr, false);
+    auto const body = parse_foreign_json(value);
     if (!body.is_object() || !body.contains("parts"))
         return std::nullopt;
     return split_reference{body.value("version", std::uint64_t{0}),
--- a/main/explain/log_record.cpp
+++ b/main/explain/log_record.cpp
@@ -1,5 +1,7 @@
 #include "main/explain/log_record.hpp"
 
+#include "core/foreign_json.hpp"
+
 #include <optional>
 #include <sstream>
 
@@ -26,7 +28,7 @@
     auto const begin = line.find('{');
     if (begin == std::string_view::npos)
         return std::nullopt;
-    auto fields = nlohmann::json::parse(line.substr(begin), nullptr, false);
+    auto fields = parse_foreign_json(line.substr(begin));
     if (!fields.is_object() || !fields.contains("event") ||
         !fields["event"].is_string() || !fields.contains("time_ms") ||
         !fields["time_ms"].is_number_integer())
--- a/tests/core/json_text_test.cpp
+++ b/tests/core/json_text_test.cpp
@@ -45,5 +45,26 @@
     EXPECT_EQ(found_.items().front().position, (text_position{2, 2}));
 }
 
+/// Guards against memory that grows with the square of the depth: the position
+/// of each value is kept with its path.
+TEST_F(json_text_test, parse_of_deeply_nested_value_adds_finding)
+{
+    constexpr std::size_t depth = 100'000;
+    EXPECT_FALSE(parse_json_text(
+        "{\"a\":\n" + std::string(depth, '[') + std::string(depth, ']') + "}",
+        found_));
+    ASSERT_EQ(found_.items().size(), 1u);
+    EXPECT_EQ(
+        found_.items().front().position, (text_position{2, max_json_depth}));
+}
+
+TEST_F(json_text_test, parse_at_the_depth_limit_is_accepted)
+{
+    EXPECT_TRUE(parse_json_text(
+        std::string(max_json_depth, '[') + std::string(max_json_depth, ']'),
+        found_))
+        << found_.to_text();
+}
+
 } // namespace
 } // namespace pomelohinge
--- /dev/null
+++ b/tests/platform/store_test.cpp
@@ -0,0 +1,215 @@
+#include "platform/store.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+#include <gtest/gtest.h>
+#include <mutex>
+#include <thread>
+
+namespace pomelohinge::platform {
+namespace {
+
+using tcp = asio::ip::tcp;
+
+/// A server on loopback in place of the platform's store. It answers each call
+/// with the body that the test has set.
+class fixed_store
+{
+public:
+    fixed_store()
+        : acceptor_(
+              context_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+          thread_([this] { serve(); })
+    {
+    }
+
+    ~fixed_store()
+    {
+        stopped_ = true;
+        asio::error_code ec;
+        tcp::socket(context_).connect(acceptor_.local_endpoint(), ec);
+        thread_.join();
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+    void set_answer(int status, std::string body)
+    {
+        std::lock_guard const lock(mutex_);
+        answer_ = "HTTP/1.1 " + std::to_string(status) +
+            " Status\r\nContent-Length: " + std::to_string(body.size()) +
+            "\r\nConnection: close\r\n\r\n" + body;
+    }
+
+private:
+    void serve()
+    {
+        while (true) {
+            asio::error_code ec;
+            auto socket = acceptor_.accept(ec);
+            if (stopped_)
+                return;
+            std::string head;
+            asio::read_until(
+                socket, asio::dynamic_buffer(head), "\r\n\r\n", ec);
+            std::lock_guard const lock(mutex_);
+            asio::write(socket, asio::buffer(answer_), ec);
+        }
+    }
+
+    asio::io_context context_;
+    tcp::acceptor acceptor_;
+    std::mutex mutex_;
+    std::string answer_;
+    std::atomic<bool> stopped_ = false;
+    std::thread thread_;
+};
+
+/// Calls to the store whose answers hold one entry that can't be decoded,
+/// beside sound ones.
+class store_test : public testing::Test
+{
+protected:
+    static constexpr std::size_t depth = 400'000;
+
+    store_test()
+        : http_(context_), store_(http_, server_.address()),
+          records_(http_, server_.address())
+    {
+    }
+
+    static std::string nested()
+    {
+        return std::string(depth, '[') + std::string(depth, ']');
+    }
+
+    /// The entry of a target. `service` is JSON text.
+    static std::string target(
+        std::string const& name, std::string const& service = "\"s1\"")
+    {
+        return R"({"metadata": {"name": ")" + name +
+            R"(", "rev": 42}, "spec": {"address": "10.0.0.9:80", "born": 17,
+            "info": {"service": )" +
+            service + R"(, "version": "v1", "zone": "east", "slots": 6}},
+            "status": {"state": "ready", "seq": 4}})";
+    }
+
+    static std::string list(std::string const& items)
+    {
+        return R"({"items": [)" + items + R"(], "hasMore": false, "at": 50})";
+    }
+
+    /// Runs the calls that were started until they have ended.
+    void run()
+    {
+        constexpr auto timeout = std::chrono::seconds(10);
+        context_.restart();
+        context_.run_for(timeout);
+    }
+
+    static std::vector<std::string> ids_of(target_changes const& changes)
+    {
+        std::vector<std::string> ids;
+        for (auto const& it : changes.put)
+            ids.push_back(it.id.text());
+        return ids;
+    }
+
+    asio::io_context context_;
+    fixed_store server_;
+    curl_loop http_;
+    store store_;
+    records records_;
+};
+
+/// Guards against a process that ends because one entry is nested so deeply
+/// that a recursive operation on it uses up the stack.
+TEST_F(store_test, list_with_deeply_nested_entry_keeps_the_others)
+{
+    server_.set_answer(200,
+        list(target("i-1") + "," + target("i-odd", nested()) + "," +
+            target("i-2")));
+    targets_result result;
+    store_.list_targets([&](targets_result it) { result = std::move(it); });
+    run();
+    EXPECT_EQ(result.status, store_status::done);
+    EXPECT_EQ(ids_of(result.changes), (std::vector<std::string>{"i-1", "i-2"}));
+    EXPECT_EQ(result.changes.removed, std::vector{target_id("i-odd")});
+}
+
+TEST_F(store_test, watch_with_deeply_nested_entry_keeps_the_others)
+{
+    server_.set_answer(200,
+        R"({"events": [{"object": )" + target("i-odd", nested()) +
+            R"(, "deleted": false}, {"object": )" + target("i-1") +
+            R"(, "deleted": false}], "at": 51})");
+    targets_result result;
+    store_.watch_targets(50, std::chrono::seconds(1),
+        [&](targets_result it) { result = std::move(it); });
+    run();
+    EXPECT_EQ(result.status, store_status::done);
+    EXPECT_EQ(ids_of(result.changes), std::vector<std::string>{"i-1"});
+    EXPECT_EQ(result.changes.removed, std::vector{target_id("i-odd")});
+}
+
+TEST_F(store_test, target_with_nested_field_that_nobody_knows_is_used)
+{
+    auto entry = target("i-1");
+    entry.insert(1, R"("other": )" + nested() + ",");
+    server_.set_answer(200, list(entry));
+    targets_result result;
+    store_.list_targets([&](targets_result it) { result = std::move(it); });
+    run();
+    EXPECT_EQ(ids_of(result.changes), std::vector<std::string>{"i-1"});
+}
+
+/// The document is printed again to pass it on, which recurses as well.
+TEST_F(store_test, configuration_with_deeply_nested_field_is_read)
+{
+    server_.set_answer(200,
+        list(R"({"metadata": {"name": "main", "rev": 3}, "spec": {
+            "version": 7, "hosts": [], "other": )" +
+            nested() + "}}"));
+    configuration_result result;
+    store_.read_configuration(
+        [&](configuration_result it) { result = std::move(it); });
+    run();
+    ASSERT_EQ(result.status, store_status::done);
+    EXPECT_EQ(result.document.version, 7u);
+    ASSERT_NE(result.document.text, nullptr);
+    EXPECT_LT(result.document.text->size(), 1000u);
+}
+
+TEST_F(store_test, lists_of_other_kinds_with_deeply_nested_entry_are_read)
+{
+    server_.set_answer(200,
+        list(R"({"metadata": {"name": "east"}, "spec": )" + nested() + "}"));
+    closures_result closures;
+    vms_result vms;
+    store_.list_closures([&](closures_result it) { closures = std::move(it); });
+    store_.list_vms([&](vms_result it) { vms = std::move(it); });
+    run();
+    EXPECT_EQ(closures.status, store_status::done);
+    EXPECT_EQ(closures.closures.closed, std::vector{data_centre_id("east")});
+    EXPECT_EQ(vms.status, store_status::done);
+    EXPECT_TRUE(vms.vms.empty());
+}
+
+TEST_F(store_test, deeply_nested_record_is_unavailable)
+{
+    server_.set_answer(409,
+        R"({"metadata": {"name": "r", "rev": 3}, "spec": )" + nested() + "}");
+    auto outcome = record_outcome::accepted;
+    records_.create({},
+        [&](record_outcome it, idempotency_record const&) { outcome = it; });
+    run();
+    EXPECT_EQ(outcome, record_outcome::unavailable);
+}
+
+} // namespace
+} // namespace pomelohinge::platform
