--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -5,6 +5,7 @@
 #include "core/invariant.hpp"
 #include "servers/requests/entry_environment.hpp"
 #include "servers/requests/idempotency_guard.hpp"
+#include "servers/requests/key_check.hpp"
 #include "servers/requests/request_chart.hpp"
 #include "servers/requests/request_log.hpp"
 #include "servers/requests/request_times.hpp"
@@ -61,8 +62,9 @@
                 "the time has passed behind others of the connection");
         if (!state().admits_before_stop(admitted_, times_, now))
             return refuse_stopping();
-        if (!is_key_fresh())
-            return refuse_stale();
+        auto const key = check_key(environment_, message_.head, admitted_);
+        if (key != key_state::in_force)
+            return refuse_key(key);
         if (!passes_poison_guard())
             return;
         state().retries.request_began(admitted_.service.text(), now);
@@ -201,26 +203,6 @@
         fire(request_event::refused);
     }
 
-    // API keys.
-
-    /// Whether the configuration was read recently enough to accept the key.
-    /// Checked again before sending, since the request may have been queued.
-    bool is_key_fresh()
-    {
-        if (admitted_.organisation.empty() || !message_.head.key)
-            return true;
-        return state().is_fresh(environment_.read_at(), environment_.now());
-    }
-
-    /// Whether the current configuration still contains the key. Checked before
-    /// sending, so that the revocation of a key also stops queued requests.
-    bool is_key_valid()
-    {
-        return admitted_.organisation.empty() || !message_.head.key ||
-            environment_.current_policy()->index->routes.is_key_valid(
-                *message_.head.key, admitted_.organisation);
-    }
-
     bool ends_before_stop(time_point now)
     {
         return state().ends_before_stop(admitted_, times_, now);
@@ -232,8 +214,10 @@
             "the VM stops before an answer is likely", duration::zero());
     }
 
-    void refuse_stale()
+    void refuse_key(key_state key)
     {
+        if (key == key_state::withdrawn)
+            return refuse(refusal_kind::key_unknown, "the key is not in force");
         log_stale_configuration(message_.head.request_id,
             environment_.now() - environment_.read_at());
         refuse(refusal_kind::not_ready,
@@ -391,11 +375,10 @@
         auto const left = times_.deadline - now;
         // The configuration may have changed, or become stale, while the
         // request waited.
-        if (!is_key_fresh() || !is_key_valid()) {
+        auto const key = check_key(environment_, message_.head, admitted_);
+        if (key != key_state::in_force) {
             release_target(now);
-            if (is_key_valid())
-                return refuse_stale();
-            return refuse(refusal_kind::key_unknown, "the key is not in force");
+            return refuse_key(key);
         }
         if (left <= answer_reserve) {
             release_target(now);
