Answer what is open when a planned stop ends

What callers saw: a request that waited for a target or for its record when the process ended had its connection closed without an answer, although it had not run; so had one that a target worked on.

Cause: at the end of the stop the threads ended, whatever was open.

Change: the event process_ends of charts/request.jsonc ends every open request 0.1 s before the process does: as not_run, or as unknown if a target may have run it. Traffic threads keep their open requests in a table for that. The event `stopped` says how many requests had no answer.

Evidence: two tests of entry_request_test, which do not compile before.

--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -50,7 +50,8 @@
         peer_server_.stop(grpc_shutdown_timeout);
         for (auto const& it : traffic_)
             it->stop();
-        log(log_event::stopped, {{"vm", settings_.vm.text()}});
+        log(log_event::stopped,
+            {{"vm", settings_.vm.text()}, {"open", open_at_end_}});
         return absl::OkStatus();
     }
 
@@ -217,8 +218,10 @@
         control_.plane().leave();
         auto const listen_time = std::min<duration>(
             max_listen_after_leave, settings_.stop_timeout / 2);
-        stop_traffic(
-            {stop_deadline_ - last_answer_time, control_.now() + listen_time});
+        planned_stop const stop{
+            stop_deadline_ - last_answer_time, control_.now() + listen_time};
+        for (auto const& it : traffic_)
+            it->post([&thread = *it, stop] { thread.begin_stop(stop); });
         control_.after(listen_time, [this] {
             for (auto const& it : traffic_)
                 it->post([&thread = *it] {
@@ -249,8 +252,10 @@
     {
         count_open_requests([this](std::size_t open) {
             bool const ends = open == 0 && refuses_all_;
-            if (ends || control_.now() >= stop_deadline_)
+            if (ends || control_.now() >= stop_deadline_) {
+                open_at_end_ = open;
                 return control_.context().stop();
+            }
             if (open == 0)
                 refuse_all();
             control_.after(
@@ -261,13 +266,8 @@
     void refuse_all()
     {
         refuses_all_ = true;
-        stop_traffic({control_.now(), control_.now()});
-    }
-
-    void stop_traffic(planned_stop const& stop)
-    {
         for (auto const& it : traffic_)
-            it->post([&thread = *it, stop] { thread.begin_stop(stop); });
+            it->post([&thread = *it] { thread.refuse_requests(); });
     }
 
     settings const settings_;
@@ -283,6 +283,8 @@
     /// Requests are refused since all earlier ones have ended.
     bool refuses_all_ = false;
     time_point stop_deadline_{};
+    /// Requests without an answer when the process ends.
+    std::size_t open_at_end_ = 0;
 };
 
 } // namespace pomelohinge
--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -112,8 +112,11 @@
     void begin_stop(planned_stop const& stop)
     {
         entry_state_.stop = stop;
+        after(stop.ends_at - now(), [this] { end_requests(); });
         server_.close_connections_after_answers();
     }
+    /// Refuses all further requests.
+    void refuse_requests() { entry_state_.stop = {now(), now()}; }
     void stop_directory() { directory_server_.stop(); }
 
     /// The number of requests that have not been answered yet.
@@ -225,13 +228,13 @@
         incoming_request message, std::function<void(entry_result)> done)
     {
         auto const started_at = now();
-        auto const keep_alive =
-            std::make_shared<std::shared_ptr<caller_request>>();
-        *keep_alive = std::make_shared<caller_request>(charts_.request, *this,
-            std::move(message),
-            [this, started_at, keep_alive, done = std::move(done)](
+        auto const number = ++last_request_;
+        auto const started = std::make_shared<caller_request>(charts_.request,
+            *this, std::move(message),
+            [this, started_at, number, done = std::move(done)](
                 entry_result result) {
-                auto const finished = std::exchange(*keep_alive, nullptr);
+                auto const finished =
+                    std::move(open_requests_.extract(number).mapped());
                 auto const& statistics = finished->statistics();
                 metrics_.record_request(statistics.organisation,
                     statistics.service, result, now() - started_at,
@@ -242,17 +245,24 @@
                 // is destroyed only after that code has returned.
                 post([finished] {});
             });
-        auto const started = *keep_alive;
+        open_requests_.emplace(number, started);
         started->start();
-        return [this, weak = std::weak_ptr(started), keep_alive] {
-            if (auto const active = weak.lock()) {
-                active->caller_disconnected();
-                *keep_alive = nullptr;
-                post([active] {});
+        return [this, number] {
+            if (auto const open = open_requests_.extract(number)) {
+                open.mapped()->caller_disconnected();
+                post([ended = open.mapped()] {});
             }
         };
     }
 
+    /// Gives the requests that are still open their answers, since the process
+    /// ends.
+    void end_requests()
+    {
+        for (auto const& [number, it] : std::map(open_requests_))
+            it->process_ends();
+    }
+
     entry_answer make_entry_answer(data_centre_id const& requested)
     {
         entry_answer answer;
@@ -317,6 +327,8 @@
     policy_pointer policy_;
     time_point read_at_{};
     std::unique_ptr<record_client> record_client_;
+    std::uint64_t last_request_ = 0;
+    std::map<std::uint64_t, std::shared_ptr<caller_request>> open_requests_;
     front_server<typename Platform::front_dialect> server_;
     page_server directory_server_;
     asio::steady_timer tick_timer_;
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -76,6 +76,9 @@
     /// Ends the request, since the caller has closed its connection.
     void caller_disconnected() { fire(request_event::caller_disconnected); }
 
+    /// Ends the request, since the process ends.
+    void process_ends() { fire(request_event::process_ends); }
+
     bool ended() const { return chart_.is_final(); }
     request_statistics const& statistics() const { return statistics_; }
 
@@ -125,6 +128,9 @@
             return end(refusal_);
         case request_action::answer_deadline:
             return answer_deadline();
+        case request_action::answer_stopping:
+            return end(refusal{refusal_kind::stopping, current_outcome(),
+                "the VM stops before the answer has come", {}});
         }
     }
 
@@ -191,12 +197,16 @@
             callback(std::move(result));
     }
 
+    /// An earlier attempt may have run the request.
+    outcome current_outcome() const
+    {
+        return may_have_run_ ? outcome::unknown : outcome::not_run;
+    }
+
     void refuse(refusal_kind kind, std::string detail,
         std::optional<duration> retry_after = {})
     {
-        // An earlier attempt may have run the request.
-        auto const result = may_have_run_ ? outcome::unknown : outcome::not_run;
-        refusal_ = {kind, result, std::move(detail), {}};
+        refusal_ = {kind, current_outcome(), std::move(detail), {}};
         if (retry_after)
             refusal_.retry_after =
                 std::chrono::ceil<std::chrono::milliseconds>(*retry_after);
@@ -535,7 +545,7 @@
 
     void answer_deadline()
     {
-        auto const result = may_have_run_ ? outcome::unknown : outcome::not_run;
+        auto const result = current_outcome();
         end(refusal{result == outcome::unknown ? refusal_kind::deadline_passed
                                                : refusal_kind::overloaded,
             result, "the time for the request is over", {}});
--- a/servers/requests/request_chart.hpp
+++ b/servers/requests/request_chart.hpp
@@ -41,6 +41,8 @@
     /// The attempt is unanswered after the reroute delay.
     reroute_due,
     deadline,
+    /// A planned stop is over and the process ends.
+    process_ends,
     caller_disconnected,
 };
 
@@ -57,6 +59,7 @@
         {request_event::attempt_failed, "attempt_failed"},
         {request_event::reroute_due, "reroute_due"},
         {request_event::deadline, "deadline"},
+        {request_event::process_ends, "process_ends"},
         {request_event::caller_disconnected, "caller_disconnected"},
     });
 static_assert(is_ordered<request_event>());
@@ -94,6 +97,7 @@
     answer_recorded,
     answer_refusal,
     answer_deadline,
+    answer_stopping,
 };
 
 template <>
@@ -111,6 +115,7 @@
         {request_action::answer_recorded, "answer_recorded"},
         {request_action::answer_refusal, "answer_refusal"},
         {request_action::answer_deadline, "answer_deadline"},
+        {request_action::answer_stopping, "answer_stopping"},
     });
 static_assert(is_ordered<request_action>());
 
--- a/tests/servers/entry_request_test.cpp
+++ b/tests/servers/entry_request_test.cpp
@@ -384,5 +384,34 @@
     EXPECT_EQ(environment_.sent().size(), sent + 1);
 }
 
+/// Requests that were open when the process ended had their connections closed
+/// without an answer, also those that no target had got.
+TEST_F(
+    entry_request_test, request_in_the_queue_at_the_end_is_answered_as_not_run)
+{
+    environment_.set_targets({"t1"});
+    play_answered("POST", "/pay/1", 400ms);
+    constexpr int slots = 4;
+    for (int it = 0; it < slots; ++it)
+        begin("POST", "/pay/1");
+    begin("POST", "/pay/1");
+    auto const sent = environment_.sent().size();
+    requests_.back()->process_ends();
+    EXPECT_EQ(refused_outcome(), outcome::not_run);
+    environment_.end_attempt(attempt_result::answered, 200);
+    EXPECT_EQ(environment_.sent().size(), sent);
+}
+
+TEST_F(
+    entry_request_test, request_at_a_target_at_the_end_is_answered_as_unknown)
+{
+    environment_.set_targets({"t1"});
+    begin("POST", "/pay/1");
+    requests_.back()->process_ends();
+    EXPECT_EQ(refused_outcome(), outcome::unknown);
+    EXPECT_EQ(
+        environment_.state().targets.find(target_id("t1"))->in_flight(), 0);
+}
+
 } // namespace
 } // namespace pomelohinge
