Bound the memory that answers of targets hold together

What callers would see (report of another operator): a faulty target sends answers without end; the VM that called it keeps the bytes, runs out of memory, and the requests of all callers on it end.

Cause: one answer was bounded (64 KiB of head, 4 MiB of body), their sum was not: each connection was read as fast as bytes came. Short header lines took sixteen times their size besides.

Change: buffer_budget limits the bytes of answers above 16 KiB that a traffic thread holds, with an eighth of it for one target. An answer is charged for its stated length, or what has come, until it is written to its caller; while there is no room its connection is not read. The oldest answer of a target, and of all, may exceed the limits, so that none waits for ever. The budget is limits.buffer_bytes, a quarter of machine.memory_mb if absent. A stated length above the limit ends the answer at once; a head has 256 fields at most. The event buffers_full and three metrics show it.

--- a/config/settings.cpp
+++ b/config/settings.cpp
@@ -11,6 +11,10 @@
 constexpr std::int64_t max_traffic_threads = 64;
 constexpr std::int64_t min_body_limit_bytes = 1024;
 constexpr std::int64_t max_body_limit_bytes = 16 << 20;
+constexpr std::int64_t min_buffer_bytes = 1 << 20;
+constexpr std::int64_t max_buffer_bytes = std::int64_t{1} << 40;
+/// Share of the memory that buffers have if the settings do not say.
+constexpr double buffer_memory_share = 0.25;
 constexpr std::int64_t max_stop_timeout_ms = 10LL * 60 * 1000;
 constexpr double max_bound_seconds = 3600;
 /// Limit on the rate of log lines and on their burst.
@@ -21,6 +25,8 @@
 constexpr double max_cores = 1024;
 constexpr double min_link_mbps = 0.1;
 constexpr double max_link_mbps = 1e6;
+constexpr double min_memory_mb = 32;
+constexpr double max_memory_mb = 1e6;
 
 template <class Tag>
 void read_name(
@@ -79,6 +85,12 @@
     out.cores *= share;
     reader.number("link_mbps", out.link_mbps, min_link_mbps, max_link_mbps,
         presence::optional);
+    reader.number("memory_mb", out.memory_mb, min_memory_mb, max_memory_mb,
+        presence::optional);
+    constexpr double bytes_per_mb = 1e6;
+    if (out.memory_mb > 0)
+        out.buffer_bytes = static_cast<std::int64_t>(
+            out.memory_mb * bytes_per_mb * buffer_memory_share);
     reader.finish();
 }
 
@@ -115,6 +127,8 @@
         min_body_limit_bytes, max_body_limit_bytes, presence::optional);
     reader.integer("answer_body_bytes", out.answer_body_bytes,
         min_body_limit_bytes, max_body_limit_bytes, presence::optional);
+    reader.integer("buffer_bytes", out.buffer_bytes, min_buffer_bytes,
+        max_buffer_bytes, presence::optional);
     duration stop_timeout = out.stop_timeout;
     read_seconds(reader, "stop_s", stop_timeout, 0);
     std::int64_t stop_limit_ms = to_milliseconds(stop_timeout);
@@ -152,10 +166,10 @@
     reader.finish();
     if (reader.has("log"))
         read_log(*document, found, out);
-    if (reader.has("limits"))
-        read_limits(*document, found, out);
     if (reader.has("machine"))
         read_machine(*document, found, out);
+    if (reader.has("limits"))
+        read_limits(*document, found, out);
     if (reader.has("bounds"))
         read_bounds(*document, found, out);
     if (found.items().size() != before)
--- a/config/settings.hpp
+++ b/config/settings.hpp
@@ -41,11 +41,15 @@
     /// its network link in Mbit/s.
     double cores = 1;
     double link_mbps = 1000;
+    /// Memory that the process may use, in MB (10^6 bytes); 0 if unknown.
+    double memory_mb = 0;
     log_settings logs;
     /// Maximum size of a request body that is accepted.
     std::int64_t request_body_bytes = 1 << 20;
     /// Maximum size of an answer body that is forwarded to the caller.
     std::int64_t answer_body_bytes = 4 << 20;
+    /// Memory for large answers that are being received or passed on.
+    std::int64_t buffer_bytes = 64 << 20;
     /// Maximum time for which a planned stop waits for running requests.
     std::chrono::milliseconds stop_timeout{30'000};
     fleet_bounds bounds;
--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -287,7 +287,8 @@
                 Dialect::forwards_header(field.name))
                 response.append_header(field.name, field.value);
         add_answer_headers(response, it.id);
-        finish(it, response, std::move(upstream.body));
+        finish(
+            it, response, std::move(upstream.body), std::move(upstream.charge));
     }
 
     void answer_refusal(open_request const& it, refusal const& refused)
@@ -308,8 +309,10 @@
             response.append_header(it.name, it.value);
     }
 
+    /// Sends the answer. `charge` is returned once it is written.
     template <class Response>
-    void finish(open_request const& it, Response& response, std::string body)
+    void finish(open_request const& it, Response& response, std::string body,
+        buffer_charge charge = {})
     {
         auto& pipeline = it.connection->pipeline();
         if (closing_)
@@ -318,7 +321,11 @@
             response.connection_close();
         auto const bytes = body.size();
         response.set_body(std::move(body));
-        response.done();
+        if (charge)
+            response.done([held = std::make_shared<buffer_charge>(
+                               std::move(charge))](auto const&) {});
+        else
+            response.done();
         pipeline.answered(it.number, bytes, boottime_clock::now());
     }
 
--- a/drivers/http/answer_parser.cpp
+++ b/drivers/http/answer_parser.cpp
@@ -8,8 +8,10 @@
     return *static_cast<answer_parser*>(parser->data);
 }
 
-/// Limit on the head of an answer.
+/// Limits on the head of an answer and on the number of its headers and
+/// trailers.
 constexpr std::size_t max_head_bytes = 64 << 10;
+constexpr std::size_t max_fields = 256;
 
 /// Statuses below this one belong to interim answers.
 constexpr int first_final_status = 200;
@@ -75,11 +77,16 @@
 {
     auto& self = self_of(parser);
     auto& headers = self.answer_.headers;
-    if (headers.empty() || self.in_value_)
+    if (headers.empty() || self.in_value_) {
+        if (headers.size() == max_fields)
+            return 1;
         headers.emplace_back();
+        self.head_bytes_ += sizeof(header_field);
+    }
     self.in_value_ = false;
     headers.back().name.append(data, size);
-    return parser->nread > max_head_bytes ? 1 : 0;
+    self.head_bytes_ += size;
+    return self.head_bytes_ > max_head_bytes ? 1 : 0;
 }
 
 int answer_parser::on_header_value(
@@ -89,7 +96,8 @@
     self.in_value_ = true;
     if (!self.answer_.headers.empty())
         self.answer_.headers.back().value.append(data, size);
-    return 0;
+    self.head_bytes_ += size;
+    return self.head_bytes_ > max_head_bytes ? 1 : 0;
 }
 
 int answer_parser::on_headers_complete(http_parser* parser)
@@ -98,7 +106,17 @@
     self.answer_.status = static_cast<int>(parser->status_code);
     self.is_interim_ = self.answer_.status < first_final_status;
     constexpr int skip_body = 1;
-    return self.is_head_ ? skip_body : 0;
+    constexpr int error = -1;
+    if (self.is_head_)
+        return skip_body;
+    bool const has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+    if (!has_length)
+        return 0;
+    self.too_large_ = parser->content_length > self.max_body_bytes_;
+    if (self.too_large_)
+        return error;
+    self.stated_length_ = static_cast<std::size_t>(parser->content_length);
+    return 0;
 }
 
 int answer_parser::on_body(
@@ -109,7 +127,10 @@
         self.too_large_ = true;
         return 1;
     }
-    self.answer_.body.append(data, size);
+    auto& body = self.answer_.body;
+    if (body.empty())
+        body.reserve(self.stated_length_);
+    body.append(data, size);
     return 0;
 }
 
@@ -118,6 +139,8 @@
     auto& self = self_of(parser);
     if (self.is_interim_) {
         self.answer_ = {};
+        self.head_bytes_ = 0;
+        self.stated_length_ = 0;
         self.in_value_ = false;
         self.is_interim_ = false;
         return 0;
--- a/drivers/http/answer_parser.hpp
+++ b/drivers/http/answer_parser.hpp
@@ -3,6 +3,7 @@
 
 #include "servers/requests/attempt.hpp"
 
+#include <algorithm>
 #include <http_parser.h>
 #include <string_view>
 
@@ -30,6 +31,13 @@
     /// The answer; valid once it is complete.
     upstream_answer& answer() { return answer_; }
 
+    /// Memory that the answer needs so far: its head, and its body, of which
+    /// the stated length counts.
+    std::size_t held_bytes() const
+    {
+        return head_bytes_ + std::max(stated_length_, answer_.body.size());
+    }
+
     /// Whether any byte was received.
     bool has_input() const { return has_input_; }
 
@@ -52,6 +60,9 @@
     upstream_answer answer_;
     bool is_head_;
     std::size_t max_body_bytes_;
+    std::size_t head_bytes_ = 0;
+    /// Length of the body that the head states; 0 if it states none.
+    std::size_t stated_length_ = 0;
     bool has_input_ = false;
     bool in_value_ = false;
     bool is_interim_ = false;
--- a/drivers/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -34,6 +34,10 @@
 /// stops using a connection before the upstream closes it.
 constexpr duration idle_timeout_margin = std::chrono::milliseconds(1000);
 
+/// An answer is charged to the buffer budget once it needs more than this, so
+/// that small answers get through whatever large ones hold.
+constexpr std::size_t max_uncharged_bytes = 16 << 10;
+
 /// Limit on the answers to other requests that one exchange skips. After a
 /// further one, the exchange fails and its connection is closed.
 constexpr int max_skipped_answers = 3;
@@ -61,7 +65,10 @@
 class connection_pool::detail
 {
 public:
-    explicit detail(asio::io_context& context) : context_(context) {}
+    detail(asio::io_context& context, buffer_budget& buffers)
+        : context_(context), buffers_(buffers)
+    {
+    }
 
     ~detail();
 
@@ -84,6 +91,7 @@
     void remove_idle(connection_pointer const& it);
 
     asio::io_context& context_;
+    buffer_budget& buffers_;
     std::uint64_t last_id_ = 0;
     absl::flat_hash_map<std::uint64_t, connection_pointer> exchanges_;
     absl::flat_hash_map<std::string, std::vector<connection_pointer>> idle_;
@@ -144,6 +152,8 @@
         is_connected_ = false;
         pool_ = nullptr;
         on_end_ = nullptr;
+        charge_ = {};
+        parser_.reset();
     }
 
 private:
@@ -232,7 +242,7 @@
         std::size_t consumed = 0;
         switch (parser_->parse(bytes, consumed)) {
         case answer_parser::progress::incomplete:
-            return read();
+            return read_more();
         case answer_parser::progress::unparsable:
             return fail(exchange_end::unparsable);
         case answer_parser::progress::too_large:
@@ -242,6 +252,23 @@
         }
     }
 
+    /// Reads on once there is room for what the answer needs.
+    void read_more()
+    {
+        auto const bytes = parser_->held_bytes();
+        if (bytes > max_uncharged_bytes && !charge_)
+            charge_ = pool_->buffers_.open(address_);
+        bool const has_room =
+            charge_.grow(bytes, [self = shared_from_this(), id = id_] {
+                asio::post(self->socket_.get_executor(), [self, id] {
+                    if (self->on_end_ != nullptr && id == self->id_)
+                        self->read();
+                });
+            });
+        if (has_room)
+            read();
+    }
+
     void on_answer(std::string_view rest)
     {
         if (call_.matches_request && !call_.matches_request(parser_->answer()))
@@ -249,6 +276,8 @@
         bool const reusable = parser_->keeps_alive() && rest.empty() &&
             !is_writing_ && !write_failed_;
         auto answer = std::move(parser_->answer());
+        charge_.complete();
+        answer.charge = std::move(charge_);
         idle_timeout_ = stated_idle_timeout(answer).value_or(
                             default_idle_timeout + idle_timeout_margin) -
             idle_timeout_margin;
@@ -283,6 +312,7 @@
         if (++skipped_answers_ > max_skipped_answers || !parser_->keeps_alive())
             return fail(exchange_end::unparsable);
         parser_.emplace(call_.is_head, call_.max_answer_bytes);
+        charge_ = {};
         if (rest.empty())
             return read();
         std::string const bytes(rest);
@@ -331,6 +361,7 @@
     exchange_call call_;
     callback on_end_;
     std::optional<answer_parser> parser_;
+    buffer_charge charge_;
     time_point deadline_{};
     time_point idle_since_{};
     duration idle_timeout_ = default_idle_timeout;
@@ -428,8 +459,9 @@
     }
 }
 
-connection_pool::connection_pool(asio::io_context& context)
-    : detail_(std::make_unique<detail>(context))
+connection_pool::connection_pool(
+    asio::io_context& context, buffer_budget& buffers)
+    : detail_(std::make_unique<detail>(context, buffers))
 {
 }
 
--- a/drivers/http/connection_pool.hpp
+++ b/drivers/http/connection_pool.hpp
@@ -84,7 +84,10 @@
 public:
     using callback = std::function<void(exchange_result)>;
 
-    explicit connection_pool(asio::io_context& context);
+    /// Large answers are charged to `buffers`, which must outlive the pool and
+    /// the answers. While it has no room for an answer, its connection is not
+    /// read.
+    connection_pool(asio::io_context& context, buffer_budget& buffers);
     ~connection_pool();
     connection_pool(connection_pool const&) = delete;
     connection_pool& operator=(connection_pool const&) = delete;
--- a/drivers/upstream/upstream_client.hpp
+++ b/drivers/upstream/upstream_client.hpp
@@ -23,8 +23,10 @@
 public:
     /// An answer whose body exceeds `max_answer_bytes` ends the attempt with
     /// `too_large`.
-    upstream_client(asio::io_context& context, std::size_t max_answer_bytes)
-        : pool_(context), max_answer_bytes_(max_answer_bytes)
+    /// Large answers are charged to `buffers`; see `connection_pool`.
+    upstream_client(asio::io_context& context, buffer_budget& buffers,
+        std::size_t max_answer_bytes)
+        : pool_(context, buffers), max_answer_bytes_(max_answer_bytes)
     {
     }
 
--- a/main/traffic_metrics.cpp
+++ b/main/traffic_metrics.cpp
@@ -145,6 +145,9 @@
 {
     add_classes(organisations_, other.organisations_);
     add_classes(services_, other.services_);
+    buffers_.used_bytes += other.buffers_.used_bytes;
+    buffers_.peak_bytes += other.buffers_.peak_bytes;
+    buffers_.waits += other.buffers_.waits;
 }
 
 std::string traffic_metrics::to_prometheus() const
@@ -157,6 +160,13 @@
         append_class(text, "organisation", name, it);
     for (auto const& [name, it] : services_)
         append_class(text, "service", name, it);
+    text += fmt::format("# TYPE pomelohinge_buffer_bytes gauge\n"
+                        "pomelohinge_buffer_bytes {}\n"
+                        "# TYPE pomelohinge_buffer_peak_bytes gauge\n"
+                        "pomelohinge_buffer_peak_bytes {}\n"
+                        "# TYPE pomelohinge_buffer_waits_total counter\n"
+                        "pomelohinge_buffer_waits_total {}\n",
+        buffers_.used_bytes, buffers_.peak_bytes, buffers_.waits);
     return text;
 }
 
--- a/main/traffic_metrics.hpp
+++ b/main/traffic_metrics.hpp
@@ -60,6 +60,9 @@
         service_id const& service, entry_result const& result, duration total,
         duration upstream, duration queue, std::size_t attempts);
 
+    /// Sets what the thread holds of its buffer budget.
+    void set_buffers(buffer_usage const& usage) { buffers_ = usage; }
+
     void add(traffic_metrics const& other);
 
     std::map<std::string, class_metrics> const& organisations() const
@@ -82,6 +85,7 @@
 
     std::map<std::string, class_metrics> organisations_;
     std::map<std::string, class_metrics> services_;
+    buffer_usage buffers_;
 };
 
 } // namespace pomelohinge
--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -34,8 +34,10 @@
         : settings_(configured), charts_(charts),
           on_report_due_(std::move(on_report_due)),
           on_notice_(std::move(on_notice)),
-          upstreams_(
-              context_, static_cast<std::size_t>(configured.answer_body_bytes)),
+          buffers_(static_cast<std::size_t>(
+              configured.buffer_bytes / configured.traffic_threads)),
+          upstreams_(context_, buffers_,
+              static_cast<std::size_t>(configured.answer_body_bytes)),
           entry_state_(
               charts.target, configured.vm, configured.data_centre,
               std::random_device{}(),
@@ -106,7 +108,11 @@
     traffic_report make_report() { return entry_state_.make_report(now()); }
     /// The server that accepts the requests of callers.
     front_server<typename Platform::front_dialect>& server() { return server_; }
-    traffic_metrics& metrics() { return metrics_; }
+    traffic_metrics const& metrics()
+    {
+        metrics_.set_buffers(buffers_.usage());
+        return metrics_;
+    }
     /// Refuses requests that the stop would cut, and closes each caller's
     /// connection behind its last answer.
     void begin_stop(planned_stop const& stop)
@@ -320,6 +326,8 @@
     chart_list const& charts_;
     std::function<void()> on_report_due_;
     notice_callback on_notice_;
+    /// Outlives the sockets, whose answers hold charges.
+    buffer_budget buffers_;
     asio::io_context context_{1};
     upstream_client<typename Platform::upstream_dialect> upstreams_;
     entry_state entry_state_;
--- a/servers/requests/attempt.hpp
+++ b/servers/requests/attempt.hpp
@@ -2,6 +2,7 @@
 #define POMELOHINGE_SERVERS_REQUESTS_ATTEMPT_HPP
 
 #include "core/name_table.hpp"
+#include "servers/buffers/buffer_budget.hpp"
 #include "servers/requests/refusal.hpp"
 #include "servers/requests/request.hpp"
 #include "servers/targets/target_catalogue.hpp"
@@ -90,6 +91,8 @@
     int status = 0;
     std::vector<header_field> headers;
     std::string body;
+    /// The memory that a large answer holds.
+    buffer_charge charge;
 };
 
 /// A request as it is sent to a target.
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -21,7 +21,7 @@
         "platform_address": "127.0.0.1:9000",
         "traffic_threads": 3,
         "log": {"format": "json"},
-        "machine": {"cores": 2, "core_share": 0.2},
+        "machine": {"cores": 2, "core_share": 0.2, "memory_mb": 260},
         "bounds": {"strict_revocation": false, "retry_ratio": 0.5},
         "limits": {"request_body_bytes": 4096, "stop_s": 1.5}})",
         found_);
@@ -31,6 +31,7 @@
     EXPECT_EQ(it->logs.format, log_format::json);
     EXPECT_EQ(it->request_body_bytes, 4096);
     EXPECT_DOUBLE_EQ(it->cores, 0.4);
+    EXPECT_EQ(it->buffer_bytes, 65'000'000);
     EXPECT_EQ(it->bounds.max_revocation_delay, duration::zero());
     EXPECT_DOUBLE_EQ(it->bounds.retry_ratio, 0.5);
     EXPECT_EQ(it->stop_timeout, std::chrono::milliseconds(1500));
--- a/tests/simulation/fake_vm.hpp
+++ b/tests/simulation/fake_vm.hpp
@@ -205,10 +205,11 @@
                 if (entry_state_.targets.take_report_due())
                     control_plane_.report_failures();
             });
-        attempt_end timed_out;
-        timed_out.result = attempt_result::timed_out;
-        fleet_.simulator.schedule_after(
-            request.time_limit, [once, timed_out] { once(timed_out); });
+        fleet_.simulator.schedule_after(request.time_limit, [once] {
+            attempt_end timed_out;
+            timed_out.result = attempt_result::timed_out;
+            once(std::move(timed_out));
+        });
         fleet_.simulator.send(name_, target.id.text(),
             [&fleet = fleet_, expected = target, request = std::move(request),
                 once, from = name_] {
@@ -260,8 +261,9 @@
                 return;
             if (!is_paused())
                 return run(std::move(value));
-            fleet_.simulator.schedule_at(
-                paused_until_, guarded_task([run, value] { run(value); }));
+            auto const held = std::make_shared<Value>(std::move(value));
+            fleet_.simulator.schedule_at(paused_until_,
+                guarded_task([run, held] { run(std::move(*held)); }));
         };
     }
 
@@ -311,16 +313,18 @@
         auto const it = fleet.targets.find(expected.address);
         auto const reply = [&fleet, once, from, to = expected.id.text()](
                                attempt_end end) {
-            fleet.simulator.send(to, from, [once, end] { once(end); });
+            auto const held = std::make_shared<attempt_end>(std::move(end));
+            fleet.simulator.send(
+                to, from, [once, held] { once(std::move(*held)); });
         };
         attempt_end end;
         if (it == fleet.targets.end()) {
             end.result = attempt_result::connect_failed;
-            return reply(end);
+            return reply(std::move(end));
         }
         if (it->second->record().id != expected.id) {
             end.result = attempt_result::misdirected;
-            return reply(end);
+            return reply(std::move(end));
         }
         it->second->receive(from, request, reply);
     }
