--- a/tests/drivers/front_test.cpp
+++ b/tests/drivers/front_test.cpp
@@ -1,5 +1,6 @@
 #include "drivers/front/front_server.hpp"
 #include "drivers/front/http_messages.hpp"
+#include "tests/drivers/loopback_address.hpp"
 
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
@@ -32,7 +33,8 @@
               {max_body_bytes}),
           work_guard_(context_.get_executor())
     {
-        auto const status = front_.listen("127.0.0.1:" + std::to_string(port));
+        auto const status =
+            front_.listen(loopback_address() + ":" + std::to_string(port));
         EXPECT_TRUE(status.ok()) << status.message();
         thread_ = std::thread([this] { context_.run(); });
     }
@@ -62,7 +64,7 @@
     asio::ip::tcp::socket connect()
     {
         asio::ip::tcp::socket socket(caller_context_);
-        socket.connect({asio::ip::make_address("127.0.0.1"), port});
+        socket.connect({asio::ip::make_address(loopback_address()), port});
         return socket;
     }
 
--- a/tests/drivers/pipelining_test.cpp
+++ b/tests/drivers/pipelining_test.cpp
@@ -1,5 +1,6 @@
 #include "drivers/front/front_server.hpp"
 #include "drivers/front/http_messages.hpp"
+#include "tests/drivers/loopback_address.hpp"
 
 #include <algorithm>
 #include <asio/ip/tcp.hpp>
@@ -37,10 +38,11 @@
               {}),
           work_guard_(context_.get_executor()), caller_(caller_context_)
     {
-        auto const status = front_.listen("127.0.0.1:" + std::to_string(port));
+        auto const status =
+            front_.listen(loopback_address() + ":" + std::to_string(port));
         EXPECT_TRUE(status.ok()) << status.message();
         thread_ = std::thread([this] { context_.run(); });
-        caller_.connect({asio::ip::make_address("127.0.0.1"), port});
+        caller_.connect({asio::ip::make_address(loopback_address()), port});
     }
 
     ~pipelining_test() override
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -1,8 +1,9 @@
 """Runs a small fleet on loopback for the demo, the soak test and benches.
 
 `Fleet` starts every process itself and ends it by its process id. In data
-centre d, counted from 0, VM n listens at 127.0.(10+d).n and upstream n of a
-service at 127.0.(100+d).n.
+centre d, counted from 0, VM n listens at 127.N.(10+d).n and upstream n of a
+service at 127.N.(100+d).n. N is 0, or POMELOHINGE_FLEET_NETWORK (0 to 255), so
+that fleets can run beside each other.
 """
 
 from __future__ import annotations
@@ -26,6 +27,9 @@
 #: Timeout for a started fleet to become ready.
 READY_TIMEOUT_S = 40
 
+#: The second number of the addresses of all processes.
+NETWORK = int(os.environ.get("POMELOHINGE_FLEET_NETWORK", "0"))
+
 
 def http(url: str, body: str | None = None, timeout: float = 2) -> str:
     """Sends a GET, or a POST if there is a body, and returns the body of the
@@ -89,7 +93,7 @@
     """
 
     def __init__(self, build: str, run_dir: str,
-                 platform: str = "127.0.1.1:9000",
+                 platform: str = f"127.{NETWORK}.1.1:9000",
                  log_level: str = "info", traffic_threads: int = 1) -> None:
         self.build = pathlib.Path(build).resolve()
         self.run_dir = pathlib.Path(run_dir)
@@ -110,7 +114,7 @@
             for n in range(1, per_data_centre + 1):
                 name = f"{data_centre}-vm-{n}"
                 self.vms[name] = Vm(
-                    name, data_centre, f"127.0.{10 + number}.{n}")
+                    name, data_centre, f"127.{NETWORK}.{10 + number}.{n}")
 
     def add_upstreams(self, service: str, data_centres: list[str],
                       per_data_centre: int, slots: int, port: int) -> None:
@@ -120,7 +124,7 @@
                 name = f"{service}-{data_centre}-{n}"
                 self.upstreams[name] = Upstream(
                     name, service, data_centre,
-                    f"127.0.{100 + number}.{n}:{port}", slots)
+                    f"127.{NETWORK}.{100 + number}.{n}:{port}", slots)
 
     # Processes.
 
