Send signals in series in the soak

The soak started a VM again seven seconds after SIGTERM, whenever the process had ended, and sent signals only to processes that had long started; its findings on stops counted in timed runs only. So it could not see that a signal shortly after a start ends the process by its default action.

The fault vm_signalled sends SIGTERM, SIGHUP and SIGTERM again, starts the VM as soon as the process has ended, and sends SIGTERM or SIGHUP within 0.3 s. The exit status of a stop is checked in every run, and only its duration in timed ones. A process that a fault has killed meanwhile is no finding.

--- a/soak/injector.py
+++ b/soak/injector.py
@@ -20,6 +20,9 @@
 #: six seconds, and one second for a slow machine.
 MAX_STOP_S = 7.0
 
+#: Period at which the end of a process is looked for.
+STOP_POLL_S = 0.05
+
 
 class Injector:
     """Starts and ends faults at their times, all in the calling thread."""
@@ -30,6 +33,8 @@
         self.fleet = fleet
         self.plan = plan
         self.findings: list[str] = []
+        #: Findings that depend on the speed of the machine.
+        self.timed_findings: list[str] = []
         #: Payments in the ledgers of upstreams when they were killed.
         self.lost_payments: list[dict[str, int]] = []
         #: Names of the VMs that a fault has stopped or paused.
@@ -47,6 +52,8 @@
         #: Number of active faults of each resource. The end of the last one
         #: restores the resource.
         self._active: dict[str, int] = {}
+        #: Ids of the processes of VMs that a fault has killed.
+        self._killed: set[int] = set()
         #: Total duration of each VM's pauses, each added when it starts.
         self._paused_s: dict[str, float] = {}
 
@@ -99,9 +106,14 @@
         vm = self._vm(event)
         self.down.add(vm.name)
         self._start_fault(f"vm {vm.name}", event,
-                          lambda: self.fleet.kill(vm.process),
+                          lambda: self._kill_vm(vm),
                           lambda: self._start_vm(vm))
 
+    def _kill_vm(self, vm: fleets.Vm) -> None:
+        if vm.process is not None and vm.process.poll() is None:
+            self._killed.add(vm.process.pid)
+            self.fleet.kill(vm.process)
+
     def _start_vm(self, vm: fleets.Vm) -> None:
         if vm.process is None or vm.process.poll() is not None:
             self.fleet.start_vm(vm)
@@ -150,15 +162,68 @@
                 self._now_s + paused_s - paused_before_s,
                 lambda: self._finish_restart(vm, process, paused_s))
             return
+        self._check_stop(vm, process)
+        self._active[f"vm {vm.name}"] -= 1
+        self._start_vm(vm)
+
+    def _check_stop(self, vm: fleets.Vm,
+                    process: subprocess.Popen[bytes]) -> None:
+        """Adds a finding unless the process has ended with status 0."""
         if process.poll() is None:
-            self.findings.append(
+            self.timed_findings.append(
                 f"{vm.name} was still running {MAX_STOP_S} s after SIGTERM")
             self.fleet.kill(process)
-        elif process.returncode != 0:
+        elif process.returncode != 0 and process.pid not in self._killed:
             self.findings.append(
                 f"{vm.name} stopped with status {process.returncode}")
-        self._active[f"vm {vm.name}"] -= 1
-        self._start_vm(vm)
+
+    def _vm_signalled(self, event: Event) -> None:
+        vm = self._vm(event)
+        process = vm.process
+        if vm.name in self.down or process is None:
+            return
+        self.down.add(vm.name)
+        self._active[f"vm {vm.name}"] = (
+            self._active.get(f"vm {vm.name}", 0) + 1)
+        self.fleet.request_stop(vm)
+        self.fleet.reload(vm)
+        self.fleet.request_stop(vm)
+        self._when_stopped(vm, process, lambda: self._signal_start(vm, event))
+
+    def _when_stopped(self, vm: fleets.Vm, process: subprocess.Popen[bytes],
+                      action: Callable[[], None]) -> None:
+        """Calls `action` when the process has ended, or should have."""
+        begin_s = self._now_s - self._paused_s.get(vm.name, 0.0)
+
+        def check() -> None:
+            running_s = (self._now_s - self._paused_s.get(vm.name, 0.0)
+                         - begin_s)
+            if process.poll() is None and running_s < MAX_STOP_S:
+                self._schedule(self._now_s + STOP_POLL_S, check)
+                return
+            self._check_stop(vm, process)
+            action()
+        check()
+
+    def _signal_start(self, vm: fleets.Vm, event: Event) -> None:
+        """Starts a VM and sends it a signal soon afterwards."""
+        if vm.process is None or vm.process.poll() is not None:
+            self.fleet.start_vm(vm)
+        process = vm.process
+        assert process is not None
+
+        def finish() -> None:
+            self._active[f"vm {vm.name}"] -= 1
+            self._start_vm(vm)
+
+        def send() -> None:
+            if event.mode == "term":
+                self.fleet.request_stop(vm)
+                return self._when_stopped(vm, process, finish)
+            self.fleet.reload(vm)
+            # The watcher finds the process if the signal has ended it.
+            finish()
+        self._schedule(self._now_s + event.duration_s, send)
 
     def _vm_reloaded(self, event: Event) -> None:
         vm = self._vm(event)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -14,6 +14,9 @@
     VM_PAUSED = "vm_paused"
     #: A planned stop, followed by a start.
     VM_RESTARTED = "vm_restarted"
+    #: A planned stop with further signals, a start as soon as the process has
+    #: ended, and a signal shortly after it.
+    VM_SIGNALLED = "vm_signalled"
     #: The settings file changes, with or without a SIGHUP.
     VM_RELOADED = "vm_reloaded"
     UPSTREAM_KILLED = "upstream_killed"
@@ -38,6 +41,9 @@
 STORE_FAULTS = ("absent", "slow", "lossy", "stale")
 LINK_FAULTS = ("delayed", "reset", "one_way", "silent")
 
+#: The signal shortly after a start.
+START_SIGNALS = ("term", "hup")
+
 
 @dataclasses.dataclass(frozen=True)
 class Event:
@@ -50,7 +56,8 @@
     #: the new rate of a configuration change.
     subject: int
     duration_s: float
-    #: The upstream mode, store fault or link fault; empty for other kinds.
+    #: The upstream mode, store fault, link fault or signal; empty for other
+    #: kinds.
     mode: str = ""
 
     def __str__(self) -> str:
@@ -89,6 +96,16 @@
     return ""
 
 
+def _draw_signals(seed: int, end_s: float) -> list[Event]:
+    """Returns signals in series. They have draws of their own, so that the
+    other faults of recorded seeds stay as they are."""
+    rng = random.Random(f"{seed} signals")
+    return [Event(rng.uniform(FAULT_FREE_START_S, end_s - 1),
+                  Fault.VM_SIGNALLED, rng.randrange(1000),
+                  rng.uniform(0, 0.3), rng.choice(START_SIGNALS))
+            for _ in range(rng.randint(0, 3))]
+
+
 def make_plan(seed: int, duration_s: float = 30,
               vms_per_data_centre: int = 0) -> Plan:
     """Returns the plan of a seed.
@@ -102,7 +119,8 @@
     vms_per_data_centre = vms_per_data_centre or rng.randint(2, 4)
     upstreams_per_data_centre = rng.randint(1, 3)
     end_s = duration_s - FAULT_FREE_END_S
-    kinds = rng.sample(list(Fault), rng.randint(2, 6))
+    drawn = [it for it in Fault if it is not Fault.VM_SIGNALLED]
+    kinds = rng.sample(drawn, rng.randint(2, 6))
     events = []
     for fault in kinds:
         start_s = rng.uniform(FAULT_FREE_START_S, end_s - 1)
@@ -113,6 +131,7 @@
             start_s += rng.choice((0.0, 0.5, 1.5, 4.0))
             if start_s >= end_s - 1:
                 break
+    events += _draw_signals(seed, end_s)
     events.sort(key=lambda it: it.start_s)
     return Plan(seed, vms_per_data_centre, upstreams_per_data_centre,
                 duration_s, rng.choice((40.0, 90.0, 150.0)), tuple(events))
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -118,8 +118,10 @@
     findings += checks.check_outcomes(report, ledgers)
     findings += checks.check_connections(report, plan)
     findings += checks.check_rate(report, plan, "flood", *RATES["flood"])
+    findings += injector.findings
     if timed:
-        findings += injector.findings + checks.check_recovery(report, plan)
+        findings += injector.timed_findings
+        findings += checks.check_recovery(report, plan)
     return findings
 
 
