Answer each watch of the stand-in platform once

Cause: a watch's timer may have expired, with its handler queued, when a write answers the watch and cancels the timer, which then has no effect: the handler uses the erased watch and answers it a second time.

The timer now holds the number of its watch.

--- a/stand_ins/platform.cpp
+++ b/stand_ins/platform.cpp
@@ -4,7 +4,7 @@
 #include <asio/steady_timer.hpp>
 #include <cxxopts.hpp>
 #include <iostream>
-#include <list>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <restinio/all.hpp>
 
@@ -56,7 +56,6 @@
         request_handle request;
         std::string prefix;
         std::uint64_t since;
-        std::unique_ptr<asio::steady_timer> timer;
     };
 
     restinio::request_handling_status_t answer(restinio::request_t& request,
@@ -147,15 +146,12 @@
             answer_watch(*request, prefix, since);
             return;
         }
-        auto const it =
-            watches_.insert(watches_.end(), {request, prefix, since, {}});
-        it->timer = std::make_unique<asio::steady_timer>(
-            context_, std::chrono::milliseconds(wait_ms));
-        it->timer->async_wait([this, it](asio::error_code ec) {
-            if (ec)
-                return;
-            answer_watch(*it->request, it->prefix, it->since);
-            watches_.erase(it);
+        auto const number = ++last_watch_;
+        watches_.emplace(number, pending_watch{request, prefix, since});
+        run_after(std::chrono::milliseconds(wait_ms), [this, number] {
+            if (auto const it = watches_.extract(number))
+                answer_watch(*it.mapped().request, it.mapped().prefix,
+                    it.mapped().since);
         });
     }
 
@@ -182,8 +178,7 @@
     {
         if (fault_ == platform_fault::stale)
             return;
-        for (auto& it : std::exchange(watches_, {})) {
-            it.timer->cancel();
+        for (auto const& [number, it] : std::exchange(watches_, {})) {
             if (fault_ == platform_fault::absent)
                 answer(*it.request, 503, "absent");
             else
@@ -195,7 +190,8 @@
     platform_state state_;
     platform_fault fault_ = platform_fault::none;
     std::uint64_t calls_ = 0;
-    std::list<pending_watch> watches_;
+    std::uint64_t last_watch_ = 0;
+    std::map<std::uint64_t, pending_watch> watches_;
     std::vector<restinio::request_handle_t> unanswered_;
 };
 
--- /dev/null
+++ b/tests/process/stand_in_platform_test.py
@@ -0,0 +1,50 @@
+"""The stand-in for the object service."""
+
+import http.client
+import threading
+import time
+import unittest
+
+from process_fixture import ProcessTest
+
+WATCHERS, WAIT_MS, DURATION_S = 24, 4, 3.0
+
+
+class StandInPlatformTest(ProcessTest):
+    def connect(self) -> http.client.HTTPConnection:
+        connection = http.client.HTTPConnection(
+            self.fleet.platform, timeout=2)
+        self.addCleanup(connection.close)
+        return connection
+
+    @staticmethod
+    def call(connection: http.client.HTTPConnection, method: str, path: str,
+             body: str | None = None) -> str:
+        connection.request(method, path, body)
+        return connection.getresponse().read().decode("utf-8")
+
+    def watch(self, end: float) -> None:
+        connection = self.connect()
+        while time.monotonic() < end:
+            self.call(connection, "GET",
+                      f"/watch/a?since=0&wait_ms={WAIT_MS}")
+
+    def test_watch_that_ends_as_it_is_answered_is_answered_once(self):
+        self.fleet.start_platform()
+        end = time.monotonic() + DURATION_S
+        threads = [threading.Thread(target=self.watch, args=(end,))
+                   for _ in range(WATCHERS)]
+        for it in threads:
+            it.start()
+        connection = self.connect()
+        while time.monotonic() < end:
+            # Ends all watches that wait.
+            self.call(connection, "POST", "/fault", "none")
+            time.sleep(WAIT_MS / 1000)
+        for it in threads:
+            it.join()
+        self.assertEqual(self.call(connection, "POST", "/fault", "none"), "ok")
+
+
+if __name__ == "__main__":
+    unittest.main()
