Deliver decisions of queued requests after the dispatcher's state is settled

What callers saw: the process ended (FAULT), and with it all requests that it had passed on (LOST), when a queued request was decided and the end of it started, withdrew or decided another one.

Cause: the dispatcher called callbacks in the middle of its own work. They call the dispatcher again: an answer starts the next request of the connection, a planned stop or a withdrawn key gives a slot back. - `serve_queue`, `adopt` and `apply_report` held references and iterators into a flat hash map that grows when a request for a new service comes. - `reject_expired` took a request out that a callback had just withdrawn. - A slot given back in a callback was given away inside it: one level of calls and one copy of the queue for each queued request.

Evidence: dispatch_callbacks_test on the code before, with AddressSanitizer: heap-use-after-free for rejection_, new_policy_ and report_may_start_requests; rejected_request_may_withdraw_the_next_one reads a null pointer (SEGV), which needs no sanitizer; callback_is_not_called_inside_another_one: depth 20, not 1.

Now decisions join a queue of the dispatcher, and each public function delivers them last, never inside another delivery. What is decided but not delivered can be withdrawn, which frees its slot. Services are in a container whose elements do not move.

--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "core/log.hpp"
 #include "servers/selection/cold_senders.hpp"
 
+#include <absl/cleanup/cleanup.h>
 #include <algorithm>
 
 namespace pomelohinge {
@@ -115,8 +116,8 @@
                 it.record.data_centre == data_centre_;
         }));
     set_cold_rates(now);
-    for (auto& [service, it] : services_)
-        serve_queue(service_id(service), now);
+    serve_queues(now);
+    deliver_decisions();
 }
 
 void dispatcher::rebuild_services()
@@ -193,10 +194,10 @@
                     {"source", "report"}, {"faults", reported->second.faults},
                     {"silences", reported->second.silences}});
     }
-    for (auto& [service, it] : services_) {
+    for (auto& [name, it] : services_)
         update_below_floor(it);
-        serve_queue(service_id(service), now);
-    }
+    serve_queues(now);
+    deliver_decisions();
 }
 
 // Observations.
@@ -316,6 +317,13 @@
 void dispatcher::attempt_ended(target_record const& target,
     attempt_result result, duration latency, time_point now,
     target_notice const& notice)
+{
+    end_attempt(target, result, latency, now, notice);
+    deliver_decisions();
+}
+
+void dispatcher::end_attempt(target_record const& target, attempt_result result,
+    duration latency, time_point now, target_notice const& notice)
 {
     auto& service = state_of(target.service);
     service.completions.add(now);
@@ -333,7 +341,7 @@
     }
     if (result == attempt_result::answered)
         baselines_.add_latency(target.service, latency);
-    serve_queue(target.service, now);
+    serve_queue(service, now);
 }
 
 void dispatcher::attempt_late(target_record const& target, time_point now)
@@ -449,49 +457,84 @@
         std::max<duration>(*first_end - now, min_retry_after)};
 }
 
-void dispatcher::withdraw(ticket id)
+void dispatcher::withdraw(ticket id, time_point now)
 {
-    auto const it = queued_requests_.find(id);
-    if (it == queued_requests_.end())
+    if (auto const queued = queued_requests_.find(id);
+        queued != queued_requests_.end()) {
+        state_of(queued->second.request.service).queue.remove(id);
+        queued_requests_.erase(queued);
+        return;
+    }
+    auto const it = std::find_if(decisions_.begin(), decisions_.end(),
+        [&](auto const& pending) { return pending.id == id; });
+    if (it == decisions_.end())
         return;
-    state_of(it->second.request.service).queue.remove(id);
-    queued_requests_.erase(it);
+    auto const decision = std::move(it->decision);
+    decisions_.erase(it);
+    if (auto const* const placed = std::get_if<placement>(&decision))
+        attempt_ended(
+            placed->target, attempt_result::cancelled, duration::zero(), now);
+}
+
+void dispatcher::add_decision(ticket id, placement_decision decision)
+{
+    auto const queued = queued_requests_.extract(id);
+    decisions_.push_back(
+        {id, std::move(decision), std::move(queued.mapped().on_decision)});
+}
+
+/// Calls the callbacks of the decided requests. They may call this class again,
+/// so each public function calls this last. Decisions that a callback causes
+/// are delivered by the outermost call.
+void dispatcher::deliver_decisions()
+{
+    if (is_delivering_)
+        return;
+    is_delivering_ = true;
+    absl::Cleanup const stop = [this] {
+        is_delivering_ = false;
+    };
+    while (!decisions_.empty()) {
+        auto next = std::move(decisions_.front());
+        decisions_.pop_front();
+        next.on_decision(std::move(next.decision));
+    }
 }
 
 void dispatcher::reject_expired(service_state& service, time_point now)
 {
-    for (auto const& it : service.queue.take_expired(now)) {
-        auto queued = queued_requests_.extract(it.id);
-        queued.mapped().on_decision(
+    for (auto const& it : service.queue.take_expired(now))
+        add_decision(it.id,
             placement_rejection{rejection_reason::overloaded, min_retry_after});
-    }
 }
 
-void dispatcher::serve_queue(service_id const& name, time_point now)
+void dispatcher::serve_queue(service_state& service, time_point now)
 {
-    auto& service = state_of(name);
     if (service.queue.empty())
         return;
     reject_expired(service, now);
     for (auto const& it : service.queue.ordered(now)) {
-        auto const queued = queued_requests_.find(it.id);
-        if (queued == queued_requests_.end())
-            continue;
-        auto const chosen = choose(service, queued->second.request, now);
+        auto const& request = queued_requests_.at(it.id).request;
+        auto const chosen = choose(service, request, now);
         if (chosen.target == nullptr) {
             // A request that excludes the targets it was already sent to may
             // find none, while a request behind it finds one.
-            if (queued->second.request.tried.empty())
+            if (request.tried.empty())
                 return;
             continue;
         }
-        auto decision = place(chosen, service, queued->second.request, now);
+        auto decision = place(chosen, service, request, now);
         service.queue.remove(it.id);
-        auto node = queued_requests_.extract(queued);
-        node.mapped().on_decision(std::move(decision));
+        add_decision(it.id, std::move(decision));
     }
 }
 
+void dispatcher::serve_queues(time_point now)
+{
+    for (auto& [name, it] : services_)
+        serve_queue(it, now);
+}
+
 void dispatcher::request_ended(service_id const& service, bool succeeded,
     std::optional<target_state> last_state)
 {
@@ -513,14 +556,10 @@
             update_below_floor(state_of(it->record().service));
     }
     forget_leaving(now);
-    std::vector<std::string> names;
-    for (auto& [name, it] : services_) {
+    for (auto& [name, it] : services_)
         update_failing_share(it, now);
-        if (!it.queue.empty())
-            names.push_back(name);
-    }
-    for (auto const& it : names)
-        serve_queue(service_id(it), now);
+    serve_queues(now);
+    deliver_decisions();
 }
 
 void dispatcher::forget_leaving(time_point now)
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -11,9 +11,11 @@
 #include "servers/selection/service_baselines.hpp"
 
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <unordered_map>
 #include <variant>
 
 namespace pomelohinge {
@@ -139,12 +141,14 @@
 
     /// Requests a target. Returns a decision, or the ticket of the queued
     /// request. `on_decision` is called only for a queued request: once, unless
-    /// the request is withdrawn before.
+    /// the request is withdrawn before. It may call any function of this class,
+    /// and is never called while another callback runs.
     std::variant<placement_decision, ticket> submit(placement_request request,
         decision_callback on_decision, time_point now);
 
-    /// Removes a queued request. Does nothing if it is no longer queued.
-    void withdraw(ticket id);
+    /// Removes a queued request, or frees its target if it has been placed but
+    /// its callback has not been called yet. Does nothing otherwise.
+    void withdraw(ticket id, time_point now);
 
     /// Records the end of an attempt at a target that was assigned, and what
     /// the target says of itself in the answer.
@@ -233,6 +237,14 @@
         decision_callback on_decision;
     };
 
+    /// A decision whose callback has not been called yet.
+    struct pending_decision
+    {
+        ticket id = 0;
+        placement_decision decision;
+        decision_callback on_decision;
+    };
+
     service_state& state_of(service_id const& service)
     {
         return services_[service.text()];
@@ -288,8 +300,13 @@
     duration expected_wait(service_state const& service, service_id const& name,
         std::size_t ahead, time_point now) const;
 
-    void serve_queue(service_id const& service, time_point now);
+    void end_attempt(target_record const& target, attempt_result result,
+        duration latency, time_point now, target_notice const& notice);
+    void serve_queue(service_state& service, time_point now);
+    void serve_queues(time_point now);
     void reject_expired(service_state& service, time_point now);
+    void add_decision(ticket id, placement_decision decision);
+    void deliver_decisions();
 
     target_charts const& charts_;
     vm_id self_;
@@ -305,9 +322,12 @@
     /// Targets that have said that they shut down. Kept when they leave the
     /// list, since an older list may bring them back.
     std::map<target_id, leaving_target> leaving_;
-    text_map<service_state> services_;
+    /// Its elements do not move, so references to them stay valid.
+    std::unordered_map<std::string, service_state> services_;
     service_baselines baselines_;
     std::map<ticket, queued_request> queued_requests_;
+    std::deque<pending_decision> decisions_;
+    bool is_delivering_ = false;
     ticket last_ticket_ = 0;
     std::vector<candidate> candidates_;
     std::vector<traffic_target*> eligible_;
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -356,7 +356,8 @@
     void leave_queue()
     {
         if (ticket_ != 0)
-            state().targets.withdraw(std::exchange(ticket_, 0));
+            state().targets.withdraw(
+                std::exchange(ticket_, 0), environment_.now());
     }
 
     void on_placement(placement_decision decision)
