Handle events that chart actions fire after the last action

What callers could see: a request that ended while the actions of a transition ran went on with the rest of them: it took a slot at a target that nobody gave back (LOST for those that wait for it).

Cause: `chart_instance::fire` handled an event at once when an action, or what an action called, fired it. The remaining actions then ran in a state that they do not belong to, such as `request_placement` in a final one.

Evidence: event_fired_by_an_action_is_handled_after_the_last_action on the code before: the second action ran in the state `shut` instead of `open`.

Now a chart runs to completion: such an event waits until the actions have run. Long chains of events no longer nest either.

--- a/core/chart.hpp
+++ b/core/chart.hpp
@@ -4,6 +4,7 @@
 #include "core/chart_text.hpp"
 #include "core/name_table.hpp"
 
+#include <absl/cleanup/cleanup.h>
 #include <array>
 #include <chrono>
 #include <concepts>
@@ -178,8 +179,8 @@
     std::array<state_entry, enum_count<state_type>> states_;
 };
 
-/// Whether an event caused a transition.
-enum class chart_step { ignored, transitioned };
+/// Whether an event caused a transition, or is handled after the current one.
+enum class chart_step { ignored, transitioned, deferred };
 
 /// The current state of one state machine that follows a chart. The chart must
 /// outlive it.
@@ -203,9 +204,29 @@
     auto const& timeout() const { return chart_->timeout_of(state_); }
 
     /// Takes the first transition for `event` whose guard holds. The state
-    /// changes before the actions run, so an action may fire further events.
+    /// changes before the actions run. An event that is fired while actions run
+    /// is handled after the last one of them, before the outer call returns.
     template <ChartContext<Definition> Context>
     chart_step fire(event_type event, Context& context)
+    {
+        if (is_firing_) {
+            deferred_.push_back(event);
+            return chart_step::deferred;
+        }
+        is_firing_ = true;
+        absl::Cleanup const stop = [this] {
+            is_firing_ = false;
+            deferred_.clear();
+        };
+        auto const step = take_transition(event, context);
+        for (std::size_t n = 0; n < deferred_.size(); ++n)
+            take_transition(deferred_[n], context);
+        return step;
+    }
+
+private:
+    template <ChartContext<Definition> Context>
+    chart_step take_transition(event_type event, Context& context)
     {
         for (auto const& it : chart_->transitions(state_, event)) {
             if (it.guard && !context.check(*it.guard))
@@ -218,9 +239,10 @@
         return chart_step::ignored;
     }
 
-private:
     chart_type const* chart_;
     state_type state_;
+    bool is_firing_ = false;
+    std::vector<event_type> deferred_;
 };
 
 } // namespace pomelohinge
--- a/tests/core/chart_test.cpp
+++ b/tests/core/chart_test.cpp
@@ -94,6 +94,36 @@
     EXPECT_EQ(door.state(), door_state::shut);
 }
 
+TEST_F(chart_test, event_fired_by_an_action_is_handled_after_the_last_action)
+{
+    struct pulling_context
+    {
+        chart_instance<door_chart>& door;
+        std::vector<door_state> states_at_rings;
+
+        bool check(door_guard) const { return true; }
+        void perform(door_action)
+        {
+            states_at_rings.push_back(door.state());
+            EXPECT_EQ(door.fire(door_event::pull, *this), chart_step::deferred);
+        }
+    };
+    auto const definition = load(R"({
+        "chart": "door", "initial": "shut",
+        "states": {
+            "shut": {"on": {"push": {"to": "open", "guard": "unlocked",
+                "do": ["ring", "ring"]}}},
+            "open": {"on": {"pull": {"to": "shut"}}}
+        }})");
+    ASSERT_TRUE(definition) << found_.to_text();
+    chart_instance<door_chart> door(*definition);
+    pulling_context context{door, {}};
+    EXPECT_EQ(door.fire(door_event::push, context), chart_step::transitioned);
+    EXPECT_EQ(context.states_at_rings,
+        (std::vector<door_state>{door_state::open, door_state::open}));
+    EXPECT_EQ(door.state(), door_state::shut);
+}
+
 TEST_F(chart_test, chart_with_several_errors_reports_all_with_their_lines)
 {
     EXPECT_FALSE(load(R"({
