Keep an unanswered attempt until another target has room

Cause: after the reroute delay the attempt was cancelled first, and another target asked for afterwards. If all others were full, the request was queued or refused, and its answer was lost; the cancelled attempt was not logged either.

Evidence: late_request_keeps_its_attempt_while_others_are_full on the code before: the attempt was cancelled at 500 ms.

Now the guard of the reroute reserves another target, and only then is the attempt cancelled; otherwise the reroute is considered again after 100 ms.

--- a/core/chart.hpp
+++ b/core/chart.hpp
@@ -200,6 +200,9 @@
     state_type state() const { return state_; }
     bool is_final() const { return chart_->is_final(state_); }
 
+    /// The event that is handled now, or was last.
+    event_type event() const { return event_; }
+
     /// The timeout of the current state, if it has one.
     auto const& timeout() const { return chart_->timeout_of(state_); }
 
@@ -228,6 +231,7 @@
     template <ChartContext<Definition> Context>
     chart_step take_transition(event_type event, Context& context)
     {
+        event_ = event;
         for (auto const& it : chart_->transitions(state_, event)) {
             if (it.guard && !context.check(*it.guard))
                 continue;
@@ -241,6 +245,7 @@
 
     chart_type const* chart_;
     state_type state_;
+    event_type event_{};
     bool is_firing_ = false;
     std::vector<event_type> deferred_;
 };
--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -457,6 +457,19 @@
         std::max<duration>(*first_end - now, min_retry_after)};
 }
 
+std::optional<placement> dispatcher::reserve(
+    placement_request const& request, time_point now)
+{
+    auto& service = state_of(request.service);
+    if (service.queue.count_ahead_of(request.priority) > 0)
+        return std::nullopt;
+    auto const chosen = choose(service, request, now);
+    if (chosen.target == nullptr)
+        return std::nullopt;
+    service.queue.add_arrival(request.priority, now);
+    return place(chosen, service, request, now);
+}
+
 void dispatcher::withdraw(ticket id, time_point now)
 {
     if (auto const queued = queued_requests_.find(id);
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -146,6 +146,11 @@
     std::variant<placement_decision, ticket> submit(placement_request request,
         decision_callback on_decision, time_point now);
 
+    /// Returns a target for a request that is not queued if there is none;
+    /// empty if no target has capacity or queued requests go before it.
+    std::optional<placement> reserve(
+        placement_request const& request, time_point now);
+
     /// Removes a queued request, or frees its target if it has been placed but
     /// its callback has not been called yet. Does nothing otherwise.
     void withdraw(ticket id, time_point now);
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -111,6 +111,10 @@
             return request_placement();
         case request_action::send:
             return send();
+        case request_action::send_to_reserved:
+            return send_to_reserved();
+        case request_action::schedule_reroute:
+            return schedule_reroute(statistics_.attempts, reroute_retry_delay);
         case request_action::cancel_attempt:
             return cancel_attempt();
         case request_action::leave_queue:
@@ -146,6 +150,10 @@
     /// short-term differences between VMs, which count grants separately.
     static constexpr duration max_charge_wait = std::chrono::milliseconds(150);
 
+    /// Delay until a reroute that was not possible is considered again.
+    static constexpr duration reroute_retry_delay =
+        std::chrono::milliseconds(100);
+
     /// Number of attempts beyond the route's limit that are allowed while
     /// attempts fail to connect.
     static constexpr std::size_t extra_unsent_attempts = 3;
@@ -335,14 +343,17 @@
                 admitted_.service.text(), environment_.now());
     }
 
-    void request_placement()
+    placement_request make_placement_request()
     {
-        placement_requested_at_ = environment_.now();
-        placement_request request{admitted_.service, admitted_.priority,
-            is_retryable(), tried_,
+        return {admitted_.service, admitted_.priority, is_retryable(), tried_,
             times_.start_deadline(
                 state().targets.median_latency(admitted_.service))};
-        auto decided = state().targets.submit(std::move(request),
+    }
+
+    void request_placement()
+    {
+        placement_requested_at_ = environment_.now();
+        auto decided = state().targets.submit(make_placement_request(),
             if_alive([this](placement_decision decision) {
                 ticket_ = 0;
                 on_placement(std::move(decision));
@@ -434,20 +445,37 @@
         auto const median = state().targets.median_latency(admitted_.service);
         if (median <= duration::zero())
             return;
-        auto const after = [&](duration wait, auto action) {
-            if (sent_at_ + wait < times_.deadline)
-                environment_.after(wait, if_alive([this, number, action] {
-                    if (number == statistics_.attempts && in_progress_)
-                        action();
-                }));
-        };
         attempt_delays const delays(median);
-        after(delays.late, [this] { mark_late(); });
-        after(delays.overdue, [this] {
+        after_unanswered(number, delays.late, [this] { mark_late(); });
+        after_unanswered(number, delays.overdue, [this] {
             state().targets.attempt_overdue(target_, environment_.now());
         });
         if (is_retryable())
-            after(delays.reroute, [this] { fire(request_event::reroute_due); });
+            schedule_reroute(number, delays.reroute);
+    }
+
+    /// Calls `action` after `wait` if the attempt is still unanswered then.
+    template <class Action>
+    void after_unanswered(std::size_t number, duration wait, Action action)
+    {
+        if (environment_.now() + wait < times_.deadline)
+            environment_.after(wait, if_alive([this, number, action] {
+                if (number == statistics_.attempts && in_progress_)
+                    action();
+            }));
+    }
+
+    void schedule_reroute(std::size_t number, duration wait)
+    {
+        after_unanswered(
+            number, wait, [this] { fire(request_event::reroute_due); });
+    }
+
+    void send_to_reserved()
+    {
+        reason_ = reserved_.reason;
+        target_ = std::move(reserved_.target);
+        send();
     }
 
     void mark_late()
@@ -522,15 +550,25 @@
     }
 
     /// Whether the unanswered attempt is cancelled and the request sent to
-    /// another target. If so, the retry is counted against the budget.
+    /// another target. If so, that target is reserved, and the retry is counted
+    /// against the budget.
     bool may_reroute()
     {
         auto const now = environment_.now();
         auto const median = state().targets.median_latency(admitted_.service);
         if (!in_progress_ || !is_retryable() ||
-            times_.deadline - now < median * 2 || !ends_before_stop(now))
+            times_.deadline - now <=
+                std::max<duration>(median * 2, answer_reserve) ||
+            !ends_before_stop(now) ||
+            check_key(environment_, message_.head, admitted_) !=
+                key_state::in_force)
             return false;
-        return state().retries.take(admitted_.service.text(), now);
+        auto reserved = state().targets.reserve(make_placement_request(), now);
+        if (!reserved)
+            return false;
+        reserved_ = *std::move(reserved);
+        state().retries.take(admitted_.service.text(), now);
+        return true;
     }
 
     void cancel_attempt()
@@ -538,6 +576,8 @@
         if (!in_progress_)
             return;
         environment_.cancel_upstream(upstream_call_);
+        log_attempt_cancelled(message_.head.request_id, statistics_.attempts,
+            target_.id, chart_.event(), environment_.now() - sent_at_);
         ++sent_attempts_;
         may_have_run_ = true;
         last_result_ = attempt_result::cancelled;
@@ -573,6 +613,8 @@
     std::vector<target_id> tried_;
     target_record target_;
     placement_reason reason_;
+    /// The target that a reroute goes to.
+    placement reserved_;
 
     /// Identifies the current call of `send_upstream`.
     std::uint64_t upstream_call_ = 0;
--- a/servers/requests/request_chart.hpp
+++ b/servers/requests/request_chart.hpp
@@ -89,6 +89,10 @@
     charge_rate,
     request_placement,
     send,
+    /// Sends to the target that the reroute has reserved.
+    send_to_reserved,
+    /// Checks later whether a reroute is possible.
+    schedule_reroute,
     cancel_attempt,
     leave_queue,
     refund_charge,
@@ -107,6 +111,8 @@
         {request_action::charge_rate, "charge_rate"},
         {request_action::request_placement, "request_placement"},
         {request_action::send, "send"},
+        {request_action::send_to_reserved, "send_to_reserved"},
+        {request_action::schedule_reroute, "schedule_reroute"},
         {request_action::cancel_attempt, "cancel_attempt"},
         {request_action::leave_queue, "leave_queue"},
         {request_action::refund_charge, "refund_charge"},
--- a/servers/requests/request_log.cpp
+++ b/servers/requests/request_log.cpp
@@ -58,6 +58,16 @@
             {"reused", end.reused ? 1 : 0}, {"ms", to_milliseconds(elapsed)}});
 }
 
+void log_attempt_cancelled(std::string const& request, std::size_t number,
+    target_id const& target, request_event cause, duration elapsed)
+{
+    log(log_event::attempt_ended,
+        {{"request", request}, {"attempt", number}, {"target", target.text()},
+            {"result", to_name(attempt_result::cancelled)},
+            {"cause", to_name(cause)}, {"status", 0},
+            {"ms", to_milliseconds(elapsed)}});
+}
+
 void log_request_ended(std::string const& request, entry_result const& result,
     request_summary const& summary)
 {
--- a/servers/requests/request_log.hpp
+++ b/servers/requests/request_log.hpp
@@ -4,6 +4,7 @@
 #include "servers/dispatch/dispatcher.hpp"
 #include "servers/limits/organisation_limits.hpp"
 #include "servers/requests/entry_environment.hpp"
+#include "servers/requests/request_chart.hpp"
 
 /// The log lines of one request; docs/EVENTS.md documents them.
 namespace pomelohinge {
@@ -41,6 +42,10 @@
 void log_attempt_ended(std::string const& request, std::size_t number,
     target_id const& target, attempt_end const& end, duration elapsed);
 
+/// Logs that this VM has cancelled an attempt, since `cause` has happened.
+void log_attempt_cancelled(std::string const& request, std::size_t number,
+    target_id const& target, request_event cause, duration elapsed);
+
 void log_request_ended(std::string const& request, entry_result const& result,
     request_summary const& summary);
 
--- a/tests/servers/entry_request_test.cpp
+++ b/tests/servers/entry_request_test.cpp
@@ -88,6 +88,8 @@
     void write_record(idempotency_record const&) {}
     void remove_record(idempotency_record const&) {}
 
+    bool has_attempt() const { return in_progress_ != nullptr; }
+
     /// Ends the current attempt.
     void end_attempt(attempt_result result, int status = 0)
     {
@@ -356,6 +358,41 @@
     EXPECT_EQ(answered_status(), 500) << "it does not wait for another target";
 }
 
+/// Late requests were cancelled for a reroute and then refused as `unknown`,
+/// since no other target had room.
+TEST_F(entry_request_test, late_request_keeps_its_attempt_while_others_are_full)
+{
+    environment_.set_targets({"t1", "t2"});
+    play_answered("GET", "/look/1", 100ms);
+    constexpr int other_slots = 7;
+    for (int it = 0; it < other_slots; ++it)
+        begin("POST", "/pay/1");
+    begin("GET", "/look/1");
+    auto const sent = environment_.sent().size();
+    environment_.advance(1s);
+    EXPECT_EQ(environment_.sent().size(), sent);
+    ASSERT_FALSE(result_);
+    ASSERT_TRUE(environment_.has_attempt()) << "it was cancelled";
+    environment_.end_attempt(attempt_result::answered, 200);
+    EXPECT_EQ(answered_status(), 200);
+}
+
+TEST_F(entry_request_test, late_request_is_rerouted_once_another_has_room)
+{
+    environment_.set_targets({"t1", "t2"});
+    play_answered("GET", "/look/1", 100ms);
+    constexpr int other_slots = 7;
+    for (int it = 0; it < other_slots; ++it)
+        begin("POST", "/pay/1");
+    begin("GET", "/look/1");
+    environment_.advance(700ms);
+    environment_.set_targets({"t1", "t2", "t3"});
+    environment_.advance(150ms);
+    EXPECT_EQ(environment_.sent().back(), "t3");
+    environment_.end_attempt(attempt_result::answered, 200);
+    EXPECT_EQ(answered_status(), 200);
+}
+
 TEST_F(entry_request_test, late_request_is_not_rerouted_shortly_before_the_stop)
 {
     environment_.set_targets({"t1", "t2"});
