--- a/core/chart.hpp
+++ b/core/chart.hpp
@@ -4,6 +4,7 @@
 #include "core/chart_text.hpp"
 #include "core/name_table.hpp"
 
+#include <absl/cleanup/cleanup.h>
 #include <array>
 #include <chrono>
 #include <concepts>
@@ -178,8 +179,8 @@
     std::array<state_entry, enum_count<state_type>> states_;
 };
 
-/// Whether an event caused a transition.
-enum class chart_step { ignored, transitioned };
+/// Whether an event caused a transition, or is handled after the current one.
+enum class chart_step { ignored, transitioned, deferred };
 
 /// The current state of one state machine that follows a chart. The chart must
 /// outlive it.
@@ -199,14 +200,38 @@
     state_type state() const { return state_; }
     bool is_final() const { return chart_->is_final(state_); }
 
+    /// The event that is handled now, or was last.
+    event_type event() const { return event_; }
+
     /// The timeout of the current state, if it has one.
     auto const& timeout() const { return chart_->timeout_of(state_); }
 
     /// Takes the first transition for `event` whose guard holds. The state
-    /// changes before the actions run, so an action may fire further events.
+    /// changes before the actions run. An event that is fired while actions run
+    /// is handled after the last one of them, before the outer call returns.
     template <ChartContext<Definition> Context>
     chart_step fire(event_type event, Context& context)
     {
+        if (is_firing_) {
+            deferred_.push_back(event);
+            return chart_step::deferred;
+        }
+        is_firing_ = true;
+        absl::Cleanup const stop = [this] {
+            is_firing_ = false;
+            deferred_.clear();
+        };
+        auto const step = take_transition(event, context);
+        for (std::size_t n = 0; n < deferred_.size(); ++n)
+            take_transition(deferred_[n], context);
+        return step;
+    }
+
+private:
+    template <ChartContext<Definition> Context>
+    chart_step take_transition(event_type event, Context& context)
+    {
+        event_ = event;
         for (auto const& it : chart_->transitions(state_, event)) {
             if (it.guard && !context.check(*it.guard))
                 continue;
@@ -218,9 +243,11 @@
         return chart_step::ignored;
     }
 
-private:
     chart_type const* chart_;
     state_type state_;
+    event_type event_{};
+    bool is_firing_ = false;
+    std::vector<event_type> deferred_;
 };
 
 } // namespace pomelohinge
