Send answers whole to callers that read slowly

Callers that read a large answer slowly lost the rest of it: RESTinio limits the writing of a whole answer to its default of 5 s, a request counted as answered before its answer was written, so that a planned stop ended the process meanwhile, and a connection that closes behind its answer was reset if the caller had sent further bytes, which discards what is on its way.

Answers count as open until they are written, those that close the connection until the caller has received them. Writing has the limit of handling; a caller that takes no byte for 60 s is disconnected by TCP_USER_TIMEOUT. A connection is closed by the end of the stream first, and its input is skipped until the caller closes it or a second after it has received all.

--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -12,6 +12,7 @@
 #include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <netinet/tcp.h>
 
 namespace pomelohinge {
 
@@ -84,8 +85,9 @@
             server_->close_sync();
     }
 
-    /// The number of requests that are not answered yet.
-    std::size_t open_requests() const { return open_requests_; }
+    /// The number of requests without an answer, or with one that is still
+    /// being sent.
+    std::size_t open_requests() const { return open_requests_ + *unsent_; }
 
 private:
     /// Limits on the head of a request. RESTinio closes the connection of a
@@ -106,6 +108,11 @@
 
     static constexpr auto idle_timeout = std::chrono::seconds(120);
     static constexpr auto handling_timeout = std::chrono::minutes(11);
+    /// Limit on writing a whole answer. A caller may read slowly, but steadily;
+    /// one that reads nothing is disconnected by `stall_timeout`.
+    static constexpr auto write_timeout = handling_timeout;
+    /// Time for which a caller may take none of the bytes sent to it.
+    static constexpr auto stall_timeout = std::chrono::seconds(60);
     /// How often connections are checked for these timeouts. Each check wakes
     /// the thread once per connection.
     static constexpr auto timeout_check_period = std::chrono::seconds(20);
@@ -123,6 +130,8 @@
     {
         using reuse_port =
             asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+        using user_timeout =
+            asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
         restinio::server_settings_t<traits> settings;
         settings.address(endpoint.address())
             .port(endpoint.port())
@@ -130,6 +139,7 @@
             .max_pipelined_requests(max_pipelined_requests)
             .read_next_http_message_timelimit(idle_timeout)
             .handle_request_timeout(handling_timeout)
+            .write_http_response_timelimit(write_timeout)
             .incoming_http_msg_limits(
                 restinio::incoming_http_msg_limits_t{}
                     .max_url_size(max_url_bytes)
@@ -144,6 +154,8 @@
             })
             .socket_options_setter([](auto& options) {
                 options.set_option(asio::ip::tcp::no_delay(true));
+                options.set_option(user_timeout(static_cast<int>(
+                    std::chrono::milliseconds(stall_timeout).count())));
             })
             .request_handler([this](request_handle request) {
                 return handle(std::move(request));
@@ -309,6 +321,15 @@
             response.append_header(it.name, it.value);
     }
 
+    /// Counts an answer as unsent while the returned object exists.
+    std::shared_ptr<void> make_unsent_answer()
+    {
+        ++*unsent_;
+        return {nullptr, [n = unsent_](std::nullptr_t) {
+                    --*n;
+                }};
+    }
+
     /// Sends the answer. `charge` is returned once it is written.
     template <class Response>
     void finish(open_request const& it, Response& response, std::string body,
@@ -317,15 +338,19 @@
         auto& pipeline = it.connection->pipeline();
         if (closing_)
             pipeline.stop();
-        if (pipeline.is_last(it.number))
+        auto unsent = make_unsent_answer();
+        if (pipeline.is_last(it.number)) {
             response.connection_close();
+            it.connection->set_last_answer(unsent);
+        }
         auto const bytes = body.size();
         response.set_body(std::move(body));
-        if (charge)
-            response.done([held = std::make_shared<buffer_charge>(
-                               std::move(charge))](auto const&) {});
-        else
-            response.done();
+        response.done([unsent = std::move(unsent),
+                          held = std::make_shared<buffer_charge>(
+                              std::move(charge))](auto const&) mutable {
+            unsent = nullptr;
+            held = nullptr;
+        });
         pipeline.answered(it.number, bytes, boottime_clock::now());
     }
 
@@ -334,6 +359,9 @@
     front_limits limits_;
     std::unique_ptr<server> server_;
     std::size_t open_requests_ = 0;
+    /// Answers that are not sent yet. The sockets that send them may outlive
+    /// the server.
+    std::shared_ptr<std::size_t> unsent_ = std::make_shared<std::size_t>(0);
     bool closing_ = false;
 };
 
--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -3,14 +3,20 @@
 
 #include "servers/requests/request_pipeline.hpp"
 
+#include <array>
 #include <asio/associated_executor.hpp>
 #include <asio/bind_executor.hpp>
+#include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
+#include <linux/sockios.h>
 #include <map>
 #include <memory>
 #include <string>
+#include <sys/ioctl.h>
 #include <utility>
 
 namespace pomelohinge {
@@ -42,6 +48,15 @@
     /// When the requests received on the connection start.
     request_pipeline& pipeline() { return pipeline_; }
 
+    /// Keeps `answer` open until the caller has received all that was written.
+    void set_last_answer(std::shared_ptr<void> answer)
+    {
+        last_answer_ = std::move(answer);
+    }
+
+    /// Records that the caller has received all that was written.
+    void mark_delivered() { last_answer_ = nullptr; }
+
     /// Whether the caller has closed the connection.
     bool is_closed() const { return closed_; }
 
@@ -81,6 +96,76 @@
     bool closed_ = false;
     std::map<std::uint64_t, std::function<void()>> on_closed_;
     request_pipeline pipeline_;
+    std::shared_ptr<void> last_answer_;
+};
+
+/// Closes a connection once the caller has received what was written to it.
+/// Closing a socket with unread bytes, or one that receives further ones, sends
+/// a reset, which may discard the answer on its way. So this sends the end of
+/// the stream and skips what the caller still sends, until the caller closes
+/// the connection or a time limit has passed.
+class lingering_close : public std::enable_shared_from_this<lingering_close>
+{
+public:
+    lingering_close(
+        asio::ip::tcp::socket socket, std::shared_ptr<connection_state> state)
+        : socket_(std::move(socket)), timer_(socket_.get_executor()),
+          state_(std::move(state))
+    {
+    }
+
+    void start()
+    {
+        skip_input();
+        check_delivery();
+    }
+
+private:
+    static constexpr std::chrono::milliseconds check_period{50};
+    /// Time that a caller has to close its side after it has received all.
+    static constexpr int max_checks_after_delivery = 20;
+
+    void skip_input()
+    {
+        socket_.async_read_some(asio::buffer(input_),
+            [self = shared_from_this()](asio::error_code ec, std::size_t) {
+                if (!ec)
+                    return self->skip_input();
+                self->timer_.cancel();
+                self->state_->mark_delivered();
+            });
+    }
+
+    /// A caller that stops reading ends this by the timeout of the socket.
+    void check_delivery()
+    {
+        int unsent_bytes = 0;
+        bool const delivered =
+            ::ioctl(socket_.native_handle(), SIOCOUTQ, &unsent_bytes) != 0 ||
+            unsent_bytes == 0;
+        if (delivered) {
+            state_->mark_delivered();
+            if (++checks_after_delivery_ > max_checks_after_delivery)
+                return close();
+        }
+        timer_.expires_after(check_period);
+        timer_.async_wait([self = shared_from_this()](asio::error_code ec) {
+            if (!ec)
+                self->check_delivery();
+        });
+    }
+
+    void close()
+    {
+        asio::error_code ec;
+        socket_.close(ec);
+    }
+
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_;
+    std::shared_ptr<connection_state> state_;
+    std::array<char, 4096> input_{};
+    int checks_after_delivery_ = 0;
 };
 
 /// The complete HTTP response to a request that cannot be parsed.
@@ -149,11 +234,21 @@
 
     /// RESTinio calls this before it closes a connection, so a refusal can
     /// still be sent here.
-    void shutdown(shutdown_type type, asio::error_code& ec)
+    void shutdown(shutdown_type, asio::error_code& ec)
     {
         if (state_->needs_refusal())
             refuse_unparsable();
-        base::shutdown(type, ec);
+        base::shutdown(shutdown_send, ec);
+    }
+
+    void close()
+    {
+        asio::error_code ec;
+        if (!is_open() || state_->is_closed())
+            return static_cast<void>(base::close(ec));
+        base::cancel(ec);
+        std::make_shared<lingering_close>(static_cast<base&&>(*this), state_)
+            ->start();
     }
 
 private:
@@ -178,13 +273,6 @@
         asio::error_code ec;
         base::non_blocking(true, ec);
         base::write_some(asio::buffer(unparsable_refusal()), ec);
-        base::shutdown(shutdown_send, ec);
-        // Closing a socket with unread bytes sends a reset, which may discard
-        // the refusal before the caller has read it.
-        constexpr std::size_t max_reads = 64;
-        std::array<char, 16384> buf;
-        for (std::size_t n = 0; n < max_reads && !ec; ++n)
-            base::read_some(asio::buffer(buf), ec);
     }
 
     std::shared_ptr<connection_state> state_;
--- /dev/null
+++ b/tests/drivers/front_connection_test.cpp
@@ -0,0 +1,169 @@
+#include "drivers/front/front_server.hpp"
+#include "drivers/front/http_messages.hpp"
+#include "tests/drivers/loopback_address.hpp"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <future>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace pomelohinge {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A front server on loopback whose answers are larger than the buffers of a
+/// socket. Requests by POST must run only once.
+class front_connection_test : public testing::Test
+{
+protected:
+    static constexpr std::uint16_t port = 18080;
+    static constexpr std::size_t answer_bytes = 24 << 20;
+    /// Fits into the buffers of both sockets, but not into the caller's.
+    static constexpr std::size_t medium_answer_bytes = 3 << 20;
+
+    front_connection_test()
+        : front_(context_,
+              {[this](incoming_request message,
+                   std::function<void(entry_result)> done) {
+                   return handle(std::move(message), std::move(done));
+               },
+                  [](request_head const& head) { return head.method == "GET"; },
+                  [](data_centre_id const&) {
+                      return entry_answer{};
+                  }},
+              {}),
+          work_guard_(context_.get_executor())
+    {
+        auto const status =
+            front_.listen(loopback_address() + ":" + std::to_string(port));
+        EXPECT_TRUE(status.ok()) << status.message();
+        thread_ = std::thread([this] { context_.run(); });
+    }
+
+    ~front_connection_test() override
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    std::function<void()> handle(
+        incoming_request message, std::function<void(entry_result)> done)
+    {
+        if (message.head.target == "/large")
+            done(upstream_answer{200, {}, std::string(answer_bytes, 'a')});
+        else if (message.head.target == "/medium")
+            done(upstream_answer{
+                200, {}, std::string(medium_answer_bytes, 'a')});
+        else
+            done(upstream_answer{200, {}, "small"});
+        return [] {
+        };
+    }
+
+    asio::ip::tcp::socket connect()
+    {
+        asio::ip::tcp::socket socket(caller_context_);
+        socket.connect({asio::ip::make_address(loopback_address()), port});
+        return socket;
+    }
+
+    static void send(asio::ip::tcp::socket& socket, std::string const& bytes)
+    {
+        asio::write(socket, asio::buffer(bytes));
+    }
+
+    /// Reads until the connection ends; returns the size of the body.
+    static std::size_t read_body(asio::ip::tcp::socket& socket)
+    {
+        asio::error_code ec;
+        std::string answer;
+        asio::read(socket, asio::dynamic_buffer(answer), ec);
+        auto const at = answer.find("\r\n\r\n");
+        return at == std::string::npos ? 0 : answer.size() - at - 4;
+    }
+
+    /// The number of open requests, read on the server's thread.
+    std::size_t open_requests()
+    {
+        std::promise<std::size_t> n;
+        asio::post(context_, [&] { n.set_value(front_.open_requests()); });
+        return n.get_future().get();
+    }
+
+    /// Waits until no request is open.
+    bool await_no_open_request()
+    {
+        for (int n = 0; n < 100; ++n) {
+            if (open_requests() == 0)
+                return true;
+            std::this_thread::sleep_for(50ms);
+        }
+        return false;
+    }
+
+    asio::io_context context_{1};
+    asio::io_context caller_context_{1};
+    front_server<native_front_dialect> front_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_guard_;
+    std::thread thread_;
+};
+
+TEST_F(front_connection_test, answer_that_is_being_written_is_open)
+{
+    auto socket = connect();
+    send(socket, "GET /large HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    std::this_thread::sleep_for(300ms);
+    EXPECT_EQ(open_requests(), 1u);
+    EXPECT_EQ(read_body(socket), answer_bytes);
+    EXPECT_TRUE(await_no_open_request());
+}
+
+TEST_F(front_connection_test, answer_to_caller_that_leaves_is_not_open)
+{
+    {
+        auto socket = connect();
+        send(socket, "GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
+        std::this_thread::sleep_for(300ms);
+    }
+    EXPECT_TRUE(await_no_open_request());
+}
+
+TEST_F(front_connection_test, answer_is_whole_if_caller_stalls_for_long)
+{
+    auto socket = connect();
+    send(socket, "GET /large HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    std::this_thread::sleep_for(26s);
+    EXPECT_EQ(read_body(socket), answer_bytes);
+}
+
+TEST_F(front_connection_test, request_that_crosses_close_does_not_cut_answer)
+{
+    auto socket = connect();
+    send(socket, "GET /large HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    std::string const crossing(256 << 10, 'b');
+    send(socket,
+        "POST /small HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+            std::to_string(crossing.size()) + "\r\n\r\n" + crossing);
+    // The server has written all that it can and the request has arrived.
+    std::this_thread::sleep_for(300ms);
+    EXPECT_EQ(read_body(socket), answer_bytes);
+}
+
+TEST_F(front_connection_test, request_that_crosses_close_does_not_cut_tail)
+{
+    auto socket = connect();
+    send(
+        socket, "GET /medium HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    std::this_thread::sleep_for(300ms);
+    // The whole answer is in the buffers of the sockets.
+    send(socket, "GET /small HTTP/1.1\r\nHost: x\r\n\r\n");
+    std::this_thread::sleep_for(300ms);
+    EXPECT_EQ(read_body(socket), medium_answer_bytes);
+}
+
+} // namespace
+} // namespace pomelohinge
