Do not send on a kept connection that the target has closed

Callers got 502 for orders, with an unknown outcome, when a target closed a kept connection without a word: the end of the connection lay unread in the socket while the thread was busy, and the pool wrote the next request into it. Bytes that a target sent between two answers were read as the next one's.

The pool looks into the socket before it uses a kept connection; with an end, an error or unread bytes in it, it takes another connection. A close that is still under way can't be seen and remains a 502.

Before: connection_that_target_has_closed_is_not_reused lost the first reuse (49 connections for 50 exchanges; after the loss the pool limits reuse), and connection_with_unexpected_bytes_is_not_reused took the stray bytes for the second answer (1 connection, not 2). Both pass now.

--- a/drivers/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -13,6 +13,8 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <cerrno>
+#include <sys/socket.h>
 #include <vector>
 
 namespace pomelohinge {
@@ -115,6 +117,16 @@
     time_point idle_since() const { return idle_since_; }
     time_point expires_at() const { return idle_since_ + idle_timeout_; }
 
+    /// Whether the upstream has neither closed the connection nor sent bytes
+    /// while it was idle. The pending read may not have reported that yet.
+    bool is_usable()
+    {
+        char byte = 0;
+        return ::recv(socket_.native_handle(), &byte, 1,
+                   MSG_PEEK | MSG_DONTWAIT) < 0 &&
+            (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
     /// Starts an exchange; connects first unless the connection is reused.
     void begin(std::uint64_t id, exchange_call call, callback on_end)
     {
@@ -411,16 +423,22 @@
     std::string const& address, duration max_idle)
 {
     auto const list = idle_.find(address);
-    if (list == idle_.end() || list->second.empty())
+    if (list == idle_.end())
         return nullptr;
-    // The most recently used connection is the least likely to be closed by
-    // the upstream.
-    auto it = list->second.back();
+    auto& connections = list->second;
     auto const now = boottime_clock::now();
-    if (now >= it->expires_at() || now - it->idle_since() > max_idle)
-        return nullptr;
-    list->second.pop_back();
-    return it;
+    while (!connections.empty()) {
+        // The most recently used connection is the least likely to be closed
+        // by the upstream.
+        auto it = connections.back();
+        if (now >= it->expires_at() || now - it->idle_since() > max_idle)
+            return nullptr;
+        connections.pop_back();
+        if (it->is_usable())
+            return it;
+        it->close();
+    }
+    return nullptr;
 }
 
 void connection_pool::detail::keep_idle(connection_pointer it)
--- /dev/null
+++ b/tests/drivers/connection_pool_test.cpp
@@ -0,0 +1,70 @@
+#include "drivers/http/connection_pool.hpp"
+#include "tests/drivers/scripted_target.hpp"
+
+#include <gtest/gtest.h>
+
+namespace pomelohinge {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A pool whose thread is busy while a target acts on an idle connection.
+class connection_pool_test : public testing::Test
+{
+protected:
+    static constexpr auto answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+    /// Runs an exchange to its end.
+    exchange_end run_exchange(scripted_target const& target)
+    {
+        exchange_call call;
+        call.address = target.address();
+        call.head = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+        call.timeout = 2s;
+        std::optional<exchange_end> end;
+        pool_.start(std::move(call), [&](exchange_result it) { end = it.end; });
+        while (!end)
+            context_.run_one();
+        return *end;
+    }
+
+    buffer_budget buffers_{1 << 20};
+    asio::io_context context_{1};
+    connection_pool pool_{context_, buffers_};
+};
+
+TEST_F(connection_pool_test, connection_that_target_has_closed_is_not_reused)
+{
+    scripted_target const target([](target_connection& it) {
+        it.read_head();
+        it.write(answer);
+        it.shut_down();
+    });
+    constexpr int exchanges = 50;
+    int answered = 0;
+    for (int n = 0; n < exchanges; ++n) {
+        answered += run_exchange(target) == exchange_end::answered ? 1 : 0;
+        std::this_thread::sleep_for(5ms);
+    }
+    EXPECT_EQ(answered, exchanges);
+    EXPECT_EQ(target.accepted(), exchanges);
+}
+
+TEST_F(connection_pool_test, connection_with_unexpected_bytes_is_not_reused)
+{
+    scripted_target const target([](target_connection& it) {
+        while (!it.read_head().empty()) {
+            it.write(answer);
+            std::this_thread::sleep_for(5ms);
+            it.write(answer);
+        }
+    });
+    EXPECT_EQ(run_exchange(target), exchange_end::answered);
+    std::this_thread::sleep_for(50ms);
+    EXPECT_EQ(run_exchange(target), exchange_end::answered);
+    EXPECT_EQ(target.accepted(), 2);
+}
+
+} // namespace
+} // namespace pomelohinge
