Accept the queued connections before listening stops

Callers whose connection was established but not yet accepted were reset without an answer when a planned stop closed the listening socket, also if their request had arrived whole. With several traffic threads, each has a queue of its own.

The listening socket stays open while its queue holds a connection, for 500 ms at most, and the requests on these connections are answered as any others of the stop. A connection that is established between the last look at the queue and the close is still reset; nothing short of the kernel can prevent that.

--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -10,9 +10,12 @@
 
 #include <absl/status/status.h>
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <functional>
 #include <memory>
 #include <netinet/tcp.h>
+#include <poll.h>
 
 namespace pomelohinge {
 
@@ -78,11 +81,10 @@
     /// Makes every further answer close its connection.
     void close_connections_after_answers() { closing_ = true; }
 
-    /// Stops accepting connections.
+    /// Accepts the connections that are established and then stops listening.
     void stop_listening()
     {
-        if (server_ != nullptr)
-            server_->close_sync();
+        stop_listening_before(boottime_clock::now() + max_accept_time);
     }
 
     /// The number of requests without an answer, or with one that is still
@@ -117,6 +119,10 @@
     /// the thread once per connection.
     static constexpr auto timeout_check_period = std::chrono::seconds(20);
 
+    /// Limit on accepting connections before listening stops, since new ones
+    /// may be established all the time.
+    static constexpr duration max_accept_time = std::chrono::milliseconds(500);
+
     struct traits : restinio::default_single_thread_traits_t
     {
         using stream_socket_t = front_socket;
@@ -152,6 +158,8 @@
                     asio::ip::tcp::acceptor::reuse_address(true));
                 options.set_option(reuse_port(true));
             })
+            .acceptor_post_bind_hook(
+                [this](auto& acceptor) { acceptor_ = &acceptor; })
             .socket_options_setter([](auto& options) {
                 options.set_option(asio::ip::tcp::no_delay(true));
                 options.set_option(user_timeout(static_cast<int>(
@@ -163,6 +171,27 @@
         return settings;
     }
 
+    /// Closing the listening socket resets the connections in its queue, so it
+    /// stays open while RESTinio accepts them, one for each call.
+    void stop_listening_before(time_point deadline)
+    {
+        if (server_ == nullptr)
+            return;
+        if (has_queued_connection() && boottime_clock::now() < deadline)
+            return asio::post(context_,
+                [this, deadline] { stop_listening_before(deadline); });
+        server_->close_sync();
+        acceptor_ = nullptr;
+    }
+
+    bool has_queued_connection() const
+    {
+        if (acceptor_ == nullptr || !acceptor_->is_open())
+            return false;
+        pollfd queue{acceptor_->native_handle(), POLLIN, 0};
+        return ::poll(&queue, 1, 0) > 0;
+    }
+
     /// A received request and the connection that it was received on.
     struct open_request
     {
@@ -358,6 +387,8 @@
     front_handlers handlers_;
     front_limits limits_;
     std::unique_ptr<server> server_;
+    /// The listening socket of `server_`.
+    asio::ip::tcp::acceptor* acceptor_ = nullptr;
     std::size_t open_requests_ = 0;
     /// Answers that are not sent yet. The sockets that send them may outlive
     /// the server.
--- a/tests/drivers/front_connection_test.cpp
+++ b/tests/drivers/front_connection_test.cpp
@@ -165,5 +165,30 @@
     EXPECT_EQ(read_body(socket), medium_answer_bytes);
 }
 
+TEST_F(front_connection_test,
+    request_on_connection_that_waits_for_accept_is_answered)
+{
+    constexpr std::size_t callers = 40;
+    std::promise<void> blocked;
+    asio::post(context_, [&] { blocked.get_future().wait(); });
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (std::size_t n = 0; n < callers; ++n) {
+        sockets.push_back(connect());
+        send(sockets.back(),
+            "POST /small HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+            "Content-Length: 0\r\n\r\n");
+    }
+    asio::post(context_, [this] { front_.stop_listening(); });
+    blocked.set_value();
+    std::size_t answered = 0;
+    for (auto& it : sockets)
+        answered += read_body(it) == 5 ? 1 : 0;
+    EXPECT_EQ(answered, callers);
+    asio::ip::tcp::socket late(caller_context_);
+    asio::error_code ec;
+    late.connect({asio::ip::make_address(loopback_address()), port}, ec);
+    EXPECT_EQ(ec, asio::error::connection_refused);
+}
+
 } // namespace
 } // namespace pomelohinge
