Answer Expect: 100-continue

A caller that sends "Expect: 100-continue" and waits got no answer, and curl waited for a second before each large body: RESTinio reads requests whole and ignores the header.

The socket looks for the expectation in the head of the request that is being received and writes the interim answer once all earlier requests on the connection are answered. HTTP/1.0 requests get none. A request whose head arrives in the same read as the end of the one before it gets none either; its caller continues after its own delay.

--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -350,12 +350,16 @@
             response.append_header(it.name, it.value);
     }
 
-    /// Counts an answer as unsent while the returned object exists.
-    std::shared_ptr<void> make_unsent_answer()
+    /// Counts an answer of a connection as unsent while the returned object
+    /// exists.
+    std::shared_ptr<void> make_unsent_answer(
+        std::shared_ptr<std::size_t> const& of_connection)
     {
         ++*unsent_;
-        return {nullptr, [n = unsent_](std::nullptr_t) {
+        ++*of_connection;
+        return {nullptr, [n = unsent_, of_connection](std::nullptr_t) {
                     --*n;
+                    --*of_connection;
                 }};
     }
 
@@ -367,7 +371,7 @@
         auto& pipeline = it.connection->pipeline();
         if (closing_)
             pipeline.stop();
-        auto unsent = make_unsent_answer();
+        auto unsent = make_unsent_answer(it.connection->unsent_answers());
         if (pipeline.is_last(it.number)) {
             response.connection_close();
             it.connection->set_last_answer(unsent);
--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -1,6 +1,7 @@
 #ifndef POMELOHINGE_DRIVERS_FRONT_FRONT_SOCKET_HPP
 #define POMELOHINGE_DRIVERS_FRONT_FRONT_SOCKET_HPP
 
+#include "drivers/front/expect_continue.hpp"
 #include "servers/requests/request_pipeline.hpp"
 
 #include <array>
@@ -16,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <sys/ioctl.h>
 #include <utility>
 
@@ -30,7 +32,11 @@
 {
 public:
     /// Marks the bytes received so far as those of a complete request.
-    void mark_received() { unhandled_bytes_ = 0; }
+    void mark_received()
+    {
+        unhandled_bytes_ = 0;
+        expect_continue_.request_received();
+    }
 
     /// Registers a request that runs and returns its id. `on_closed` is called
     /// if the caller closes the connection before `end_request`.
@@ -61,7 +67,27 @@
     bool is_closed() const { return closed_; }
 
     /// Counts received bytes until a request handler has taken them.
-    void add_received(std::size_t bytes) { unhandled_bytes_ += bytes; }
+    void add_received(std::string_view bytes)
+    {
+        unhandled_bytes_ += bytes.size();
+        expect_continue_.add(bytes);
+    }
+
+    /// Whether the caller waits for a "100 Continue", which belongs behind the
+    /// answers to its earlier requests.
+    bool is_continue_due() const
+    {
+        return expect_continue_.is_due() && pipeline_.empty() &&
+            *unsent_answers_ == 0;
+    }
+
+    void mark_continue_sent() { expect_continue_.mark_sent(); }
+
+    /// The number of answers that are being written.
+    std::shared_ptr<std::size_t> const& unsent_answers() const
+    {
+        return unsent_answers_;
+    }
 
     /// Marks the connection as closed by the caller and calls `on_closed` of
     /// every registered request.
@@ -97,6 +123,9 @@
     std::map<std::uint64_t, std::function<void()>> on_closed_;
     request_pipeline pipeline_;
     std::shared_ptr<void> last_answer_;
+    std::shared_ptr<std::size_t> unsent_answers_ =
+        std::make_shared<std::size_t>(0);
+    expect_continue expect_continue_;
 };
 
 /// Closes a connection once the caller has received what was written to it.
@@ -204,12 +233,16 @@
             asio::get_associated_executor(handler, get_executor());
         base::async_read_some(buffers,
             asio::bind_executor(executor,
-                [state = state_, handler = std::forward<Handler>(handler)](
+                [this, state = state_,
+                    data = asio::buffer_sequence_begin(buffers)->data(),
+                    handler = std::forward<Handler>(handler)](
                     asio::error_code const& ec, std::size_t bytes) mutable {
-                    state->add_received(bytes);
+                    state->add_received(
+                        {static_cast<char const*>(data), bytes});
                     {
                         current_connection_scope const scope(state);
                         handler(ec, bytes);
+                        send_continue_if_due();
                     }
                     if (ec && ec != asio::error::operation_aborted)
                         state->mark_closed_by_caller();
@@ -225,10 +258,12 @@
             asio::get_associated_executor(handler, get_executor());
         base::async_write_some(buffers,
             asio::bind_executor(executor,
-                [state = state_, handler = std::forward<Handler>(handler)](
+                [this, state = state_,
+                    handler = std::forward<Handler>(handler)](
                     asio::error_code const& ec, std::size_t bytes) mutable {
                     current_connection_scope const scope(state);
                     handler(ec, bytes);
+                    send_continue_if_due();
                 }));
     }
 
@@ -268,6 +303,18 @@
         std::shared_ptr<connection_state> previous_;
     };
 
+    /// The answer is short and all before it is written, so it fits into the
+    /// socket's buffer.
+    void send_continue_if_due()
+    {
+        if (!is_open() || !state_->is_continue_due())
+            return;
+        state_->mark_continue_sent();
+        asio::error_code ec;
+        base::non_blocking(true, ec);
+        base::write_some(asio::buffer(continue_answer), ec);
+    }
+
     void refuse_unparsable()
     {
         asio::error_code ec;
@@ -275,6 +322,9 @@
         base::write_some(asio::buffer(unparsable_refusal()), ec);
     }
 
+    static constexpr std::string_view continue_answer =
+        "HTTP/1.1 100 Continue\r\n\r\n";
+
     std::shared_ptr<connection_state> state_;
 };
 
--- a/tests/drivers/front_connection_test.cpp
+++ b/tests/drivers/front_connection_test.cpp
@@ -8,6 +8,7 @@
 #include <asio/write.hpp>
 #include <future>
 #include <gtest/gtest.h>
+#include <poll.h>
 #include <thread>
 
 namespace pomelohinge {
@@ -86,6 +87,23 @@
         return at == std::string::npos ? 0 : answer.size() - at - 4;
     }
 
+    /// Reads until nothing comes for some time, or the connection ends.
+    static std::string read_for(
+        asio::ip::tcp::socket& socket, std::chrono::milliseconds wait)
+    {
+        std::string received;
+        std::array<char, 65536> buf;
+        pollfd input{socket.native_handle(), POLLIN, 0};
+        while (::poll(&input, 1, static_cast<int>(wait.count())) > 0) {
+            asio::error_code ec;
+            auto const n = socket.read_some(asio::buffer(buf), ec);
+            if (ec)
+                break;
+            received.append(buf.data(), n);
+        }
+        return received;
+    }
+
     /// The number of open requests, read on the server's thread.
     std::size_t open_requests()
     {
@@ -190,5 +208,48 @@
     EXPECT_EQ(ec, asio::error::connection_refused);
 }
 
+TEST_F(front_connection_test, caller_that_expects_continue_gets_it_once)
+{
+    auto socket = connect();
+    send(socket,
+        "POST /small HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        "Expect: 100-Continue\r\nContent-Length: 3\r\n\r\n");
+    std::string const expected = "HTTP/1.1 100 Continue\r\n\r\n";
+    EXPECT_EQ(read_for(socket, 500ms), expected);
+    send(socket, "abc");
+    EXPECT_EQ(read_for(socket, 500ms).find("HTTP/1.1 200"), 0u);
+}
+
+TEST_F(front_connection_test, continue_is_sent_behind_earlier_answers)
+{
+    auto socket = connect();
+    send(socket, "GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
+    std::this_thread::sleep_for(100ms);
+    send(socket, "POST /small HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n");
+    std::this_thread::sleep_for(100ms);
+    send(socket, "expect:100-continue\r\n\r\n");
+    auto const answers = read_for(socket, 1s);
+    auto const at = answers.find("\r\n\r\n") + 4;
+    ASSERT_GT(answers.size(), at + answer_bytes);
+    EXPECT_EQ(
+        answers.substr(at + answer_bytes), "HTTP/1.1 100 Continue\r\n\r\n");
+    send(socket, "abc");
+    EXPECT_EQ(read_for(socket, 500ms).find("HTTP/1.1 200"), 0u);
+}
+
+TEST_F(front_connection_test, caller_that_does_not_wait_gets_no_continue)
+{
+    for (std::string const head : {"POST /small HTTP/1.1\r\nHost: x\r\n",
+             "POST /small HTTP/1.0\r\nExpect: 100-continue\r\n"}) {
+        auto socket = connect();
+        send(socket, head + "Content-Length: 31\r\n\r\n");
+        std::this_thread::sleep_for(100ms);
+        send(socket, "Expect: 100-continue\r\n\r\n");
+        EXPECT_EQ(read_for(socket, 300ms), "");
+        send(socket, "1234567");
+        EXPECT_EQ(read_for(socket, 300ms).find("HTTP/1.1 200"), 0u);
+    }
+}
+
 } // namespace
 } // namespace pomelohinge
