Answer callers that shut down their sending side

A caller that shut down its sending side after its request got no answer: RESTinio closes a connection at the end of its input, whether the request has run or not, also while an answer is being written.

The end of the input may be the start of a close, so what can be cancelled still is. A request that must run only once and has been sent to a target runs to its end; it isn't sent again. The socket holds the end of the input back from RESTinio until all is answered, or until the caller resets the connection. Cancelled requests get a 502 with the outcome unknown.

--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -24,8 +24,9 @@
 struct front_handlers
 {
     /// Starts a request. The callback is called once with the result. The
-    /// server calls the returned function if the caller closes the connection
-    /// before that.
+    /// server calls the returned function if the caller closes its side of the
+    /// connection before that. A caller that has shut down its sending side
+    /// only can still receive the result.
     std::function<std::function<void()>(
         incoming_request, std::function<void(entry_result)>)>
         request;
@@ -199,6 +200,10 @@
         std::shared_ptr<connection_state> connection;
         request_pipeline::request_number number = 0;
         std::string id;
+        /// At the connection, while the request runs.
+        std::uint64_t registration = 0;
+        /// The caller has probably left, so a stop doesn't wait for the answer.
+        bool cancelled = false;
     };
     using open_request_pointer = std::shared_ptr<open_request>;
 
@@ -251,11 +256,11 @@
         message.body = body;
         bool const repeatable = handlers_.is_repeatable(message.head);
         add(it, repeatable,
-            [this, it,
+            [this, it, repeatable,
                 message = std::make_shared<incoming_request>(
                     std::move(message))](duration waited) {
                 message->waited = waited;
-                run(it, std::move(*message));
+                run(it, std::move(*message), repeatable);
             });
     }
 
@@ -281,24 +286,50 @@
         });
     }
 
-    void run(open_request_pointer const& it, incoming_request message)
+    void run(open_request_pointer const& it, incoming_request message,
+        bool repeatable)
     {
         ++open_requests_;
-        auto const on_closed = std::make_shared<std::function<void()>>();
-        auto const id = it->connection->begin_request([this, on_closed] {
-            --open_requests_;
-            if (*on_closed)
-                (*on_closed)();
-        });
-        *on_closed = handlers_.request(
-            std::move(message), [this, it, id, on_closed](entry_result result) {
+        auto const ended = std::make_shared<bool>(false);
+        auto const on_disconnected = std::make_shared<std::function<void()>>();
+        it->registration = it->connection->begin_request(
+            [this, it, repeatable, ended, on_disconnected] {
+                bool const ends = (repeatable || it->connection->is_closed()) &&
+                    !std::exchange(*ended, true);
+                if (ends) {
+                    --open_requests_;
+                    it->connection->end_request(it->registration);
+                }
+                if (auto const callback = *on_disconnected)
+                    callback();
+                if (ends)
+                    answer_cancelled(*it);
+            });
+        *on_disconnected = handlers_.request(std::move(message),
+            [this, it, ended, on_disconnected](entry_result result) {
+                it->connection->end_request(it->registration);
+                *on_disconnected = nullptr;
+                if (std::exchange(*ended, true))
+                    return;
                 --open_requests_;
-                it->connection->end_request(id);
-                *on_closed = nullptr;
                 answer(*it, std::move(result));
             });
     }
 
+    /// Answers a request that was cancelled since its caller has shut down its
+    /// sending side. Most such callers have closed the connection.
+    void answer_cancelled(open_request& it)
+    {
+        if (it.connection->is_closed())
+            return;
+        it.cancelled = true;
+        answer_refusal(it,
+            {refusal_kind::upstream_failed, outcome::unknown,
+                "cancelled, since the caller has shut down its side of the "
+                "connection",
+                {}});
+    }
+
     void answer_entry_question(
         open_request const& it, data_centre_id const& data_centre)
     {
@@ -350,15 +381,16 @@
             response.append_header(it.name, it.value);
     }
 
-    /// Counts an answer of a connection as unsent while the returned object
-    /// exists.
-    std::shared_ptr<void> make_unsent_answer(
-        std::shared_ptr<std::size_t> const& of_connection)
+    /// Counts an answer as unsent while the returned object exists.
+    std::shared_ptr<void> make_unsent_answer(open_request const& it)
     {
-        ++*unsent_;
+        auto const of_server =
+            it.cancelled ? std::make_shared<std::size_t>(0) : unsent_;
+        auto const& of_connection = it.connection->unsent_answers();
+        ++*of_server;
         ++*of_connection;
-        return {nullptr, [n = unsent_, of_connection](std::nullptr_t) {
-                    --*n;
+        return {nullptr, [of_server, of_connection](std::nullptr_t) {
+                    --*of_server;
                     --*of_connection;
                 }};
     }
@@ -371,7 +403,7 @@
         auto& pipeline = it.connection->pipeline();
         if (closing_)
             pipeline.stop();
-        auto unsent = make_unsent_answer(it.connection->unsent_answers());
+        auto unsent = make_unsent_answer(it);
         if (pipeline.is_last(it.number)) {
             response.connection_close();
             it.connection->set_last_answer(unsent);
--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -38,18 +38,19 @@
         expect_continue_.request_received();
     }
 
-    /// Registers a request that runs and returns its id. `on_closed` is called
-    /// if the caller closes the connection before `end_request`.
-    std::uint64_t begin_request(std::function<void()> on_closed)
+    /// Registers a request that runs and returns its id. `on_disconnected` is
+    /// called if the caller shuts down its sending side or closes the
+    /// connection before `end_request`; twice if it does one after the other.
+    std::uint64_t begin_request(std::function<void()> on_disconnected)
     {
         auto const id = ++last_id_;
         if (!closed_)
-            on_closed_.emplace(id, std::move(on_closed));
+            on_disconnected_.emplace(id, std::move(on_disconnected));
         return id;
     }
 
-    /// Unregisters a request, so that its `on_closed` is no longer called.
-    void end_request(std::uint64_t id) { on_closed_.erase(id); }
+    /// Unregisters a request, so that its callback is no longer called.
+    void end_request(std::uint64_t id) { on_disconnected_.erase(id); }
 
     /// When the requests received on the connection start.
     request_pipeline& pipeline() { return pipeline_; }
@@ -77,8 +78,7 @@
     /// answers to its earlier requests.
     bool is_continue_due() const
     {
-        return expect_continue_.is_due() && pipeline_.empty() &&
-            *unsent_answers_ == 0;
+        return expect_continue_.is_due() && is_answered();
     }
 
     void mark_continue_sent() { expect_continue_.mark_sent(); }
@@ -89,13 +89,32 @@
         return unsent_answers_;
     }
 
-    /// Marks the connection as closed by the caller and calls `on_closed` of
+    /// Whether every request that was received has been answered.
+    bool is_answered() const
+    {
+        return pipeline_.empty() && *unsent_answers_ == 0;
+    }
+
+    /// Whether the caller has shut down its sending side.
+    bool has_input_ended() const { return input_ended_; }
+
+    /// Records that the caller has shut down its sending side. This may be the
+    /// start of a close, so requests that can be cancelled end.
+    void mark_input_ended()
+    {
+        input_ended_ = true;
+        pipeline_.stop();
+        for (auto const& [id, callback] : std::map(on_disconnected_))
+            callback();
+    }
+
+    /// Marks the connection as closed by the caller and calls the callback of
     /// every registered request.
     void mark_closed_by_caller()
     {
         closed_ = true;
         pipeline_.stop();
-        for (auto const& [id, callback] : std::exchange(on_closed_, {}))
+        for (auto const& [id, callback] : std::exchange(on_disconnected_, {}))
             callback();
     }
 
@@ -120,7 +139,8 @@
     std::uint64_t last_id_ = 0;
     std::size_t unhandled_bytes_ = 0;
     bool closed_ = false;
-    std::map<std::uint64_t, std::function<void()>> on_closed_;
+    bool input_ended_ = false;
+    std::map<std::uint64_t, std::function<void()>> on_disconnected_;
     request_pipeline pipeline_;
     std::shared_ptr<void> last_answer_;
     std::shared_ptr<std::size_t> unsent_answers_ =
@@ -160,21 +180,26 @@
             [self = shared_from_this()](asio::error_code ec, std::size_t) {
                 if (!ec)
                     return self->skip_input();
-                self->timer_.cancel();
-                self->state_->mark_delivered();
+                self->input_ended_ = true;
+                if (ec != asio::error::eof || self->is_delivered())
+                    self->close();
             });
     }
 
-    /// A caller that stops reading ends this by the timeout of the socket.
-    void check_delivery()
+    bool is_delivered()
     {
         int unsent_bytes = 0;
-        bool const delivered =
-            ::ioctl(socket_.native_handle(), SIOCOUTQ, &unsent_bytes) != 0 ||
+        return ::ioctl(socket_.native_handle(), SIOCOUTQ, &unsent_bytes) != 0 ||
             unsent_bytes == 0;
-        if (delivered) {
+    }
+
+    /// A caller that stops reading ends this by the timeout of the socket.
+    void check_delivery()
+    {
+        if (is_delivered()) {
             state_->mark_delivered();
-            if (++checks_after_delivery_ > max_checks_after_delivery)
+            if (input_ended_ ||
+                ++checks_after_delivery_ > max_checks_after_delivery)
                 return close();
         }
         timer_.expires_after(check_period);
@@ -188,6 +213,8 @@
     {
         asio::error_code ec;
         socket_.close(ec);
+        timer_.cancel();
+        state_->mark_delivered();
     }
 
     asio::ip::tcp::socket socket_;
@@ -195,6 +222,7 @@
     std::shared_ptr<connection_state> state_;
     std::array<char, 4096> input_{};
     int checks_after_delivery_ = 0;
+    bool input_ended_ = false;
 };
 
 /// The complete HTTP response to a request that cannot be parsed.
@@ -239,6 +267,8 @@
                     asio::error_code const& ec, std::size_t bytes) mutable {
                     state->add_received(
                         {static_cast<char const*>(data), bytes});
+                    if (ec == asio::error::eof && !state->is_answered())
+                        return await_answers(state, std::move(handler));
                     {
                         current_connection_scope const scope(state);
                         handler(ec, bytes);
@@ -264,6 +294,10 @@
                     current_connection_scope const scope(state);
                     handler(ec, bytes);
                     send_continue_if_due();
+                    // Ends the wait for the answers.
+                    asio::error_code ignored;
+                    if (state->has_input_ended() && state->is_answered())
+                        base::cancel(ignored);
                 }));
     }
 
@@ -303,6 +337,29 @@
         std::shared_ptr<connection_state> previous_;
     };
 
+    /// Holds back the end of the input, at which RESTinio closes the
+    /// connection, until all requests are answered or the connection has
+    /// failed.
+    template <class Handler>
+    void await_answers(std::shared_ptr<connection_state> state, Handler handler)
+    {
+        auto const executor =
+            asio::get_associated_executor(handler, get_executor());
+        base::async_wait(base::wait_error,
+            asio::bind_executor(executor,
+                [state, handler = std::move(handler)](
+                    asio::error_code ec) mutable {
+                    if (ec && !state->is_answered())
+                        return handler(ec, 0);
+                    handler(ec ? asio::error::make_error_code(asio::error::eof)
+                               : asio::error::make_error_code(
+                                     asio::error::connection_reset),
+                        0);
+                    state->mark_closed_by_caller();
+                }));
+        state->mark_input_ended();
+    }
+
     /// The answer is short and all before it is written, so it fits into the
     /// socket's buffer.
     void send_continue_if_due()
--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -237,8 +237,7 @@
         auto const number = ++last_request_;
         auto const started = std::make_shared<caller_request>(charts_.request,
             *this, std::move(message),
-            [this, started_at, number, done = std::move(done)](
-                entry_result result) {
+            [this, started_at, number, done](entry_result result) {
                 auto const finished =
                     std::move(open_requests_.extract(number).mapped());
                 auto const& statistics = finished->statistics();
@@ -253,14 +252,31 @@
             });
         open_requests_.emplace(number, started);
         started->start();
-        return [this, number] {
-            if (auto const open = open_requests_.extract(number)) {
-                open.mapped()->caller_disconnected();
-                post([ended = open.mapped()] {});
-            }
+        return [this, number, done = std::move(done)] {
+            if (cancel_request(number))
+                done(refusal{refusal_kind::upstream_failed, outcome::unknown,
+                    "cancelled, since the caller has shut down its side of the "
+                    "connection",
+                    {}});
         };
     }
 
+    /// Cancels a request whose caller has closed its side of the connection.
+    /// Returns false if the request runs to its end.
+    bool cancel_request(std::uint64_t number)
+    {
+        auto const it = open_requests_.find(number);
+        if (it == open_requests_.end())
+            return false;
+        auto const request = it->second;
+        request->caller_disconnected();
+        if (!request->ended())
+            return false;
+        open_requests_.erase(number);
+        post([request] {});
+        return true;
+    }
+
     /// Gives the requests that are still open their answers, since the process
     /// ends.
     void end_requests()
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -74,7 +74,11 @@
     }
 
     /// Ends the request, since the caller has closed its connection.
-    void caller_disconnected() { fire(request_event::caller_disconnected); }
+    void caller_disconnected()
+    {
+        caller_disconnected_ = true;
+        fire(request_event::caller_disconnected);
+    }
 
     /// Ends the request, since the process ends.
     void process_ends() { fire(request_event::process_ends); }
@@ -95,6 +99,8 @@
             return has_answer(last_result_);
         case request_guard::may_reroute:
             return may_reroute();
+        case request_guard::must_complete:
+            return in_progress_ && !admitted_.idempotent;
         }
         return false;
     }
@@ -505,7 +511,7 @@
         bool const is_safe =
             admitted_.idempotent || proves_not_run(last_result_);
         if (!is_safe || (may_have_run_ && !admitted_.idempotent) ||
-            !has_attempts_left())
+            !has_attempts_left() || caller_disconnected_)
             return false;
         auto const now = environment_.now();
         auto const median = state().targets.median_latency(admitted_.service);
@@ -580,6 +586,7 @@
     time_point sent_at_{};
     /// An attempt has started and not ended yet.
     bool in_progress_ = false;
+    bool caller_disconnected_ = false;
     bool is_late_ = false;
     /// An attempt ended without proof that the target has not run the request,
     /// or another request with the same idempotency key may have run.
--- a/servers/requests/request_chart.hpp
+++ b/servers/requests/request_chart.hpp
@@ -72,6 +72,8 @@
     has_answer,
     /// The unanswered attempt may be replaced by one at another target.
     may_reroute,
+    /// The attempt may have run the request, which must not run twice.
+    must_complete,
 };
 
 template <>
@@ -81,6 +83,7 @@
         {request_guard::may_retry, "may_retry"},
         {request_guard::has_answer, "has_answer"},
         {request_guard::may_reroute, "may_reroute"},
+        {request_guard::must_complete, "must_complete"},
     });
 static_assert(is_ordered<request_guard>());
 
--- a/tests/drivers/front_connection_test.cpp
+++ b/tests/drivers/front_connection_test.cpp
@@ -54,6 +54,14 @@
     std::function<void()> handle(
         incoming_request message, std::function<void(entry_result)> done)
     {
+        if (message.head.target == "/order") {
+            order_done_ = std::move(done);
+            return [] {
+            };
+        }
+        if (message.head.target == "/cancel")
+            return [] {
+            };
         if (message.head.target == "/large")
             done(upstream_answer{200, {}, std::string(answer_bytes, 'a')});
         else if (message.head.target == "/medium")
@@ -128,6 +136,7 @@
     front_server<native_front_dialect> front_;
     asio::executor_work_guard<asio::io_context::executor_type> work_guard_;
     std::thread thread_;
+    std::function<void(entry_result)> order_done_;
 };
 
 TEST_F(front_connection_test, answer_that_is_being_written_is_open)
@@ -251,5 +260,53 @@
     }
 }
 
+TEST_F(front_connection_test, order_of_caller_that_shuts_down_is_answered)
+{
+    auto socket = connect();
+    send(
+        socket, "POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    std::this_thread::sleep_for(200ms);
+    EXPECT_EQ(open_requests(), 1u);
+    asio::post(context_, [this] {
+        order_done_(upstream_answer{200, {}, std::string(answer_bytes, 'a')});
+    });
+    EXPECT_EQ(read_body(socket), answer_bytes);
+    EXPECT_TRUE(await_no_open_request());
+}
+
+TEST_F(front_connection_test, request_of_caller_that_shuts_down_is_cancelled)
+{
+    auto socket = connect();
+    send(socket, "GET /cancel HTTP/1.1\r\nHost: x\r\n\r\n");
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    EXPECT_EQ(read_for(socket, 500ms).find("HTTP/1.1 502"), 0u);
+    EXPECT_TRUE(await_no_open_request());
+}
+
+TEST_F(front_connection_test, large_answer_to_caller_that_shuts_down_is_whole)
+{
+    auto socket = connect();
+    send(socket, "GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
+    std::this_thread::sleep_for(200ms);
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    std::this_thread::sleep_for(200ms);
+    EXPECT_EQ(read_body(socket), answer_bytes);
+    EXPECT_TRUE(await_no_open_request());
+}
+
+TEST_F(front_connection_test, order_of_caller_that_resets_is_not_open)
+{
+    auto socket = connect();
+    send(
+        socket, "POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    std::this_thread::sleep_for(200ms);
+    EXPECT_EQ(open_requests(), 1u);
+    socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();
+    EXPECT_TRUE(await_no_open_request());
+}
+
 } // namespace
 } // namespace pomelohinge
--- a/tests/servers/entry_request_test.cpp
+++ b/tests/servers/entry_request_test.cpp
@@ -413,5 +413,47 @@
         environment_.state().targets.find(target_id("t1"))->in_flight(), 0);
 }
 
+TEST_F(entry_request_test, payment_of_a_caller_that_left_runs_to_its_end)
+{
+    environment_.set_targets({"t1", "t2"});
+    begin("POST", "/pay/1");
+    requests_.back()->caller_disconnected();
+    EXPECT_FALSE(requests_.back()->ended());
+    environment_.end_attempt(attempt_result::answered, 200);
+    EXPECT_EQ(answered_status(), 200);
+}
+
+TEST_F(entry_request_test, payment_of_a_caller_that_left_is_not_sent_again)
+{
+    environment_.set_targets({"t1", "t2"});
+    begin("POST", "/pay/1");
+    requests_.back()->caller_disconnected();
+    environment_.end_attempt(attempt_result::connect_failed);
+    EXPECT_EQ(environment_.sent().size(), 1u);
+    EXPECT_EQ(refused_outcome(), outcome::not_run);
+}
+
+TEST_F(entry_request_test, waiting_payment_of_a_caller_that_left_is_cancelled)
+{
+    environment_.set_targets({"t1"});
+    constexpr int slots = 4;
+    for (int it = 0; it < slots; ++it)
+        begin("POST", "/pay/1");
+    begin("POST", "/pay/1");
+    ASSERT_EQ(environment_.sent().size(), std::size_t(slots));
+    requests_.back()->caller_disconnected();
+    EXPECT_TRUE(requests_.back()->ended());
+    EXPECT_FALSE(result_);
+}
+
+TEST_F(entry_request_test, look_up_of_a_caller_that_left_is_cancelled)
+{
+    environment_.set_targets({"t1"});
+    begin("GET", "/look/1");
+    requests_.back()->caller_disconnected();
+    EXPECT_TRUE(requests_.back()->ended());
+    EXPECT_FALSE(result_);
+}
+
 } // namespace
 } // namespace pomelohinge
