--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -10,8 +10,12 @@
 
 #include <absl/status/status.h>
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <functional>
 #include <memory>
+#include <netinet/tcp.h>
+#include <poll.h>
 
 namespace pomelohinge {
 
@@ -20,8 +24,9 @@
 struct front_handlers
 {
     /// Starts a request. The callback is called once with the result. The
-    /// server calls the returned function if the caller closes the connection
-    /// before that.
+    /// server calls the returned function if the caller closes its side of the
+    /// connection before that. A caller that has shut down its sending side
+    /// only can still receive the result.
     std::function<std::function<void()>(
         incoming_request, std::function<void(entry_result)>)>
         request;
@@ -77,15 +82,15 @@
     /// Makes every further answer close its connection.
     void close_connections_after_answers() { closing_ = true; }
 
-    /// Stops accepting connections.
+    /// Accepts the connections that are established and then stops listening.
     void stop_listening()
     {
-        if (server_ != nullptr)
-            server_->close_sync();
+        stop_listening_before(boottime_clock::now() + max_accept_time);
     }
 
-    /// The number of requests that are not answered yet.
-    std::size_t open_requests() const { return open_requests_; }
+    /// The number of requests without an answer, or with one that is still
+    /// being sent.
+    std::size_t open_requests() const { return open_requests_ + *unsent_; }
 
 private:
     /// Limits on the head of a request. RESTinio closes the connection of a
@@ -106,10 +111,19 @@
 
     static constexpr auto idle_timeout = std::chrono::seconds(120);
     static constexpr auto handling_timeout = std::chrono::minutes(11);
+    /// Limit on writing a whole answer. A caller may read slowly, but steadily;
+    /// one that reads nothing is disconnected by `stall_timeout`.
+    static constexpr auto write_timeout = handling_timeout;
+    /// Time for which a caller may take none of the bytes sent to it.
+    static constexpr auto stall_timeout = std::chrono::seconds(60);
     /// How often connections are checked for these timeouts. Each check wakes
     /// the thread once per connection.
     static constexpr auto timeout_check_period = std::chrono::seconds(20);
 
+    /// Limit on accepting connections before listening stops, since new ones
+    /// may be established all the time.
+    static constexpr duration max_accept_time = std::chrono::milliseconds(500);
+
     struct traits : restinio::default_single_thread_traits_t
     {
         using stream_socket_t = front_socket;
@@ -123,6 +137,8 @@
     {
         using reuse_port =
             asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+        using user_timeout =
+            asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
         restinio::server_settings_t<traits> settings;
         settings.address(endpoint.address())
             .port(endpoint.port())
@@ -130,6 +146,7 @@
             .max_pipelined_requests(max_pipelined_requests)
             .read_next_http_message_timelimit(idle_timeout)
             .handle_request_timeout(handling_timeout)
+            .write_http_response_timelimit(write_timeout)
             .incoming_http_msg_limits(
                 restinio::incoming_http_msg_limits_t{}
                     .max_url_size(max_url_bytes)
@@ -142,8 +159,12 @@
                     asio::ip::tcp::acceptor::reuse_address(true));
                 options.set_option(reuse_port(true));
             })
+            .acceptor_post_bind_hook(
+                [this](auto& acceptor) { acceptor_ = &acceptor; })
             .socket_options_setter([](auto& options) {
                 options.set_option(asio::ip::tcp::no_delay(true));
+                options.set_option(user_timeout(static_cast<int>(
+                    std::chrono::milliseconds(stall_timeout).count())));
             })
             .request_handler([this](request_handle request) {
                 return handle(std::move(request));
@@ -151,6 +172,27 @@
         return settings;
     }
 
+    /// Closing the listening socket resets the connections in its queue, so it
+    /// stays open while RESTinio accepts them, one for each call.
+    void stop_listening_before(time_point deadline)
+    {
+        if (server_ == nullptr)
+            return;
+        if (has_queued_connection() && boottime_clock::now() < deadline)
+            return asio::post(context_,
+                [this, deadline] { stop_listening_before(deadline); });
+        server_->close_sync();
+        acceptor_ = nullptr;
+    }
+
+    bool has_queued_connection() const
+    {
+        if (acceptor_ == nullptr || !acceptor_->is_open())
+            return false;
+        pollfd queue{acceptor_->native_handle(), POLLIN, 0};
+        return ::poll(&queue, 1, 0) > 0;
+    }
+
     /// A received request and the connection that it was received on.
     struct open_request
     {
@@ -158,6 +200,10 @@
         std::shared_ptr<connection_state> connection;
         request_pipeline::request_number number = 0;
         std::string id;
+        /// At the connection, while the request runs.
+        std::uint64_t registration = 0;
+        /// The caller has probably left, so a stop doesn't wait for the answer.
+        bool cancelled = false;
     };
     using open_request_pointer = std::shared_ptr<open_request>;
 
@@ -210,11 +256,11 @@
         message.body = body;
         bool const repeatable = handlers_.is_repeatable(message.head);
         add(it, repeatable,
-            [this, it,
+            [this, it, repeatable,
                 message = std::make_shared<incoming_request>(
                     std::move(message))](duration waited) {
                 message->waited = waited;
-                run(it, std::move(*message));
+                run(it, std::move(*message), repeatable);
             });
     }
 
@@ -240,24 +286,50 @@
         });
     }
 
-    void run(open_request_pointer const& it, incoming_request message)
+    void run(open_request_pointer const& it, incoming_request message,
+        bool repeatable)
     {
         ++open_requests_;
-        auto const on_closed = std::make_shared<std::function<void()>>();
-        auto const id = it->connection->begin_request([this, on_closed] {
-            --open_requests_;
-            if (*on_closed)
-                (*on_closed)();
-        });
-        *on_closed = handlers_.request(
-            std::move(message), [this, it, id, on_closed](entry_result result) {
+        auto const ended = std::make_shared<bool>(false);
+        auto const on_disconnected = std::make_shared<std::function<void()>>();
+        it->registration = it->connection->begin_request(
+            [this, it, repeatable, ended, on_disconnected] {
+                bool const ends = (repeatable || it->connection->is_closed()) &&
+                    !std::exchange(*ended, true);
+                if (ends) {
+                    --open_requests_;
+                    it->connection->end_request(it->registration);
+                }
+                if (auto const callback = *on_disconnected)
+                    callback();
+                if (ends)
+                    answer_cancelled(*it);
+            });
+        *on_disconnected = handlers_.request(std::move(message),
+            [this, it, ended, on_disconnected](entry_result result) {
+                it->connection->end_request(it->registration);
+                *on_disconnected = nullptr;
+                if (std::exchange(*ended, true))
+                    return;
                 --open_requests_;
-                it->connection->end_request(id);
-                *on_closed = nullptr;
                 answer(*it, std::move(result));
             });
     }
 
+    /// Answers a request that was cancelled since its caller has shut down its
+    /// sending side. Most such callers have closed the connection.
+    void answer_cancelled(open_request& it)
+    {
+        if (it.connection->is_closed())
+            return;
+        it.cancelled = true;
+        answer_refusal(it,
+            {refusal_kind::upstream_failed, outcome::unknown,
+                "cancelled, since the caller has shut down its side of the "
+                "connection",
+                {}});
+    }
+
     void answer_entry_question(
         open_request const& it, data_centre_id const& data_centre)
     {
@@ -309,6 +381,20 @@
             response.append_header(it.name, it.value);
     }
 
+    /// Counts an answer as unsent while the returned object exists.
+    std::shared_ptr<void> make_unsent_answer(open_request const& it)
+    {
+        auto const of_server =
+            it.cancelled ? std::make_shared<std::size_t>(0) : unsent_;
+        auto const& of_connection = it.connection->unsent_answers();
+        ++*of_server;
+        ++*of_connection;
+        return {nullptr, [of_server, of_connection](std::nullptr_t) {
+                    --*of_server;
+                    --*of_connection;
+                }};
+    }
+
     /// Sends the answer. `charge` is returned once it is written.
     template <class Response>
     void finish(open_request const& it, Response& response, std::string body,
@@ -317,15 +403,19 @@
         auto& pipeline = it.connection->pipeline();
         if (closing_)
             pipeline.stop();
-        if (pipeline.is_last(it.number))
+        auto unsent = make_unsent_answer(it);
+        if (pipeline.is_last(it.number)) {
             response.connection_close();
+            it.connection->set_last_answer(unsent);
+        }
         auto const bytes = body.size();
         response.set_body(std::move(body));
-        if (charge)
-            response.done([held = std::make_shared<buffer_charge>(
-                               std::move(charge))](auto const&) {});
-        else
-            response.done();
+        response.done([unsent = std::move(unsent),
+                          held = std::make_shared<buffer_charge>(
+                              std::move(charge))](auto const&) mutable {
+            unsent = nullptr;
+            held = nullptr;
+        });
         pipeline.answered(it.number, bytes, boottime_clock::now());
     }
 
@@ -333,7 +423,12 @@
     front_handlers handlers_;
     front_limits limits_;
     std::unique_ptr<server> server_;
+    /// The listening socket of `server_`.
+    asio::ip::tcp::acceptor* acceptor_ = nullptr;
     std::size_t open_requests_ = 0;
+    /// Answers that are not sent yet. The sockets that send them may outlive
+    /// the server.
+    std::shared_ptr<std::size_t> unsent_ = std::make_shared<std::size_t>(0);
     bool closing_ = false;
 };
 
--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -1,16 +1,24 @@
 #ifndef POMELOHINGE_DRIVERS_FRONT_FRONT_SOCKET_HPP
 #define POMELOHINGE_DRIVERS_FRONT_FRONT_SOCKET_HPP
 
+#include "drivers/front/expect_continue.hpp"
 #include "servers/requests/request_pipeline.hpp"
 
+#include <array>
 #include <asio/associated_executor.hpp>
 #include <asio/bind_executor.hpp>
+#include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
+#include <linux/sockios.h>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <sys/ioctl.h>
 #include <utility>
 
 namespace pomelohinge {
@@ -24,37 +32,89 @@
 {
 public:
     /// Marks the bytes received so far as those of a complete request.
-    void mark_received() { unhandled_bytes_ = 0; }
+    void mark_received()
+    {
+        unhandled_bytes_ = 0;
+        expect_continue_.request_received();
+    }
 
-    /// Registers a request that runs and returns its id. `on_closed` is called
-    /// if the caller closes the connection before `end_request`.
-    std::uint64_t begin_request(std::function<void()> on_closed)
+    /// Registers a request that runs and returns its id. `on_disconnected` is
+    /// called if the caller shuts down its sending side or closes the
+    /// connection before `end_request`; twice if it does one after the other.
+    std::uint64_t begin_request(std::function<void()> on_disconnected)
     {
         auto const id = ++last_id_;
         if (!closed_)
-            on_closed_.emplace(id, std::move(on_closed));
+            on_disconnected_.emplace(id, std::move(on_disconnected));
         return id;
     }
 
-    /// Unregisters a request, so that its `on_closed` is no longer called.
-    void end_request(std::uint64_t id) { on_closed_.erase(id); }
+    /// Unregisters a request, so that its callback is no longer called.
+    void end_request(std::uint64_t id) { on_disconnected_.erase(id); }
 
     /// When the requests received on the connection start.
     request_pipeline& pipeline() { return pipeline_; }
 
+    /// Keeps `answer` open until the caller has received all that was written.
+    void set_last_answer(std::shared_ptr<void> answer)
+    {
+        last_answer_ = std::move(answer);
+    }
+
+    /// Records that the caller has received all that was written.
+    void mark_delivered() { last_answer_ = nullptr; }
+
     /// Whether the caller has closed the connection.
     bool is_closed() const { return closed_; }
 
     /// Counts received bytes until a request handler has taken them.
-    void add_received(std::size_t bytes) { unhandled_bytes_ += bytes; }
+    void add_received(std::string_view bytes)
+    {
+        unhandled_bytes_ += bytes.size();
+        expect_continue_.add(bytes);
+    }
+
+    /// Whether the caller waits for a "100 Continue", which belongs behind the
+    /// answers to its earlier requests.
+    bool is_continue_due() const
+    {
+        return expect_continue_.is_due() && is_answered();
+    }
+
+    void mark_continue_sent() { expect_continue_.mark_sent(); }
+
+    /// The number of answers that are being written.
+    std::shared_ptr<std::size_t> const& unsent_answers() const
+    {
+        return unsent_answers_;
+    }
+
+    /// Whether every request that was received has been answered.
+    bool is_answered() const
+    {
+        return pipeline_.empty() && *unsent_answers_ == 0;
+    }
 
-    /// Marks the connection as closed by the caller and calls `on_closed` of
+    /// Whether the caller has shut down its sending side.
+    bool has_input_ended() const { return input_ended_; }
+
+    /// Records that the caller has shut down its sending side. This may be the
+    /// start of a close, so requests that can be cancelled end.
+    void mark_input_ended()
+    {
+        input_ended_ = true;
+        pipeline_.stop();
+        for (auto const& [id, callback] : std::map(on_disconnected_))
+            callback();
+    }
+
+    /// Marks the connection as closed by the caller and calls the callback of
     /// every registered request.
     void mark_closed_by_caller()
     {
         closed_ = true;
         pipeline_.stop();
-        for (auto const& [id, callback] : std::exchange(on_closed_, {}))
+        for (auto const& [id, callback] : std::exchange(on_disconnected_, {}))
             callback();
     }
 
@@ -79,8 +139,90 @@
     std::uint64_t last_id_ = 0;
     std::size_t unhandled_bytes_ = 0;
     bool closed_ = false;
-    std::map<std::uint64_t, std::function<void()>> on_closed_;
+    bool input_ended_ = false;
+    std::map<std::uint64_t, std::function<void()>> on_disconnected_;
     request_pipeline pipeline_;
+    std::shared_ptr<void> last_answer_;
+    std::shared_ptr<std::size_t> unsent_answers_ =
+        std::make_shared<std::size_t>(0);
+    expect_continue expect_continue_;
+};
+
+/// Closes a connection once the caller has received what was written to it.
+/// Closing a socket with unread bytes, or one that receives further ones, sends
+/// a reset, which may discard the answer on its way. So this sends the end of
+/// the stream and skips what the caller still sends, until the caller closes
+/// the connection or a time limit has passed.
+class lingering_close : public std::enable_shared_from_this<lingering_close>
+{
+public:
+    lingering_close(
+        asio::ip::tcp::socket socket, std::shared_ptr<connection_state> state)
+        : socket_(std::move(socket)), timer_(socket_.get_executor()),
+          state_(std::move(state))
+    {
+    }
+
+    void start()
+    {
+        skip_input();
+        check_delivery();
+    }
+
+private:
+    static constexpr std::chrono::milliseconds check_period{50};
+    /// Time that a caller has to close its side after it has received all.
+    static constexpr int max_checks_after_delivery = 20;
+
+    void skip_input()
+    {
+        socket_.async_read_some(asio::buffer(input_),
+            [self = shared_from_this()](asio::error_code ec, std::size_t) {
+                if (!ec)
+                    return self->skip_input();
+                self->input_ended_ = true;
+                if (ec != asio::error::eof || self->is_delivered())
+                    self->close();
+            });
+    }
+
+    bool is_delivered()
+    {
+        int unsent_bytes = 0;
+        return ::ioctl(socket_.native_handle(), SIOCOUTQ, &unsent_bytes) != 0 ||
+            unsent_bytes == 0;
+    }
+
+    /// A caller that stops reading ends this by the timeout of the socket.
+    void check_delivery()
+    {
+        if (is_delivered()) {
+            state_->mark_delivered();
+            if (input_ended_ ||
+                ++checks_after_delivery_ > max_checks_after_delivery)
+                return close();
+        }
+        timer_.expires_after(check_period);
+        timer_.async_wait([self = shared_from_this()](asio::error_code ec) {
+            if (!ec)
+                self->check_delivery();
+        });
+    }
+
+    void close()
+    {
+        asio::error_code ec;
+        socket_.close(ec);
+        timer_.cancel();
+        state_->mark_delivered();
+    }
+
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_;
+    std::shared_ptr<connection_state> state_;
+    std::array<char, 4096> input_{};
+    int checks_after_delivery_ = 0;
+    bool input_ended_ = false;
 };
 
 /// The complete HTTP response to a request that cannot be parsed.
@@ -119,12 +261,18 @@
             asio::get_associated_executor(handler, get_executor());
         base::async_read_some(buffers,
             asio::bind_executor(executor,
-                [state = state_, handler = std::forward<Handler>(handler)](
+                [this, state = state_,
+                    data = asio::buffer_sequence_begin(buffers)->data(),
+                    handler = std::forward<Handler>(handler)](
                     asio::error_code const& ec, std::size_t bytes) mutable {
-                    state->add_received(bytes);
+                    state->add_received(
+                        {static_cast<char const*>(data), bytes});
+                    if (ec == asio::error::eof && !state->is_answered())
+                        return await_answers(state, std::move(handler));
                     {
                         current_connection_scope const scope(state);
                         handler(ec, bytes);
+                        send_continue_if_due();
                     }
                     if (ec && ec != asio::error::operation_aborted)
                         state->mark_closed_by_caller();
@@ -140,20 +288,36 @@
             asio::get_associated_executor(handler, get_executor());
         base::async_write_some(buffers,
             asio::bind_executor(executor,
-                [state = state_, handler = std::forward<Handler>(handler)](
+                [this, state = state_,
+                    handler = std::forward<Handler>(handler)](
                     asio::error_code const& ec, std::size_t bytes) mutable {
                     current_connection_scope const scope(state);
                     handler(ec, bytes);
+                    send_continue_if_due();
+                    // Ends the wait for the answers.
+                    asio::error_code ignored;
+                    if (state->has_input_ended() && state->is_answered())
+                        base::cancel(ignored);
                 }));
     }
 
     /// RESTinio calls this before it closes a connection, so a refusal can
     /// still be sent here.
-    void shutdown(shutdown_type type, asio::error_code& ec)
+    void shutdown(shutdown_type, asio::error_code& ec)
     {
         if (state_->needs_refusal())
             refuse_unparsable();
-        base::shutdown(type, ec);
+        base::shutdown(shutdown_send, ec);
+    }
+
+    void close()
+    {
+        asio::error_code ec;
+        if (!is_open() || state_->is_closed())
+            return static_cast<void>(base::close(ec));
+        base::cancel(ec);
+        std::make_shared<lingering_close>(static_cast<base&&>(*this), state_)
+            ->start();
     }
 
 private:
@@ -173,20 +337,51 @@
         std::shared_ptr<connection_state> previous_;
     };
 
+    /// Holds back the end of the input, at which RESTinio closes the
+    /// connection, until all requests are answered or the connection has
+    /// failed.
+    template <class Handler>
+    void await_answers(std::shared_ptr<connection_state> state, Handler handler)
+    {
+        auto const executor =
+            asio::get_associated_executor(handler, get_executor());
+        base::async_wait(base::wait_error,
+            asio::bind_executor(executor,
+                [state, handler = std::move(handler)](
+                    asio::error_code ec) mutable {
+                    if (ec && !state->is_answered())
+                        return handler(ec, 0);
+                    handler(ec ? asio::error::make_error_code(asio::error::eof)
+                               : asio::error::make_error_code(
+                                     asio::error::connection_reset),
+                        0);
+                    state->mark_closed_by_caller();
+                }));
+        state->mark_input_ended();
+    }
+
+    /// The answer is short and all before it is written, so it fits into the
+    /// socket's buffer.
+    void send_continue_if_due()
+    {
+        if (!is_open() || !state_->is_continue_due())
+            return;
+        state_->mark_continue_sent();
+        asio::error_code ec;
+        base::non_blocking(true, ec);
+        base::write_some(asio::buffer(continue_answer), ec);
+    }
+
     void refuse_unparsable()
     {
         asio::error_code ec;
         base::non_blocking(true, ec);
         base::write_some(asio::buffer(unparsable_refusal()), ec);
-        base::shutdown(shutdown_send, ec);
-        // Closing a socket with unread bytes sends a reset, which may discard
-        // the refusal before the caller has read it.
-        constexpr std::size_t max_reads = 64;
-        std::array<char, 16384> buf;
-        for (std::size_t n = 0; n < max_reads && !ec; ++n)
-            base::read_some(asio::buffer(buf), ec);
     }
 
+    static constexpr std::string_view continue_answer =
+        "HTTP/1.1 100 Continue\r\n\r\n";
+
     std::shared_ptr<connection_state> state_;
 };
 
--- /dev/null
+++ b/tests/drivers/front_connection_test.cpp
@@ -0,0 +1,312 @@
+#include "drivers/front/front_server.hpp"
+#include "drivers/front/http_messages.hpp"
+#include "tests/drivers/loopback_address.hpp"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <future>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <thread>
+
+namespace pomelohinge {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A front server on loopback whose answers are larger than the buffers of a
+/// socket. Requests by POST must run only once.
+class front_connection_test : public testing::Test
+{
+protected:
+    static constexpr std::uint16_t port = 18080;
+    static constexpr std::size_t answer_bytes = 24 << 20;
+    /// Fits into the buffers of both sockets, but not into the caller's.
+    static constexpr std::size_t medium_answer_bytes = 3 << 20;
+
+    front_connection_test()
+        : front_(context_,
+              {[this](incoming_request message,
+                   std::function<void(entry_result)> done) {
+                   return handle(std::move(message), std::move(done));
+               },
+                  [](request_head const& head) { return head.method == "GET"; },
+                  [](data_centre_id const&) {
+                      return entry_answer{};
+                  }},
+              {}),
+          work_guard_(context_.get_executor())
+    {
+        auto const status =
+            front_.listen(loopback_address() + ":" + std::to_string(port));
+        EXPECT_TRUE(status.ok()) << status.message();
+        thread_ = std::thread([this] { context_.run(); });
+    }
+
+    ~front_connection_test() override
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    std::function<void()> handle(
+        incoming_request message, std::function<void(entry_result)> done)
+    {
+        if (message.head.target == "/order") {
+            order_done_ = std::move(done);
+            return [] {
+            };
+        }
+        if (message.head.target == "/cancel")
+            return [] {
+            };
+        if (message.head.target == "/large")
+            done(upstream_answer{200, {}, std::string(answer_bytes, 'a')});
+        else if (message.head.target == "/medium")
+            done(upstream_answer{
+                200, {}, std::string(medium_answer_bytes, 'a')});
+        else
+            done(upstream_answer{200, {}, "small"});
+        return [] {
+        };
+    }
+
+    asio::ip::tcp::socket connect()
+    {
+        asio::ip::tcp::socket socket(caller_context_);
+        socket.connect({asio::ip::make_address(loopback_address()), port});
+        return socket;
+    }
+
+    static void send(asio::ip::tcp::socket& socket, std::string const& bytes)
+    {
+        asio::write(socket, asio::buffer(bytes));
+    }
+
+    /// Reads until the connection ends; returns the size of the body.
+    static std::size_t read_body(asio::ip::tcp::socket& socket)
+    {
+        asio::error_code ec;
+        std::string answer;
+        asio::read(socket, asio::dynamic_buffer(answer), ec);
+        auto const at = answer.find("\r\n\r\n");
+        return at == std::string::npos ? 0 : answer.size() - at - 4;
+    }
+
+    /// Reads until nothing comes for some time, or the connection ends.
+    static std::string read_for(
+        asio::ip::tcp::socket& socket, std::chrono::milliseconds wait)
+    {
+        std::string received;
+        std::array<char, 65536> buf;
+        pollfd input{socket.native_handle(), POLLIN, 0};
+        while (::poll(&input, 1, static_cast<int>(wait.count())) > 0) {
+            asio::error_code ec;
+            auto const n = socket.read_some(asio::buffer(buf), ec);
+            if (ec)
+                break;
+            received.append(buf.data(), n);
+        }
+        return received;
+    }
+
+    /// The number of open requests, read on the server's thread.
+    std::size_t open_requests()
+    {
+        std::promise<std::size_t> n;
+        asio::post(context_, [&] { n.set_value(front_.open_requests()); });
+        return n.get_future().get();
+    }
+
+    /// Waits until no request is open.
+    bool await_no_open_request()
+    {
+        for (int n = 0; n < 100; ++n) {
+            if (open_requests() == 0)
+                return true;
+            std::this_thread::sleep_for(50ms);
+        }
+        return false;
+    }
+
+    asio::io_context context_{1};
+    asio::io_context caller_context_{1};
+    front_server<native_front_dialect> front_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_guard_;
+    std::thread thread_;
+    std::function<void(entry_result)> order_done_;
+};
+
+TEST_F(front_connection_test, answer_that_is_being_written_is_open)
+{
+    auto socket = connect();
+    send(socket, "GET /large HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    std::this_thread::sleep_for(300ms);
+    EXPECT_EQ(open_requests(), 1u);
+    EXPECT_EQ(read_body(socket), answer_bytes);
+    EXPECT_TRUE(await_no_open_request());
+}
+
+TEST_F(front_connection_test, answer_to_caller_that_leaves_is_not_open)
+{
+    {
+        auto socket = connect();
+        send(socket, "GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
+        std::this_thread::sleep_for(300ms);
+    }
+    EXPECT_TRUE(await_no_open_request());
+}
+
+TEST_F(front_connection_test, answer_is_whole_if_caller_stalls_for_long)
+{
+    auto socket = connect();
+    send(socket, "GET /large HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    std::this_thread::sleep_for(26s);
+    EXPECT_EQ(read_body(socket), answer_bytes);
+}
+
+TEST_F(front_connection_test, request_that_crosses_close_does_not_cut_answer)
+{
+    auto socket = connect();
+    send(socket, "GET /large HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    std::string const crossing(256 << 10, 'b');
+    send(socket,
+        "POST /small HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+            std::to_string(crossing.size()) + "\r\n\r\n" + crossing);
+    // The server has written all that it can and the request has arrived.
+    std::this_thread::sleep_for(300ms);
+    EXPECT_EQ(read_body(socket), answer_bytes);
+}
+
+TEST_F(front_connection_test, request_that_crosses_close_does_not_cut_tail)
+{
+    auto socket = connect();
+    send(
+        socket, "GET /medium HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    std::this_thread::sleep_for(300ms);
+    // The whole answer is in the buffers of the sockets.
+    send(socket, "GET /small HTTP/1.1\r\nHost: x\r\n\r\n");
+    std::this_thread::sleep_for(300ms);
+    EXPECT_EQ(read_body(socket), medium_answer_bytes);
+}
+
+TEST_F(front_connection_test,
+    request_on_connection_that_waits_for_accept_is_answered)
+{
+    constexpr std::size_t callers = 40;
+    std::promise<void> blocked;
+    asio::post(context_, [&] { blocked.get_future().wait(); });
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (std::size_t n = 0; n < callers; ++n) {
+        sockets.push_back(connect());
+        send(sockets.back(),
+            "POST /small HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+            "Content-Length: 0\r\n\r\n");
+    }
+    asio::post(context_, [this] { front_.stop_listening(); });
+    blocked.set_value();
+    std::size_t answered = 0;
+    for (auto& it : sockets)
+        answered += read_body(it) == 5 ? 1 : 0;
+    EXPECT_EQ(answered, callers);
+    asio::ip::tcp::socket late(caller_context_);
+    asio::error_code ec;
+    late.connect({asio::ip::make_address(loopback_address()), port}, ec);
+    EXPECT_EQ(ec, asio::error::connection_refused);
+}
+
+TEST_F(front_connection_test, caller_that_expects_continue_gets_it_once)
+{
+    auto socket = connect();
+    send(socket,
+        "POST /small HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        "Expect: 100-Continue\r\nContent-Length: 3\r\n\r\n");
+    std::string const expected = "HTTP/1.1 100 Continue\r\n\r\n";
+    EXPECT_EQ(read_for(socket, 500ms), expected);
+    send(socket, "abc");
+    EXPECT_EQ(read_for(socket, 500ms).find("HTTP/1.1 200"), 0u);
+}
+
+TEST_F(front_connection_test, continue_is_sent_behind_earlier_answers)
+{
+    auto socket = connect();
+    send(socket, "GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
+    std::this_thread::sleep_for(100ms);
+    send(socket, "POST /small HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n");
+    std::this_thread::sleep_for(100ms);
+    send(socket, "expect:100-continue\r\n\r\n");
+    auto const answers = read_for(socket, 1s);
+    auto const at = answers.find("\r\n\r\n") + 4;
+    ASSERT_GT(answers.size(), at + answer_bytes);
+    EXPECT_EQ(
+        answers.substr(at + answer_bytes), "HTTP/1.1 100 Continue\r\n\r\n");
+    send(socket, "abc");
+    EXPECT_EQ(read_for(socket, 500ms).find("HTTP/1.1 200"), 0u);
+}
+
+TEST_F(front_connection_test, caller_that_does_not_wait_gets_no_continue)
+{
+    for (std::string const head : {"POST /small HTTP/1.1\r\nHost: x\r\n",
+             "POST /small HTTP/1.0\r\nExpect: 100-continue\r\n"}) {
+        auto socket = connect();
+        send(socket, head + "Content-Length: 31\r\n\r\n");
+        std::this_thread::sleep_for(100ms);
+        send(socket, "Expect: 100-continue\r\n\r\n");
+        EXPECT_EQ(read_for(socket, 300ms), "");
+        send(socket, "1234567");
+        EXPECT_EQ(read_for(socket, 300ms).find("HTTP/1.1 200"), 0u);
+    }
+}
+
+TEST_F(front_connection_test, order_of_caller_that_shuts_down_is_answered)
+{
+    auto socket = connect();
+    send(
+        socket, "POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    std::this_thread::sleep_for(200ms);
+    EXPECT_EQ(open_requests(), 1u);
+    asio::post(context_, [this] {
+        order_done_(upstream_answer{200, {}, std::string(answer_bytes, 'a')});
+    });
+    EXPECT_EQ(read_body(socket), answer_bytes);
+    EXPECT_TRUE(await_no_open_request());
+}
+
+TEST_F(front_connection_test, request_of_caller_that_shuts_down_is_cancelled)
+{
+    auto socket = connect();
+    send(socket, "GET /cancel HTTP/1.1\r\nHost: x\r\n\r\n");
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    EXPECT_EQ(read_for(socket, 500ms).find("HTTP/1.1 502"), 0u);
+    EXPECT_TRUE(await_no_open_request());
+}
+
+TEST_F(front_connection_test, large_answer_to_caller_that_shuts_down_is_whole)
+{
+    auto socket = connect();
+    send(socket, "GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
+    std::this_thread::sleep_for(200ms);
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    std::this_thread::sleep_for(200ms);
+    EXPECT_EQ(read_body(socket), answer_bytes);
+    EXPECT_TRUE(await_no_open_request());
+}
+
+TEST_F(front_connection_test, order_of_caller_that_resets_is_not_open)
+{
+    auto socket = connect();
+    send(
+        socket, "POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    std::this_thread::sleep_for(200ms);
+    EXPECT_EQ(open_requests(), 1u);
+    socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();
+    EXPECT_TRUE(await_no_open_request());
+}
+
+} // namespace
+} // namespace pomelohinge
