Handle signals that arrive during the start

A process that got SIGTERM in its first tens of milliseconds was ended by the signal's default action (status -15 in place of 0); SIGHUP ended it as well. The handlers were installed with the daemon object, after the libraries, the settings and the charts had been loaded.

The signals are blocked before the initialisers of shared libraries run and are delivered to the control thread once their handlers are in place. One that arrived before is pending until then and becomes a planned stop or a reload.

What is left is the dynamic loader's time, in which the program cannot act.

--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -4,6 +4,7 @@
 #include "drivers/peers/peer_server.hpp"
 #include "main/control_thread.hpp"
 #include "main/operators_pages.hpp"
+#include "main/process_signals.hpp"
 #include "main/settings_watch.hpp"
 #include "main/status_page.hpp"
 
@@ -44,6 +45,7 @@
         if (auto status = listen(); !status.ok())
             return status;
         await_signal();
+        unblock_signals();
         settings_watch_.start();
         control_.start();
         control_.context().run();
--- a/main/daemon_main.hpp
+++ b/main/daemon_main.hpp
@@ -4,6 +4,7 @@
 #include "core/invariant.hpp"
 #include "core/log.hpp"
 #include "main/daemon.hpp"
+#include "main/process_signals.hpp"
 #include "main/text_file.hpp"
 
 #include <cxxopts.hpp>
@@ -57,6 +58,7 @@
 template <FleetPlatform Platform>
 daemon_exit daemon_main(int argc, char** argv, std::string const& program)
 {
+    block_signals();
     cxxopts::Options options(program, "Daemon of an entry VM");
     options.add_options()("settings", "Settings file",
         cxxopts::value<std::string>(), "FILE")("charts",
--- /dev/null
+++ b/main/process_signals.cpp
@@ -0,0 +1,47 @@
+#include "main/process_signals.hpp"
+
+#include <csignal>
+#include <initializer_list>
+
+namespace pomelohinge {
+namespace {
+
+sigset_t daemon_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (int const it : {SIGTERM, SIGINT, SIGHUP})
+        sigaddset(&signals, it);
+    return signals;
+}
+
+} // namespace
+
+void block_signals()
+{
+    auto const signals = daemon_signals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+/// Runs before the initialisers of shared libraries, which take most of the
+/// start.
+[[gnu::section(".preinit_array"),
+    gnu::used]] void (*const block_at_start)() = &block_signals;
+
+void unblock_signals()
+{
+    auto const signals = daemon_signals();
+    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
+bool is_stop_pending()
+{
+    sigset_t pending;
+    if (sigpending(&pending) != 0)
+        return false;
+    return sigismember(&pending, SIGTERM) == 1 ||
+        sigismember(&pending, SIGINT) == 1;
+}
+
+} // namespace pomelohinge
