Wait for listening addresses that are in use

A daemon ended with status 1 if one of its addresses was held: by the process before it that still stopped, by another program, also that of the operators' pages, which callers do not need.

The operators' pages never keep the VM from serving.

Addresses are claimed one after the other, that for peers first. It is bound exclusively and given up last, so a process that starts beside a stopping one does not share the callers' port with it: with SO_REUSEPORT the kernel would have divided new connections between the two, and those in the queue of the stopping one would have been reset.

--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -53,8 +53,8 @@
     }
 
     /// Listens on `IP:PORT`. The servers of several threads can share an
-    /// address (SO_REUSEPORT). Returns an error if the address is not valid
-    /// or cannot be bound.
+    /// address (SO_REUSEPORT). Returns `kUnavailable` if the address is in use,
+    /// another error if it can never be bound.
     absl::Status listen(std::string const& address)
     {
         auto const endpoint = parse_endpoint(address);
@@ -67,8 +67,8 @@
                 settings_for(*endpoint));
             server_->open_sync();
         } catch (std::exception const& error) {
-            return absl::UnavailableError(
-                "cannot listen on " + address + ": " + error.what());
+            server_.reset();
+            return listen_status(address, error);
         }
         log(log_event::front_listening, {{"address", address}});
         return absl::OkStatus();
--- a/drivers/http/endpoint.hpp
+++ b/drivers/http/endpoint.hpp
@@ -1,6 +1,8 @@
 #ifndef POMELOHINGE_DRIVERS_HTTP_ENDPOINT_HPP
 #define POMELOHINGE_DRIVERS_HTTP_ENDPOINT_HPP
 
+#include <absl/status/status.h>
+#include <asio/error.hpp>
 #include <asio/ip/address_v4.hpp>
 #include <asio/ip/tcp.hpp>
 #include <charconv>
@@ -8,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <system_error>
 
 namespace pomelohinge {
 
@@ -33,6 +36,30 @@
     return asio::ip::tcp::endpoint(host, port);
 }
 
+/// The status of a socket that cannot listen on `address`. It is `kUnavailable`
+/// if a later attempt may succeed.
+inline absl::Status listen_status(
+    std::string const& address, std::error_code ec)
+{
+    auto const message = "cannot listen on " + address + ": " + ec.message();
+    bool const may_pass = ec == asio::error::address_in_use ||
+        ec == std::errc::too_many_files_open ||
+        ec == std::errc::too_many_files_open_in_system ||
+        ec == std::errc::no_buffer_space || ec == std::errc::not_enough_memory;
+    return may_pass ? absl::UnavailableError(message)
+                    : absl::FailedPreconditionError(message);
+}
+
+/// As above, for the exception of a server that could not be opened.
+inline absl::Status listen_status(
+    std::string const& address, std::exception const& error)
+{
+    if (auto const* const it = dynamic_cast<std::system_error const*>(&error))
+        return listen_status(address, it->code());
+    return absl::FailedPreconditionError(
+        "cannot listen on " + address + ": " + error.what());
+}
+
 } // namespace pomelohinge
 
 #endif
--- a/drivers/pages/page_server.cpp
+++ b/drivers/pages/page_server.cpp
@@ -79,8 +79,8 @@
                 restinio::external_io_context(context_), std::move(settings));
             server_->open_sync();
         } catch (std::exception const& error) {
-            return absl::UnavailableError(
-                "cannot listen on " + address + ": " + error.what());
+            server_.reset();
+            return listen_status(address, error);
         }
         return absl::OkStatus();
     }
--- a/drivers/pages/page_server.hpp
+++ b/drivers/pages/page_server.hpp
@@ -40,8 +40,8 @@
     page_server(asio::io_context& context, handler answer);
     ~page_server();
 
-    /// Listens on `IP:PORT`. Returns an error if the address is not valid or
-    /// cannot be bound.
+    /// Listens on `IP:PORT`. Returns `kUnavailable` if the address is in use,
+    /// another error if it can never be bound.
     absl::Status listen(std::string const& address);
 
     /// Stops accepting connections.
--- a/drivers/peers/peer_server.cpp
+++ b/drivers/peers/peer_server.cpp
@@ -1,5 +1,6 @@
 #include "drivers/peers/peer_server.hpp"
 
+#include "drivers/http/endpoint.hpp"
 #include "drivers/peers/codec.hpp"
 #include "drivers/peers/generated/peers.grpc.pb.h"
 #include "drivers/peers/grpc_limits.hpp"
@@ -12,6 +13,25 @@
 /// gRPC closes connections whose keep-alive pings arrive more often than this.
 constexpr int min_ping_interval_ms = 1000;
 
+/// Binds a socket to the address for a moment, since gRPC does not tell why it
+/// cannot listen.
+absl::Status try_bind(std::string const& address)
+{
+    auto const endpoint = parse_endpoint(address);
+    if (!endpoint)
+        return absl::InvalidArgumentError(
+            "\"" + address + "\" is not an IP:PORT");
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context);
+    asio::error_code ec;
+    acceptor.open(endpoint->protocol(), ec);
+    if (!ec)
+        acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), ec);
+    if (!ec)
+        acceptor.bind(*endpoint, ec);
+    return ec ? listen_status(address, ec) : absl::OkStatus();
+}
+
 } // namespace
 
 class peer_server::detail : public wire::Peer::CallbackService
@@ -21,6 +41,8 @@
 
     absl::Status listen(std::string const& address)
     {
+        if (auto status = try_bind(address); !status.ok())
+            return status;
         grpc::ServerBuilder builder;
         int port = 0;
         builder.AddListeningPort(
@@ -56,6 +78,8 @@
     {
         auto* const reactor = context->DefaultReactor();
         handler_(from_wire(*question), [reactor, reply](sync_reply const& it) {
+            if (!it.reached)
+                return reactor->Finish({grpc::StatusCode::UNAVAILABLE, ""});
             *reply = to_wire(it, boottime_clock::now());
             reactor->Finish(grpc::Status::OK);
         });
--- a/drivers/peers/peer_server.hpp
+++ b/drivers/peers/peer_server.hpp
@@ -12,7 +12,8 @@
 namespace pomelohinge {
 
 /// Answers a question of another VM. It is called on one of gRPC's threads and
-/// may call the callback later, on any thread.
+/// may call the callback later, on any thread. A reply with `reached` false
+/// refuses the question.
 using sync_handler =
     std::function<void(sync_question, std::function<void(sync_reply)>)>;
 
@@ -23,7 +24,8 @@
     explicit peer_server(sync_handler handler);
     ~peer_server();
 
-    /// Listens on `IP:PORT`. Returns an error if the address cannot be bound.
+    /// Listens on `IP:PORT`. Returns `kUnavailable` if the address is in use,
+    /// another error if it can never be bound.
     absl::Status listen(std::string const& address);
 
     /// Stops serving; calls that are still pending after `grace` are aborted.
--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -2,6 +2,7 @@
 #define POMELOHINGE_MAIN_DAEMON_HPP
 
 #include "drivers/peers/peer_server.hpp"
+#include "main/address_claim.hpp"
 #include "main/control_thread.hpp"
 #include "main/operators_pages.hpp"
 #include "main/process_signals.hpp"
@@ -39,22 +40,25 @@
     }
 
     /// Runs until SIGTERM or SIGINT is received and the graceful shutdown has
-    /// ended. Returns an error if one of the servers cannot listen.
+    /// ended. Returns an error if an address that callers or other VMs need can
+    /// never be listened on.
     absl::Status run()
     {
-        if (auto status = listen(); !status.ok())
-            return status;
         await_signal();
         unblock_signals();
         settings_watch_.start();
-        control_.start();
+        for (auto const& it : traffic_)
+            it->start();
+        claim(daemon_address::operators, settings_.operators_address,
+            [](absl::Status const&) {});
+        claim_next(daemon_address::peers);
         control_.context().run();
         peer_server_.stop(grpc_shutdown_timeout);
         for (auto const& it : traffic_)
             it->stop();
         log(log_event::stopped,
             {{"vm", settings_.vm.text()}, {"open", open_at_end_}});
-        return absl::OkStatus();
+        return failure_;
     }
 
 private:
@@ -78,6 +82,13 @@
     /// Timeout after which gRPC cancels calls that have not finished.
     static constexpr std::chrono::milliseconds grpc_shutdown_timeout{50};
 
+    friend class address_claim<daemon>;
+
+    void after(duration delay, std::function<void()> work)
+    {
+        control_.after(delay, std::move(work));
+    }
+
     /// Tells all traffic threads what a target has said of itself to one.
     void share_notice(target_record const& target, target_notice const& notice)
     {
@@ -87,23 +98,101 @@
             });
     }
 
-    absl::Status listen()
+    // Listening addresses.
+
+    void claim(daemon_address which, std::string const& address,
+        std::function<void(absl::Status)> done)
+    {
+        auto const it = std::make_shared<address_claim<daemon>>(*this, which,
+            address, [this, which](std::function<void(absl::Status)> tried) {
+                try_listen(which, std::move(tried));
+            });
+        it->start(std::move(done));
+    }
+
+    /// Claims the addresses one after the other. Only one process can hold that
+    /// for peers, which it gives up last, so the connections of callers are not
+    /// divided between this process and an earlier one that still stops.
+    void claim_next(daemon_address which)
     {
-        if (auto status = peer_server_.listen(settings_.peers_address);
-            !status.ok())
-            return status;
-        if (auto status = operators_server_.listen(settings_.operators_address);
-            !status.ok())
-            return status;
-        if (!settings_.readiness_address.empty())
-            if (auto status =
-                    readiness_server_.listen(settings_.readiness_address);
-                !status.ok())
-                return status;
-        for (std::size_t it = 0; it < traffic_.size(); ++it)
-            if (auto status = traffic_[it]->start(it == 0); !status.ok())
-                return status;
-        return absl::OkStatus();
+        if (which == daemon_address::operators)
+            return start_control();
+        auto const next = static_cast<daemon_address>(index_of(which) + 1);
+        auto const& address = address_of(which);
+        if (address.empty())
+            return claim_next(next);
+        claim(which, address, [this, next](absl::Status const& status) {
+            if (stopping_)
+                return;
+            if (status.ok())
+                return claim_next(next);
+            failure_ = status;
+            control_.context().stop();
+        });
+    }
+
+    std::string const& address_of(daemon_address which) const
+    {
+        switch (which) {
+        case daemon_address::peers:
+            return settings_.peers_address;
+        case daemon_address::readiness:
+            return settings_.readiness_address;
+        case daemon_address::callers:
+            return settings_.callers_address;
+        case daemon_address::directory:
+            return settings_.directory_address;
+        case daemon_address::operators:
+            break;
+        }
+        return settings_.operators_address;
+    }
+
+    void try_listen(
+        daemon_address which, std::function<void(absl::Status)> tried)
+    {
+        auto const& address = address_of(which);
+        switch (which) {
+        case daemon_address::peers:
+            return tried(peer_server_.listen(address));
+        case daemon_address::readiness:
+            return tried(readiness_server_.listen(address));
+        case daemon_address::operators:
+            return tried(operators_server_.listen(address));
+        case daemon_address::callers:
+            return listen_for_callers(std::move(tried));
+        case daemon_address::directory:
+            return traffic_.front()->post(
+                [this, tried = std::move(tried), &thread = *traffic_.front()] {
+                    control_.post(
+                        [tried, status = thread.listen_for_entry_questions()] {
+                            tried(status);
+                        });
+                });
+        }
+    }
+
+    void listen_for_callers(std::function<void(absl::Status)> tried)
+    {
+        auto const pending = std::make_shared<std::size_t>(traffic_.size());
+        auto const sum = std::make_shared<absl::Status>();
+        for (auto const& it : traffic_)
+            it->post([this, pending, sum, tried, &thread = *it] {
+                control_.post([pending, sum, tried,
+                                  status = thread.listen_for_callers()] {
+                    if (!status.ok())
+                        *sum = status;
+                    if (--*pending == 0)
+                        tried(*sum);
+                });
+            });
+    }
+
+    /// From now on this VM is known to others and to callers.
+    void start_control()
+    {
+        started_ = true;
+        control_.start();
     }
 
     sync_handler make_sync_handler()
@@ -112,6 +201,8 @@
                    std::function<void(sync_reply)> reply) {
             control_.post([this, question = std::move(question),
                               reply = std::move(reply)]() mutable {
+                if (!started_)
+                    return reply(sync_reply{});
                 control_.plane().answer_sync(
                     std::move(question), std::move(reply));
             });
@@ -214,6 +305,8 @@
         if (std::exchange(stopping_, true))
             return;
         log(log_event::stopping, {{"vm", settings_.vm.text()}});
+        if (!started_)
+            return control_.context().stop();
         stop_deadline_ = control_.now() +
             std::chrono::duration_cast<duration>(
                 settings_.stop_timeout * stop_deadline_fraction);
@@ -281,7 +374,11 @@
     page_server readiness_server_;
     asio::signal_set signals_;
     settings_watch settings_watch_;
+    /// All addresses but that of the operators are listened on.
+    bool started_ = false;
     bool stopping_ = false;
+    /// Why the daemon cannot run.
+    absl::Status failure_;
     /// Requests are refused since all earlier ones have ended.
     bool refuses_all_ = false;
     time_point stop_deadline_{};
--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -57,21 +57,11 @@
     {
     }
 
-    /// Starts listening and starts the thread. The first thread also serves
-    /// entry questions at `directory_address`, if one is configured.
-    absl::Status start(bool is_first)
+    /// Starts the thread.
+    void start()
     {
-        if (auto status = server_.listen(settings_.callers_address);
-            !status.ok())
-            return status;
-        if (is_first && !settings_.directory_address.empty())
-            if (auto status =
-                    directory_server_.listen(settings_.directory_address);
-                !status.ok())
-                return status;
         tick();
         thread_ = std::thread([this] { context_.run(); });
-        return absl::OkStatus();
     }
 
     /// Stops the thread and joins it.
@@ -106,6 +96,20 @@
         entry_state_.apply_report(report, now());
     }
     traffic_report make_report() { return entry_state_.make_report(now()); }
+    /// Listens for callers; a second call has no effect.
+    absl::Status listen_for_callers()
+    {
+        if (listens_)
+            return absl::OkStatus();
+        auto status = server_.listen(settings_.callers_address);
+        listens_ = status.ok();
+        return status;
+    }
+    /// Listens for entry questions at `directory_address`.
+    absl::Status listen_for_entry_questions()
+    {
+        return directory_server_.listen(settings_.directory_address);
+    }
     /// The server that accepts the requests of callers.
     front_server<typename Platform::front_dialect>& server() { return server_; }
     traffic_metrics const& metrics()
@@ -338,6 +342,7 @@
     std::uint64_t last_request_ = 0;
     std::map<std::uint64_t, std::shared_ptr<caller_request>> open_requests_;
     front_server<typename Platform::front_dialect> server_;
+    bool listens_ = false;
     page_server directory_server_;
     asio::steady_timer tick_timer_;
     time_point last_connection_cleanup_at_{};
