Give each step of a stop a deadline

A stop could hang until SIGKILL: it ended the control thread and then waited for gRPC, which waits for the answer to every open sync question, and only the control thread answers them. Calls to other VMs that ended later called back into a destroyed peer client.

The stop is a state chart now (charts/process.jsonc, process_lifecycle): leave, drain, write the last answers, close the calls of other VMs, end the traffic threads. Each state has a deadline. Steps that block run on a thread of their own while the control thread goes on; one that expires is logged (`stop_step_expired`), and the process ends without it. The peer server refuses its open questions when it stops. The peer client cancels its calls, and its callbacks hold what they share with it.

--- a/charts/chart_list.cpp
+++ b/charts/chart_list.cpp
@@ -52,10 +52,11 @@
     auto path = load_chart<path_chart>(folder, "path", found);
     auto pause = load_chart<pause_chart>(folder, "pause", found);
     auto request = load_chart<request_chart>(folder, "request", found);
-    if (!health || !path || !pause || !request)
+    auto process = load_chart<process_chart>(folder, "process", found);
+    if (!health || !path || !pause || !request || !process)
         return std::nullopt;
     return chart_list{{std::move(*health), std::move(*path), std::move(*pause)},
-        std::move(*request)};
+        std::move(*request), std::move(*process)};
 }
 
 } // namespace pomelohinge
--- a/charts/chart_list.hpp
+++ b/charts/chart_list.hpp
@@ -3,6 +3,7 @@
 
 #include "core/chart.hpp"
 #include "servers/health/target_charts.hpp"
+#include "servers/lifecycle/process_chart.hpp"
 #include "servers/requests/request_chart.hpp"
 
 #include <string>
@@ -28,6 +29,7 @@
 {
     target_charts target;
     chart<request_chart> request;
+    chart<process_chart> process;
 };
 
 /// Loads all charts from `folder`, or from the binary if `folder` is empty.
--- a/drivers/peers/peer_client.cpp
+++ b/drivers/peers/peer_client.cpp
@@ -4,7 +4,10 @@
 #include "drivers/peers/grpc_limits.hpp"
 
 #include <asio/post.hpp>
+#include <condition_variable>
 #include <grpcpp/grpcpp.h>
+#include <mutex>
+#include <set>
 
 namespace pomelohinge {
 namespace {
@@ -44,6 +47,66 @@
     wire::SyncReply reply;
 };
 
+/// The calls that gRPC has not ended yet. Thread-safe.
+class peer_client::open_calls
+{
+public:
+    explicit open_calls(asio::io_context& context) : context_(&context) {}
+
+    /// Returns false if the client stops.
+    bool add(std::shared_ptr<call> const& it)
+    {
+        std::lock_guard const lock(mutex_);
+        return !stopping_ && calls_.insert(it).second;
+    }
+
+    /// Removes a call and posts `work`, unless the client is destroyed.
+    void end(std::shared_ptr<call> const& it, std::function<void()> work)
+    {
+        std::lock_guard const lock(mutex_);
+        calls_.erase(it);
+        if (context_ != nullptr)
+            asio::post(*context_, std::move(work));
+        ended_.notify_all();
+    }
+
+    void stop(std::chrono::milliseconds grace)
+    {
+        std::unique_lock lock(mutex_);
+        stopping_ = true;
+        auto const cancelled = calls_;
+        lock.unlock();
+        for (auto const& it : cancelled)
+            it->context.TryCancel();
+        lock.lock();
+        ended_.wait_for(lock, grace, [this] { return calls_.empty(); });
+    }
+
+    /// Called when the client is destroyed.
+    void detach()
+    {
+        std::lock_guard const lock(mutex_);
+        context_ = nullptr;
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable ended_;
+    asio::io_context* context_;
+    std::set<std::shared_ptr<call>> calls_;
+    bool stopping_ = false;
+};
+
+peer_client::peer_client(asio::io_context& context)
+    : context_(context), calls_(std::make_shared<open_calls>(context))
+{
+}
+
+peer_client::~peer_client()
+{
+    calls_->detach();
+}
+
 wire::Peer::Stub& peer_client::stub(std::string const& address)
 {
     auto& it = peers_[address];
@@ -68,10 +131,13 @@
     it->context.set_deadline(std::chrono::system_clock::now() +
         std::chrono::duration_cast<std::chrono::system_clock::duration>(
             question.long_poll_timeout + sync_timeout_margin));
+    if (!calls_->add(it))
+        return asio::post(context_, [done] { done(sync_reply{}); });
     stub(address).async()->Sync(&it->context, &it->question, &it->reply,
-        [this, it, address, done = std::move(done)](grpc::Status status) {
-            asio::post(context_, [this, it, address, status, done] {
-                if (status.ok())
+        [this, calls = calls_, it, address, done = std::move(done)](
+            grpc::Status const& status) {
+            calls->end(it, [this, it, address, ok = status.ok(), done] {
+                if (ok)
                     return done(
                         from_wire(std::move(it->reply), boottime_clock::now()));
                 peers_.erase(address);
@@ -80,4 +146,9 @@
         });
 }
 
+void peer_client::stop(std::chrono::milliseconds grace)
+{
+    calls_->stop(grace);
+}
+
 } // namespace pomelohinge
--- a/drivers/peers/peer_client.hpp
+++ b/drivers/peers/peer_client.hpp
@@ -6,6 +6,7 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <asio/io_context.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -17,7 +18,9 @@
 class peer_client
 {
 public:
-    explicit peer_client(asio::io_context& context) : context_(context) {}
+    explicit peer_client(asio::io_context& context);
+    /// Callbacks of calls that gRPC has not ended yet are dropped.
+    ~peer_client();
 
     /// Sends a question to the VM at `address`. `done` is called once; if no
     /// reply was received in time, its argument has `reached` false.
@@ -27,6 +30,10 @@
     /// Closes channels that have been unused for longer than the idle timeout.
     void close_idle(time_point now);
 
+    /// Cancels all calls and waits until gRPC has ended them, up to `grace`.
+    /// Further calls fail. Can be called from any thread.
+    void stop(std::chrono::milliseconds grace);
+
 private:
     struct peer
     {
@@ -35,10 +42,13 @@
     };
 
     struct call;
+    class open_calls;
 
     wire::Peer::Stub& stub(std::string const& address);
 
     asio::io_context& context_;
+    /// Shared with the callbacks, which may outlive this object.
+    std::shared_ptr<open_calls> calls_;
     absl::flat_hash_map<std::string, peer> peers_;
 };
 
--- a/drivers/peers/peer_server.cpp
+++ b/drivers/peers/peer_server.cpp
@@ -6,6 +6,8 @@
 #include "drivers/peers/grpc_limits.hpp"
 
 #include <grpcpp/grpcpp.h>
+#include <mutex>
+#include <set>
 
 namespace pomelohinge {
 namespace {
@@ -68,26 +70,78 @@
     {
         if (server_ == nullptr)
             return;
+        refuse_questions();
         server_->Shutdown(std::chrono::system_clock::now() + grace);
         server_.reset();
     }
 
 private:
+    /// A question that has no reply yet.
+    struct open_question
+    {
+        grpc::ServerUnaryReactor* reactor;
+        wire::SyncReply* reply;
+    };
+    using question_pointer = std::shared_ptr<open_question>;
+
     grpc::ServerUnaryReactor* Sync(grpc::CallbackServerContext* context,
         wire::SyncQuestion const* question, wire::SyncReply* reply) override
     {
         auto* const reactor = context->DefaultReactor();
-        handler_(from_wire(*question), [reactor, reply](sync_reply const& it) {
-            if (!it.reached)
-                return reactor->Finish({grpc::StatusCode::UNAVAILABLE, ""});
-            *reply = to_wire(it, boottime_clock::now());
-            reactor->Finish(grpc::Status::OK);
-        });
+        auto const it =
+            std::make_shared<open_question>(open_question{reactor, reply});
+        if (!add(it))
+            reactor->Finish(refused());
+        else
+            handler_(from_wire(*question),
+                [this, it](sync_reply const& answer) { finish(it, answer); });
         return reactor;
     }
 
+    static grpc::Status refused()
+    {
+        return {grpc::StatusCode::UNAVAILABLE, "the VM starts or stops"};
+    }
+
+    /// Returns false if the server stops.
+    bool add(question_pointer const& it)
+    {
+        std::lock_guard const lock(mutex_);
+        return !stopping_ && open_.insert(it).second;
+    }
+
+    void finish(question_pointer const& it, sync_reply const& answer)
+    {
+        {
+            std::lock_guard const lock(mutex_);
+            if (open_.erase(it) == 0)
+                return;
+        }
+        if (!answer.reached)
+            return it->reactor->Finish(refused());
+        *it->reply = to_wire(answer, boottime_clock::now());
+        it->reactor->Finish(grpc::Status::OK);
+    }
+
+    void refuse_questions()
+    {
+        std::set<question_pointer> left;
+        {
+            std::lock_guard const lock(mutex_);
+            stopping_ = true;
+            left.swap(open_);
+        }
+        for (auto const& it : left)
+            it->reactor->Finish(refused());
+    }
+
     sync_handler handler_;
     std::unique_ptr<grpc::Server> server_;
+    std::mutex mutex_;
+    /// Guarded by the mutex, like the flag. gRPC ends only after each of them
+    /// has been finished.
+    std::set<question_pointer> open_;
+    bool stopping_ = false;
 };
 
 peer_server::peer_server(sync_handler handler)
--- a/drivers/peers/peer_server.hpp
+++ b/drivers/peers/peer_server.hpp
@@ -28,7 +28,9 @@
     /// another error if it can never be bound.
     absl::Status listen(std::string const& address);
 
-    /// Stops serving; calls that are still pending after `grace` are aborted.
+    /// Stops serving. Questions without a reply are refused, since nobody may
+    /// be left to answer them; connections that still send a reply after
+    /// `grace` are closed.
     void stop(std::chrono::milliseconds grace);
 
 private:
--- a/main/control_thread.hpp
+++ b/main/control_thread.hpp
@@ -55,6 +55,12 @@
         });
     }
 
+    /// Ends the calls to other VMs. Can be called from any thread.
+    void stop_calls(std::chrono::milliseconds grace)
+    {
+        peer_client_.stop(grace);
+    }
+
     // Interface for the control plane; see `ControlEnvironment`.
 
     time_point now() const { return boottime_clock::now(); }
--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -8,6 +8,7 @@
 #include "main/process_signals.hpp"
 #include "main/settings_watch.hpp"
 #include "main/status_page.hpp"
+#include "servers/lifecycle/process_lifecycle.hpp"
 
 #include <asio/signal_set.hpp>
 
@@ -21,7 +22,9 @@
 public:
     daemon(settings configured, settings_file file, chart_list charts)
         : settings_(std::move(configured)), charts_(std::move(charts)),
-          control_(settings_, traffic_), peer_server_(make_sync_handler()),
+          control_(settings_, traffic_),
+          lifecycle_(charts_.process, *this, settings_.stop_timeout),
+          peer_server_(make_sync_handler()),
           operators_server_(control_.context(), make_page_handler()),
           readiness_server_(control_.context(), make_readiness_handler()),
           signals_(control_.context(), SIGTERM, SIGINT, SIGHUP),
@@ -53,42 +56,88 @@
             [](absl::Status const&) {});
         claim_next(daemon_address::peers);
         control_.context().run();
-        peer_server_.stop(grpc_shutdown_timeout);
-        for (auto const& it : traffic_)
-            it->stop();
         log(log_event::stopped,
-            {{"vm", settings_.vm.text()}, {"open", open_at_end_}});
+            {{"vm", settings_.vm.text()},
+                {"open", lifecycle_.open_requests()}});
         return failure_;
     }
 
-private:
-    /// How long a stopping VM accepts new connections. Entry answers omit the
-    /// VM at once, but callers may use an older answer for up to a few times
-    /// the answer's time to live.
-    static constexpr duration max_listen_after_leave = 3 * entry_time_to_live;
-
-    /// Fraction of the stop timeout after which the process ends even if
-    /// requests are still open.
-    static constexpr double stop_deadline_fraction = 0.9;
-
-    /// Time before the end of the process in which the last answers are
-    /// written.
-    static constexpr duration last_answer_time = std::chrono::milliseconds(100);
-
-    /// Period at which a stopping VM checks whether all requests have ended.
-    static constexpr duration open_requests_poll_period =
-        std::chrono::milliseconds(50);
+    /// Whether a step of the stop has not ended. The daemon must not be
+    /// destroyed then, since a thread still uses it.
+    bool is_abandoned() const { return abandoned_; }
 
-    /// Timeout after which gRPC cancels calls that have not finished.
-    static constexpr std::chrono::milliseconds grpc_shutdown_timeout{50};
-
-    friend class address_claim<daemon>;
+    // Interface for the lifecycle; see `LifecycleEnvironment`.
 
+    time_point now() const { return control_.now(); }
     void after(duration delay, std::function<void()> work)
     {
         control_.after(delay, std::move(work));
     }
+    void announce_leave()
+    {
+        log(log_event::stopping, {{"vm", settings_.vm.text()}});
+        control_.plane().leave();
+    }
+    void limit_requests(planned_stop const& stop)
+    {
+        for (auto const& it : traffic_)
+            it->post([&thread = *it, stop] { thread.begin_stop(stop); });
+    }
+    void stop_listening()
+    {
+        for (auto const& it : traffic_)
+            it->post([&thread = *it] {
+                thread.server().stop_listening();
+                thread.stop_directory();
+            });
+    }
+    void refuse_requests()
+    {
+        for (auto const& it : traffic_)
+            it->post([&thread = *it] { thread.refuse_requests(); });
+    }
+    void count_open_requests(std::function<void(std::size_t)> done)
+    {
+        auto const sum = std::make_shared<std::size_t>(0);
+        auto const pending = std::make_shared<std::size_t>(traffic_.size());
+        for (auto const& it : traffic_)
+            it->post([this, sum, pending, done, &thread = *it] {
+                control_.post([sum, pending, done, n = thread.open_requests()] {
+                    *sum += n;
+                    if (--*pending == 0)
+                        done(*sum);
+                });
+            });
+    }
+    void close_peers(duration grace, std::function<void()> closed)
+    {
+        auto const limit =
+            std::chrono::duration_cast<std::chrono::milliseconds>(grace);
+        run_step(
+            [this, limit] {
+                peer_server_.stop(limit);
+                control_.stop_calls(limit);
+            },
+            std::move(closed));
+    }
+    void stop_threads(std::function<void()> closed)
+    {
+        run_step(
+            [this] {
+                for (auto const& it : traffic_)
+                    it->stop();
+            },
+            std::move(closed));
+    }
+    void step_expired(process_state step)
+    {
+        step_->detach();
+        abandoned_ = true;
+        log(log_event::stop_step_expired, {{"step", to_name(step)}});
+    }
+    void end() { control_.context().stop(); }
 
+private:
     /// Tells all traffic threads what a target has said of itself to one.
     void share_notice(target_record const& target, target_notice const& notice)
     {
@@ -122,12 +171,12 @@
         if (address.empty())
             return claim_next(next);
         claim(which, address, [this, next](absl::Status const& status) {
-            if (stopping_)
+            if (lifecycle_.state() != process_state::starting)
                 return;
             if (status.ok())
                 return claim_next(next);
             failure_ = status;
-            control_.context().stop();
+            lifecycle_.handle(process_event::start_failed);
         });
     }
 
@@ -191,7 +240,7 @@
     /// From now on this VM is known to others and to callers.
     void start_control()
     {
-        started_ = true;
+        lifecycle_.handle(process_event::started);
         control_.start();
     }
 
@@ -201,7 +250,7 @@
                    std::function<void(sync_reply)> reply) {
             control_.post([this, question = std::move(question),
                               reply = std::move(reply)]() mutable {
-                if (!started_)
+                if (lifecycle_.state() == process_state::starting)
                     return reply(sync_reply{});
                 control_.plane().answer_sync(
                     std::move(question), std::move(reply));
@@ -217,7 +266,7 @@
             if (signal == SIGHUP)
                 settings_watch_.check();
             else
-                begin_stop();
+                lifecycle_.handle(process_event::stop_requested);
             await_signal();
         });
     }
@@ -265,7 +314,8 @@
             return reply(make_readiness_page());
         case operators_page::status:
             return reply({200, "application/json",
-                to_json(control_.plane().status(), settings_.vm, stopping_)});
+                to_json(control_.plane().status(), settings_.vm,
+                    lifecycle_.is_stopping())});
         case operators_page::metrics:
             return collect_metrics([this, reply](traffic_metrics const& it) {
                 reply({200, "text/plain; version=0.0.4",
@@ -298,92 +348,37 @@
             });
     }
 
-    // Graceful shutdown.
-
-    void begin_stop()
-    {
-        if (std::exchange(stopping_, true))
-            return;
-        log(log_event::stopping, {{"vm", settings_.vm.text()}});
-        if (!started_)
-            return control_.context().stop();
-        stop_deadline_ = control_.now() +
-            std::chrono::duration_cast<duration>(
-                settings_.stop_timeout * stop_deadline_fraction);
-        control_.plane().leave();
-        auto const listen_time = std::min<duration>(
-            max_listen_after_leave, settings_.stop_timeout / 2);
-        planned_stop const stop{
-            stop_deadline_ - last_answer_time, control_.now() + listen_time};
-        for (auto const& it : traffic_)
-            it->post([&thread = *it, stop] { thread.begin_stop(stop); });
-        control_.after(listen_time, [this] {
-            for (auto const& it : traffic_)
-                it->post([&thread = *it] {
-                    thread.server().stop_listening();
-                    thread.stop_directory();
-                });
-            await_open_requests();
-        });
-    }
-
-    void count_open_requests(std::function<void(std::size_t)> done)
+    /// Runs a step that blocks on a thread of its own, and calls `closed` on
+    /// the control thread.
+    void run_step(std::function<void()> step, std::function<void()> closed)
     {
-        auto const sum = std::make_shared<std::size_t>(0);
-        auto const pending = std::make_shared<std::size_t>(traffic_.size());
-        for (auto const& it : traffic_)
-            it->post([this, sum, pending, done, &thread = *it] {
-                control_.post([sum, pending, done, n = thread.open_requests()] {
-                    *sum += n;
-                    if (--*pending == 0)
-                        done(*sum);
-                });
+        step_ = std::make_shared<std::thread>();
+        *step_ = std::thread([this, step = std::move(step),
+                                 closed = std::move(closed), running = step_] {
+            step();
+            control_.post([closed, running] {
+                if (running->joinable())
+                    running->join();
+                closed();
             });
-    }
-
-    /// Ends the process once all requests have ended. New ones are refused
-    /// before that, so that none starts in between.
-    void await_open_requests()
-    {
-        count_open_requests([this](std::size_t open) {
-            bool const ends = open == 0 && refuses_all_;
-            if (ends || control_.now() >= stop_deadline_) {
-                open_at_end_ = open;
-                return control_.context().stop();
-            }
-            if (open == 0)
-                refuse_all();
-            control_.after(
-                open_requests_poll_period, [this] { await_open_requests(); });
         });
     }
 
-    void refuse_all()
-    {
-        refuses_all_ = true;
-        for (auto const& it : traffic_)
-            it->post([&thread = *it] { thread.refuse_requests(); });
-    }
-
     settings const settings_;
     chart_list const charts_;
     traffic_threads<Platform> traffic_;
     control_thread<Platform> control_;
+    process_lifecycle<daemon> lifecycle_;
     peer_server peer_server_;
     page_server operators_server_;
     page_server readiness_server_;
     asio::signal_set signals_;
     settings_watch settings_watch_;
-    /// All addresses but that of the operators are listened on.
-    bool started_ = false;
-    bool stopping_ = false;
     /// Why the daemon cannot run.
     absl::Status failure_;
-    /// Requests are refused since all earlier ones have ended.
-    bool refuses_all_ = false;
-    time_point stop_deadline_{};
-    /// Requests without an answer when the process ends.
-    std::size_t open_at_end_ = 0;
+    /// The thread of the current step; detached when the step has expired.
+    std::shared_ptr<std::thread> step_;
+    bool abandoned_ = false;
 };
 
 } // namespace pomelohinge
--- a/main/daemon_main.hpp
+++ b/main/daemon_main.hpp
@@ -7,6 +7,7 @@
 #include "main/process_signals.hpp"
 #include "main/text_file.hpp"
 
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
 
@@ -39,19 +40,23 @@
     if (options.count("check-settings") > 0)
         return daemon_exit::done;
     configure_log(configured->logs);
-    absl::Status status;
-    {
-        daemon<Platform> process(
-            *configured, settings_file{path, *text}, std::move(*charts));
-        status = process.run();
-    }
+    auto process = std::make_unique<daemon<Platform>>(
+        *configured, settings_file{path, *text}, std::move(*charts));
+    auto const status = process->run();
+    bool const abandoned = process->is_abandoned();
+    if (abandoned)
+        static_cast<void>(process.release());
+    process.reset();
     shutdown_log();
-    if (!status.ok()) {
+    if (!status.ok())
         std::cerr << status.message() << "\n";
-        return daemon_exit::failed;
-    }
-    return invariant_violations() == 0 ? daemon_exit::done
-                                       : daemon_exit::invariant_violated;
+    auto const code = !status.ok()    ? daemon_exit::failed
+        : invariant_violations() == 0 ? daemon_exit::done
+                                      : daemon_exit::invariant_violated;
+    // Threads of an abandoned step still use static objects.
+    if (abandoned)
+        std::_Exit(static_cast<int>(code));
+    return code;
 }
 
 /// Parses the command line of a daemon on `Platform` and runs the daemon.
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -103,6 +103,7 @@
         self.traffic_threads = traffic_threads
         self.vms: dict[str, Vm] = {}
         self.upstreams: dict[str, Upstream] = {}
+        self.platform_process: subprocess.Popen[bytes] | None = None
         self._processes: list[subprocess.Popen[bytes]] = []
 
     # Set-up.
@@ -137,8 +138,8 @@
         return process
 
     def start_platform(self) -> None:
-        self._start("platform", "stand_in_platform", "--address",
-                    self.platform)
+        self.platform_process = self._start(
+            "platform", "stand_in_platform", "--address", self.platform)
         self.wait_for("the platform", lambda: bool(
             http(f"http://{self.platform}/calls")), 10)
 
