Ignore signals at the end of a stop

A second SIGTERM while the process ended was handled by the default action, since the handlers had been removed: status -15 in place of 0. The signals are blocked again as soon as the stop is over.

stop_steps_test (stops of all VMs, with SIGTERM twice and SIGHUP): "-15 != 0" before, holds now.

--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -56,6 +56,8 @@
             [](absl::Status const&) {});
         claim_next(daemon_address::peers);
         control_.context().run();
+        // The handlers are about to be removed.
+        block_signals();
         log(log_event::stopped,
             {{"vm", settings_.vm.text()},
                 {"open", lifecycle_.open_requests()}});
