Stop in time when nobody reads the log

With a full pipe as standard output the end of a stop waited for the writer of the log. With standard output closed at the start, the first descriptor of a library became number 1, and log lines were written to it. After a failed write nothing more was logged.

The end waits 200 ms for the writer and then leaves without it. Closed standard streams become /dev/null before the initialisers of libraries run: gRPC's opens an event descriptor there. The stream's error is cleared before each write.

The test with closed streams failed before with "anon_inode:[eventfd]" as a standard stream.

--- a/core/log.cpp
+++ b/core/log.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <easylogging++.h>
 #include <fmt/format.h>
+#include <iostream>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -149,16 +150,23 @@
         thread_ = std::thread([this] { run(); });
     }
 
-    /// Writes all pending lines and ends the thread.
-    void stop()
+    /// Writes all pending lines and ends the thread. Returns false if it is
+    /// still blocked in a write after `limit`.
+    bool stop(std::chrono::milliseconds limit)
     {
-        {
-            std::lock_guard const lock(mutex_);
-            stopping_ = true;
-        }
+        std::unique_lock lock(mutex_);
+        stopping_ = true;
         wake_.notify_one();
-        if (thread_.joinable())
+        bool const ended =
+            ended_.wait_for(lock, limit, [this] { return has_ended_; });
+        lock.unlock();
+        if (!thread_.joinable())
+            return true;
+        if (ended)
             thread_.join();
+        else
+            thread_.detach();
+        return ended;
     }
 
     /// Creates the buffer of the calling thread.
@@ -200,6 +208,9 @@
         }
         lock.unlock();
         write_lines(buffers_);
+        lock.lock();
+        has_ended_ = true;
+        ended_.notify_one();
     }
 
     void write_lines(std::vector<std::shared_ptr<thread_buffer>> const& buffers)
@@ -214,6 +225,8 @@
         if (text.empty())
             return;
         text.pop_back();
+        // After a failed write the stream would write nothing more.
+        std::cout.clear();
         LOG(INFO) << text;
     }
 
@@ -239,8 +252,10 @@
     std::thread thread_;
     std::mutex mutex_;
     std::condition_variable wake_;
+    std::condition_variable ended_;
     std::atomic<bool> pending_{false};
     bool stopping_ = false;
+    bool has_ended_ = false;
     std::vector<std::shared_ptr<thread_buffer>> buffers_;
     std::array<std::uint64_t, enum_count<log_event>> reported_counts_{};
     time_point reported_at_{};
@@ -291,9 +306,9 @@
     min_level = level;
 }
 
-void shutdown_log()
+bool shutdown_log(std::chrono::milliseconds limit)
 {
-    writer().stop();
+    return writer().stop(limit);
 }
 
 void log(log_event event, std::initializer_list<log_field> fields)
--- a/core/log.hpp
+++ b/core/log.hpp
@@ -3,6 +3,7 @@
 
 #include "core/log_event.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -80,8 +81,10 @@
 /// Sets the lowest level that is logged. Safe to call from any thread.
 void set_log_level(log_level level);
 
-/// Writes the pending lines and ends the writer thread.
-void shutdown_log();
+/// Writes the pending lines and ends the writer thread. Returns false if
+/// standard output takes no more within `limit`; the thread is then still
+/// blocked, and the process may only be left without destroying static objects.
+bool shutdown_log(std::chrono::milliseconds limit);
 
 /// Logs one event. Safe to call from any thread and never blocks: the line is
 /// added to a ring buffer of the calling thread, which a writer thread drains.
--- a/main/daemon_main.hpp
+++ b/main/daemon_main.hpp
@@ -21,6 +21,9 @@
     invariant_violated = 3,
 };
 
+/// How long a stop waits for the reader of standard output.
+inline constexpr std::chrono::milliseconds log_write_timeout{200};
+
 /// Reads settings and charts, then runs the daemon until it stops.
 template <FleetPlatform Platform>
 daemon_exit run_daemon(cxxopts::ParseResult const& options)
@@ -47,14 +50,14 @@
     if (abandoned)
         static_cast<void>(process.release());
     process.reset();
-    shutdown_log();
-    if (!status.ok())
+    bool const written = shutdown_log(log_write_timeout);
+    if (!status.ok() && written)
         std::cerr << status.message() << "\n";
     auto const code = !status.ok()    ? daemon_exit::failed
         : invariant_violations() == 0 ? daemon_exit::done
                                       : daemon_exit::invariant_violated;
-    // Threads of an abandoned step still use static objects.
-    if (abandoned)
+    // Threads that still run may use static objects.
+    if (abandoned || !written)
         std::_Exit(static_cast<int>(code));
     return code;
 }
--- a/main/pomelohinge.cpp
+++ b/main/pomelohinge.cpp
@@ -82,7 +82,7 @@
         }
         configure_log({log_format::text, log_level::error});
         auto const exit = run(parsed);
-        shutdown_log();
+        shutdown_log(std::chrono::seconds(1));
         return exit;
     } catch (cxxopts::exceptions::exception const& error) {
         std::cerr << error.what() << "\n";
--- a/main/process_signals.cpp
+++ b/main/process_signals.cpp
@@ -1,5 +1,7 @@
 #include "main/process_signals.hpp"
 
+#include "main/standard_streams.hpp"
+
 #include <csignal>
 #include <initializer_list>
 
@@ -15,6 +17,12 @@
     return signals;
 }
 
+void prepare_process()
+{
+    block_signals();
+    open_standard_streams();
+}
+
 } // namespace
 
 void block_signals()
@@ -25,9 +33,9 @@
 }
 
 /// Runs before the initialisers of shared libraries, which take most of the
-/// start.
+/// start and open descriptors.
 [[gnu::section(".preinit_array"),
-    gnu::used]] void (*const block_at_start)() = &block_signals;
+    gnu::used]] void (*const prepare_at_start)() = &prepare_process;
 
 void unblock_signals()
 {
