Start with odd settings where a sane reading exists

A settings template filled in from a sheet without seeds, cores, address of its own or readiness address was refused, and so was one with a capacity of 0, a share above 1 or a seed that is no IP:PORT: the process ended with status 2. So it did while the file was missing or half written, and if the file was at another path than that of the run line.

Numbers that describe the machine or the bounds are read as the nearest one in range, a capacity of 0 as unknown; seeds and optional addresses that cannot be used are left out. Each is logged (`settings_adjusted`) and printed by `--check-settings`. Without `--settings` its path comes from POMELOHINGE_SETTINGS.

--- a/config/settings.cpp
+++ b/config/settings.cpp
@@ -3,7 +3,10 @@
 #include "config/object_codec.hpp"
 #include "core/object_reader.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
+#include <limits>
+#include <set>
 
 namespace pomelohinge {
 namespace {
@@ -47,12 +50,54 @@
         reader.add(field, "an IP:PORT is expected");
 }
 
+/// Seeds only help a start without the store, so one that cannot be used is
+/// left out.
 void read_seeds(object_reader& reader, settings& out)
 {
     reader.text_list("seeds", out.seeds, presence::optional);
-    for (auto const& it : out.seeds)
-        if (!is_ip_endpoint(it))
-            reader.add("seeds", "\"" + it + "\" is not an IP:PORT");
+    std::erase_if(out.seeds, [&](std::string const& it) {
+        if (is_ip_endpoint(it))
+            return false;
+        out.adjustments.push_back(
+            "/seeds: \"" + it + "\" is not an IP:PORT and is left out");
+        return true;
+    });
+}
+
+/// Closed range of a number.
+struct number_range
+{
+    double low;
+    double high;
+};
+
+/// Reads a number that describes the machine or the platform. One that is out
+/// of range does not keep the VM from starting: the nearest one in range is
+/// used.
+void read_number(object_reader& reader, std::string_view field, double& out,
+    number_range range, settings& adjusted)
+{
+    constexpr auto largest = std::numeric_limits<double>::max();
+    double value = out;
+    reader.number(field, value, -largest, largest, presence::optional);
+    out = std::clamp(value, range.low, range.high);
+    if (out != value)
+        adjusted.adjustments.push_back(
+            fmt::format("/{}: {} is read as {}", field, value, out));
+}
+
+/// As above, but 0 or less stands for an unknown value, as if the field were
+/// absent.
+void read_capacity(object_reader& reader, std::string_view field, double& out,
+    number_range range, settings& adjusted)
+{
+    double const unknown = out;
+    double value = out;
+    read_number(reader, field, value, {0, range.high}, adjusted);
+    out = value > 0 ? std::max(value, range.low) : unknown;
+    if (value <= 0 && reader.has(field))
+        adjusted.adjustments.push_back(
+            fmt::format("/{}: 0 counts as unknown", field));
 }
 
 void read_optional_address(
@@ -63,6 +108,24 @@
     reader.allow(field);
 }
 
+/// Leaves out an optional address that the VM needs for something else.
+void leave_out_taken_addresses(settings& out)
+{
+    std::set<std::string_view> taken{out.callers_address, out.peers_address};
+    std::pair<std::string_view, std::string&> const optional_addresses[] = {
+        {"readiness_address", out.readiness_address},
+        {"directory_address", out.directory_address},
+        {"operators_address", out.operators_address},
+    };
+    for (auto& [field, address] : optional_addresses) {
+        if (address.empty() || taken.insert(address).second)
+            continue;
+        out.adjustments.push_back(fmt::format(
+            "/{}: {} has another use and is left out", field, address));
+        address.clear();
+    }
+}
+
 void read_log(json_document const& document, findings& found, settings& out)
 {
     object_reader reader(document, "/log", found);
@@ -79,14 +142,13 @@
 {
     object_reader reader(document, "/machine", found);
     double share = 1;
-    reader.number("cores", out.cores, min_cores, max_cores, presence::optional);
-    reader.number(
-        "core_share", share, min_cores, max_cores, presence::optional);
+    read_capacity(reader, "cores", out.cores, {min_cores, max_cores}, out);
+    read_capacity(reader, "core_share", share, {min_cores, max_cores}, out);
     out.cores *= share;
-    reader.number("link_mbps", out.link_mbps, min_link_mbps, max_link_mbps,
-        presence::optional);
-    reader.number("memory_mb", out.memory_mb, min_memory_mb, max_memory_mb,
-        presence::optional);
+    read_capacity(reader, "link_mbps", out.link_mbps,
+        {min_link_mbps, max_link_mbps}, out);
+    read_capacity(reader, "memory_mb", out.memory_mb,
+        {min_memory_mb, max_memory_mb}, out);
     constexpr double bytes_per_mb = 1e6;
     if (out.memory_mb > 0)
         out.buffer_bytes = static_cast<std::int64_t>(
@@ -95,11 +157,11 @@
 }
 
 void read_seconds(object_reader& reader, std::string_view field, duration& out,
-    double min_seconds)
+    double min_seconds, settings& adjusted)
 {
     double seconds = to_seconds(out);
-    reader.number(
-        field, seconds, min_seconds, max_bound_seconds, presence::optional);
+    read_number(
+        reader, field, seconds, {min_seconds, max_bound_seconds}, adjusted);
     out = from_seconds(seconds);
 }
 
@@ -109,14 +171,14 @@
     auto& it = out.bounds;
     bool strict = true;
     reader.flag("strict_revocation", strict, presence::optional);
-    read_seconds(reader, "revocation_s", it.max_revocation_delay, 0);
+    read_seconds(reader, "revocation_s", it.max_revocation_delay, 0, out);
     if (!strict)
         it.max_revocation_delay = duration::zero();
-    reader.number("retry_ratio", it.retry_ratio, 0, 10, presence::optional);
-    read_seconds(reader, "retry_window_s", it.retry_window, 1);
-    reader.number(
-        "retry_extra", it.retry_extra, 0, max_retry_extra, presence::optional);
-    reader.number("floor", it.floor, 0, 1, presence::optional);
+    read_number(reader, "retry_ratio", it.retry_ratio, {0, 10}, out);
+    read_seconds(reader, "retry_window_s", it.retry_window, 1, out);
+    read_number(
+        reader, "retry_extra", it.retry_extra, {0, max_retry_extra}, out);
+    read_number(reader, "floor", it.floor, {0, 1}, out);
     reader.finish();
 }
 
@@ -130,7 +192,7 @@
     reader.integer("buffer_bytes", out.buffer_bytes, min_buffer_bytes,
         max_buffer_bytes, presence::optional);
     duration stop_timeout = out.stop_timeout;
-    read_seconds(reader, "stop_s", stop_timeout, 0);
+    read_seconds(reader, "stop_s", stop_timeout, 0, out);
     std::int64_t stop_limit_ms = to_milliseconds(stop_timeout);
     reader.integer("stop_limit_ms", stop_limit_ms, 0, max_stop_timeout_ms,
         presence::optional);
@@ -154,11 +216,12 @@
     read_name(reader, "data_centre", out.data_centre);
     read_address(reader, "callers_address", out.callers_address);
     read_address(reader, "peers_address", out.peers_address);
-    read_address(reader, "operators_address", out.operators_address);
     read_address(reader, "platform_address", out.platform_address);
     read_seeds(reader, out);
     read_optional_address(reader, "readiness_address", out.readiness_address);
     read_optional_address(reader, "directory_address", out.directory_address);
+    read_optional_address(reader, "operators_address", out.operators_address);
+    leave_out_taken_addresses(out);
     reader.integer("traffic_threads", out.traffic_threads, 1,
         max_traffic_threads, presence::optional);
     for (auto const* it : {"log", "limits", "machine", "bounds"})
--- a/config/settings.hpp
+++ b/config/settings.hpp
@@ -53,6 +53,9 @@
     /// Maximum time for which a planned stop waits for running requests.
     std::chrono::milliseconds stop_timeout{30'000};
     fleet_bounds bounds;
+    /// What was read otherwise than it is written: numbers of the machine and
+    /// of the bounds that are out of range, and addresses that cannot be used.
+    std::vector<std::string> adjustments;
 };
 
 /// Parses settings in JSON with comments. All errors are added to `found` with
--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -52,8 +52,9 @@
         settings_watch_.start();
         for (auto const& it : traffic_)
             it->start();
-        claim(daemon_address::operators, settings_.operators_address,
-            [](absl::Status const&) {});
+        if (!settings_.operators_address.empty())
+            claim(daemon_address::operators, settings_.operators_address,
+                [](absl::Status const&) {});
         claim_next(daemon_address::peers);
         control_.context().run();
         // The handlers are about to be removed.
--- a/main/daemon_main.hpp
+++ b/main/daemon_main.hpp
@@ -5,7 +5,7 @@
 #include "core/log.hpp"
 #include "main/daemon.hpp"
 #include "main/process_signals.hpp"
-#include "main/text_file.hpp"
+#include "main/settings_source.hpp"
 
 #include <cstdlib>
 #include <cxxopts.hpp>
@@ -24,27 +24,56 @@
 /// How long a stop waits for the reader of standard output.
 inline constexpr std::chrono::milliseconds log_write_timeout{200};
 
+/// Name of a daemon's program, and the path of its settings file if neither the
+/// command line nor the environment has one; may be empty.
+struct program_description
+{
+    std::string name;
+    std::string settings_path;
+};
+
+inline std::string find_settings_path(
+    cxxopts::ParseResult const& options, program_description const& program)
+{
+    if (options.count("settings") > 0)
+        return options["settings"].as<std::string>();
+    auto const* const it = std::getenv(settings_variable);
+    return it == nullptr ? program.settings_path : it;
+}
+
 /// Reads settings and charts, then runs the daemon until it stops.
 template <FleetPlatform Platform>
-daemon_exit run_daemon(cxxopts::ParseResult const& options)
+daemon_exit run_daemon(
+    cxxopts::ParseResult const& options, program_description const& program)
 {
-    auto const path = options["settings"].as<std::string>();
+    bool const only_checks = options.count("check-settings") > 0;
+    auto const path = find_settings_path(options, program);
+    if (path.empty()) {
+        std::cerr << "--settings FILE or " << settings_variable
+                  << " is required\n";
+        return daemon_exit::invalid_input;
+    }
     findings settings_findings(path);
-    auto const text = read_text_file(path, settings_findings);
-    auto const configured =
-        text ? parse_settings(*text, settings_findings) : std::nullopt;
+    auto source = only_checks ? read_settings(path, settings_findings)
+                              : await_settings(path, settings_findings);
     findings chart_findings("charts");
     auto charts =
         load_charts(options["charts"].as<std::string>(), chart_findings);
-    if (!configured || !charts) {
+    if (!source || !charts) {
         std::cerr << settings_findings.to_text() << chart_findings.to_text();
-        return daemon_exit::invalid_input;
+        return is_stop_pending() ? daemon_exit::done
+                                 : daemon_exit::invalid_input;
     }
-    if (options.count("check-settings") > 0)
+    if (only_checks) {
+        for (auto const& it : source->parsed.adjustments)
+            std::cerr << path << ": " << it << "\n";
         return daemon_exit::done;
-    configure_log(configured->logs);
+    }
+    configure_log(source->parsed.logs);
+    for (auto const& it : source->parsed.adjustments)
+        log(log_event::settings_adjusted, {{"detail", it}});
     auto process = std::make_unique<daemon<Platform>>(
-        *configured, settings_file{path, *text}, std::move(*charts));
+        std::move(source->parsed), std::move(source->file), std::move(*charts));
     auto const status = process->run();
     bool const abandoned = process->is_abandoned();
     if (abandoned)
@@ -64,10 +93,11 @@
 
 /// Parses the command line of a daemon on `Platform` and runs the daemon.
 template <FleetPlatform Platform>
-daemon_exit daemon_main(int argc, char** argv, std::string const& program)
+daemon_exit daemon_main(
+    int argc, char** argv, program_description const& program)
 {
     block_signals();
-    cxxopts::Options options(program, "Daemon of an entry VM");
+    cxxopts::Options options(program.name, "Daemon of an entry VM");
     options.add_options()("settings", "Settings file",
         cxxopts::value<std::string>(), "FILE")("charts",
         "Directory with charts that replace the built-in ones",
@@ -81,14 +111,10 @@
             return daemon_exit::done;
         }
         if (parsed.count("version") > 0) {
-            std::cout << program << " 0.2.0\n";
+            std::cout << program.name << " 0.2.0\n";
             return daemon_exit::done;
         }
-        if (parsed.count("settings") == 0) {
-            std::cerr << "--settings FILE is required\n";
-            return daemon_exit::invalid_input;
-        }
-        return run_daemon<Platform>(parsed);
+        return run_daemon<Platform>(parsed, program);
     } catch (cxxopts::exceptions::exception const& error) {
         std::cerr << error.what() << "\n";
         return daemon_exit::invalid_input;
--- a/main/pomelohinged.cpp
+++ b/main/pomelohinged.cpp
@@ -23,6 +23,6 @@
 
 int main(int argc, char** argv)
 {
-    return static_cast<int>(
-        pomelohinge::daemon_main<native_platform>(argc, argv, "pomelohinged"));
+    return static_cast<int>(pomelohinge::daemon_main<native_platform>(
+        argc, argv, {"pomelohinged", ""}));
 }
