--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -2,10 +2,13 @@
 #define POMELOHINGE_MAIN_DAEMON_HPP
 
 #include "drivers/peers/peer_server.hpp"
+#include "main/address_claim.hpp"
 #include "main/control_thread.hpp"
 #include "main/operators_pages.hpp"
+#include "main/process_signals.hpp"
 #include "main/settings_watch.hpp"
 #include "main/status_page.hpp"
+#include "servers/lifecycle/process_lifecycle.hpp"
 
 #include <asio/signal_set.hpp>
 
@@ -19,7 +22,9 @@
 public:
     daemon(settings configured, settings_file file, chart_list charts)
         : settings_(std::move(configured)), charts_(std::move(charts)),
-          control_(settings_, traffic_), peer_server_(make_sync_handler()),
+          control_(settings_, traffic_),
+          lifecycle_(charts_.process, *this, settings_.stop_timeout),
+          peer_server_(make_sync_handler()),
           operators_server_(control_.context(), make_page_handler()),
           readiness_server_(control_.context(), make_readiness_handler()),
           signals_(control_.context(), SIGTERM, SIGINT, SIGHUP),
@@ -38,44 +43,104 @@
     }
 
     /// Runs until SIGTERM or SIGINT is received and the graceful shutdown has
-    /// ended. Returns an error if one of the servers cannot listen.
+    /// ended. Returns an error if an address that callers or other VMs need can
+    /// never be listened on.
     absl::Status run()
     {
-        if (auto status = listen(); !status.ok())
-            return status;
         await_signal();
+        unblock_signals();
         settings_watch_.start();
-        control_.start();
-        control_.context().run();
-        peer_server_.stop(grpc_shutdown_timeout);
         for (auto const& it : traffic_)
-            it->stop();
+            it->start();
+        if (!settings_.operators_address.empty())
+            claim(daemon_address::operators, settings_.operators_address,
+                [](absl::Status const&) {});
+        claim_next(daemon_address::peers);
+        control_.context().run();
+        // The handlers are about to be removed.
+        block_signals();
         log(log_event::stopped,
-            {{"vm", settings_.vm.text()}, {"open", open_at_end_}});
-        return absl::OkStatus();
+            {{"vm", settings_.vm.text()},
+                {"open", lifecycle_.open_requests()}});
+        return failure_;
     }
 
-private:
-    /// How long a stopping VM accepts new connections. Entry answers omit the
-    /// VM at once, but callers may use an older answer for up to a few times
-    /// the answer's time to live.
-    static constexpr duration max_listen_after_leave = 3 * entry_time_to_live;
+    /// Whether a step of the stop has not ended. The daemon must not be
+    /// destroyed then, since a thread still uses it.
+    bool is_abandoned() const { return abandoned_; }
 
-    /// Fraction of the stop timeout after which the process ends even if
-    /// requests are still open.
-    static constexpr double stop_deadline_fraction = 0.9;
+    // Interface for the lifecycle; see `LifecycleEnvironment`.
 
-    /// Time before the end of the process in which the last answers are
-    /// written.
-    static constexpr duration last_answer_time = std::chrono::milliseconds(100);
-
-    /// Period at which a stopping VM checks whether all requests have ended.
-    static constexpr duration open_requests_poll_period =
-        std::chrono::milliseconds(50);
-
-    /// Timeout after which gRPC cancels calls that have not finished.
-    static constexpr std::chrono::milliseconds grpc_shutdown_timeout{50};
+    time_point now() const { return control_.now(); }
+    void after(duration delay, std::function<void()> work)
+    {
+        control_.after(delay, std::move(work));
+    }
+    void announce_leave()
+    {
+        log(log_event::stopping, {{"vm", settings_.vm.text()}});
+        control_.plane().leave();
+    }
+    void limit_requests(planned_stop const& stop)
+    {
+        for (auto const& it : traffic_)
+            it->post([&thread = *it, stop] { thread.begin_stop(stop); });
+    }
+    void stop_listening()
+    {
+        for (auto const& it : traffic_)
+            it->post([&thread = *it] {
+                thread.server().stop_listening();
+                thread.stop_directory();
+            });
+    }
+    void refuse_requests()
+    {
+        for (auto const& it : traffic_)
+            it->post([&thread = *it] { thread.refuse_requests(); });
+    }
+    void count_open_requests(std::function<void(std::size_t)> done)
+    {
+        auto const sum = std::make_shared<std::size_t>(0);
+        auto const pending = std::make_shared<std::size_t>(traffic_.size());
+        for (auto const& it : traffic_)
+            it->post([this, sum, pending, done, &thread = *it] {
+                control_.post([sum, pending, done, n = thread.open_requests()] {
+                    *sum += n;
+                    if (--*pending == 0)
+                        done(*sum);
+                });
+            });
+    }
+    void close_peers(duration grace, std::function<void()> closed)
+    {
+        auto const limit =
+            std::chrono::duration_cast<std::chrono::milliseconds>(grace);
+        run_step(
+            [this, limit] {
+                peer_server_.stop(limit);
+                control_.stop_calls(limit);
+            },
+            std::move(closed));
+    }
+    void stop_threads(std::function<void()> closed)
+    {
+        run_step(
+            [this] {
+                for (auto const& it : traffic_)
+                    it->stop();
+            },
+            std::move(closed));
+    }
+    void step_expired(process_state step)
+    {
+        step_->detach();
+        abandoned_ = true;
+        log(log_event::stop_step_expired, {{"step", to_name(step)}});
+    }
+    void end() { control_.context().stop(); }
 
+private:
     /// Tells all traffic threads what a target has said of itself to one.
     void share_notice(target_record const& target, target_notice const& notice)
     {
@@ -85,23 +150,101 @@
             });
     }
 
-    absl::Status listen()
+    // Listening addresses.
+
+    void claim(daemon_address which, std::string const& address,
+        std::function<void(absl::Status)> done)
+    {
+        auto const it = std::make_shared<address_claim<daemon>>(*this, which,
+            address, [this, which](std::function<void(absl::Status)> tried) {
+                try_listen(which, std::move(tried));
+            });
+        it->start(std::move(done));
+    }
+
+    /// Claims the addresses one after the other. Only one process can hold that
+    /// for peers, which it gives up last, so the connections of callers are not
+    /// divided between this process and an earlier one that still stops.
+    void claim_next(daemon_address which)
     {
-        if (auto status = peer_server_.listen(settings_.peers_address);
-            !status.ok())
-            return status;
-        if (auto status = operators_server_.listen(settings_.operators_address);
-            !status.ok())
-            return status;
-        if (!settings_.readiness_address.empty())
-            if (auto status =
-                    readiness_server_.listen(settings_.readiness_address);
-                !status.ok())
-                return status;
-        for (std::size_t it = 0; it < traffic_.size(); ++it)
-            if (auto status = traffic_[it]->start(it == 0); !status.ok())
-                return status;
-        return absl::OkStatus();
+        if (which == daemon_address::operators)
+            return start_control();
+        auto const next = static_cast<daemon_address>(index_of(which) + 1);
+        auto const& address = address_of(which);
+        if (address.empty())
+            return claim_next(next);
+        claim(which, address, [this, next](absl::Status const& status) {
+            if (lifecycle_.state() != process_state::starting)
+                return;
+            if (status.ok())
+                return claim_next(next);
+            failure_ = status;
+            lifecycle_.handle(process_event::start_failed);
+        });
+    }
+
+    std::string const& address_of(daemon_address which) const
+    {
+        switch (which) {
+        case daemon_address::peers:
+            return settings_.peers_address;
+        case daemon_address::readiness:
+            return settings_.readiness_address;
+        case daemon_address::callers:
+            return settings_.callers_address;
+        case daemon_address::directory:
+            return settings_.directory_address;
+        case daemon_address::operators:
+            break;
+        }
+        return settings_.operators_address;
+    }
+
+    void try_listen(
+        daemon_address which, std::function<void(absl::Status)> tried)
+    {
+        auto const& address = address_of(which);
+        switch (which) {
+        case daemon_address::peers:
+            return tried(peer_server_.listen(address));
+        case daemon_address::readiness:
+            return tried(readiness_server_.listen(address));
+        case daemon_address::operators:
+            return tried(operators_server_.listen(address));
+        case daemon_address::callers:
+            return listen_for_callers(std::move(tried));
+        case daemon_address::directory:
+            return traffic_.front()->post(
+                [this, tried = std::move(tried), &thread = *traffic_.front()] {
+                    control_.post(
+                        [tried, status = thread.listen_for_entry_questions()] {
+                            tried(status);
+                        });
+                });
+        }
+    }
+
+    void listen_for_callers(std::function<void(absl::Status)> tried)
+    {
+        auto const pending = std::make_shared<std::size_t>(traffic_.size());
+        auto const sum = std::make_shared<absl::Status>();
+        for (auto const& it : traffic_)
+            it->post([this, pending, sum, tried, &thread = *it] {
+                control_.post([pending, sum, tried,
+                                  status = thread.listen_for_callers()] {
+                    if (!status.ok())
+                        *sum = status;
+                    if (--*pending == 0)
+                        tried(*sum);
+                });
+            });
+    }
+
+    /// From now on this VM is known to others and to callers.
+    void start_control()
+    {
+        lifecycle_.handle(process_event::started);
+        control_.start();
     }
 
     sync_handler make_sync_handler()
@@ -110,6 +253,8 @@
                    std::function<void(sync_reply)> reply) {
             control_.post([this, question = std::move(question),
                               reply = std::move(reply)]() mutable {
+                if (lifecycle_.state() == process_state::starting)
+                    return reply(sync_reply{});
                 control_.plane().answer_sync(
                     std::move(question), std::move(reply));
             });
@@ -124,7 +269,7 @@
             if (signal == SIGHUP)
                 settings_watch_.check();
             else
-                begin_stop();
+                lifecycle_.handle(process_event::stop_requested);
             await_signal();
         });
     }
@@ -172,7 +317,8 @@
             return reply(make_readiness_page());
         case operators_page::status:
             return reply({200, "application/json",
-                to_json(control_.plane().status(), settings_.vm, stopping_)});
+                to_json(control_.plane().status(), settings_.vm,
+                    lifecycle_.is_stopping())});
         case operators_page::metrics:
             return collect_metrics([this, reply](traffic_metrics const& it) {
                 reply({200, "text/plain; version=0.0.4",
@@ -205,86 +351,37 @@
             });
     }
 
-    // Graceful shutdown.
-
-    void begin_stop()
-    {
-        if (std::exchange(stopping_, true))
-            return;
-        log(log_event::stopping, {{"vm", settings_.vm.text()}});
-        stop_deadline_ = control_.now() +
-            std::chrono::duration_cast<duration>(
-                settings_.stop_timeout * stop_deadline_fraction);
-        control_.plane().leave();
-        auto const listen_time = std::min<duration>(
-            max_listen_after_leave, settings_.stop_timeout / 2);
-        planned_stop const stop{
-            stop_deadline_ - last_answer_time, control_.now() + listen_time};
-        for (auto const& it : traffic_)
-            it->post([&thread = *it, stop] { thread.begin_stop(stop); });
-        control_.after(listen_time, [this] {
-            for (auto const& it : traffic_)
-                it->post([&thread = *it] {
-                    thread.server().stop_listening();
-                    thread.stop_directory();
-                });
-            await_open_requests();
-        });
-    }
-
-    void count_open_requests(std::function<void(std::size_t)> done)
+    /// Runs a step that blocks on a thread of its own, and calls `closed` on
+    /// the control thread.
+    void run_step(std::function<void()> step, std::function<void()> closed)
     {
-        auto const sum = std::make_shared<std::size_t>(0);
-        auto const pending = std::make_shared<std::size_t>(traffic_.size());
-        for (auto const& it : traffic_)
-            it->post([this, sum, pending, done, &thread = *it] {
-                control_.post([sum, pending, done, n = thread.open_requests()] {
-                    *sum += n;
-                    if (--*pending == 0)
-                        done(*sum);
-                });
+        step_ = std::make_shared<std::thread>();
+        *step_ = std::thread([this, step = std::move(step),
+                                 closed = std::move(closed), running = step_] {
+            step();
+            control_.post([closed, running] {
+                if (running->joinable())
+                    running->join();
+                closed();
             });
-    }
-
-    /// Ends the process once all requests have ended. New ones are refused
-    /// before that, so that none starts in between.
-    void await_open_requests()
-    {
-        count_open_requests([this](std::size_t open) {
-            bool const ends = open == 0 && refuses_all_;
-            if (ends || control_.now() >= stop_deadline_) {
-                open_at_end_ = open;
-                return control_.context().stop();
-            }
-            if (open == 0)
-                refuse_all();
-            control_.after(
-                open_requests_poll_period, [this] { await_open_requests(); });
         });
     }
 
-    void refuse_all()
-    {
-        refuses_all_ = true;
-        for (auto const& it : traffic_)
-            it->post([&thread = *it] { thread.refuse_requests(); });
-    }
-
     settings const settings_;
     chart_list const charts_;
     traffic_threads<Platform> traffic_;
     control_thread<Platform> control_;
+    process_lifecycle<daemon> lifecycle_;
     peer_server peer_server_;
     page_server operators_server_;
     page_server readiness_server_;
     asio::signal_set signals_;
     settings_watch settings_watch_;
-    bool stopping_ = false;
-    /// Requests are refused since all earlier ones have ended.
-    bool refuses_all_ = false;
-    time_point stop_deadline_{};
-    /// Requests without an answer when the process ends.
-    std::size_t open_at_end_ = 0;
+    /// Why the daemon cannot run.
+    absl::Status failure_;
+    /// The thread of the current step; detached when the step has expired.
+    std::shared_ptr<std::thread> step_;
+    bool abandoned_ = false;
 };
 
 } // namespace pomelohinge
