Keep the other entries when one value of a store's answer is invalid

Callers saw 503 from every VM after a restart, and new targets got no work, as long as one entry of the store held a string, number or word that the JSON parser refuses: the whole list, or the whole answer to a watch, counted as unavailable.

Cause: `parse_foreign_json` handed the whole text to one parser, which gives up at the first token it refuses. `read_foreign_json` now walks the text without recursion and parses each string, number and word on its own. An invalid one becomes an empty object, which no field accepts (null would count as absent, so that an unreadable `tenants` would open all routes), and its place is kept. A syntax error takes away the innermost array or object. A text whose brackets don't match can still lose the entries after it.

--- a/tests/core/foreign_json_test.cpp
+++ b/tests/core/foreign_json_test.cpp
@@ -3,6 +3,7 @@
 #include "core/json_text.hpp"
 
 #include <gtest/gtest.h>
+#include <random>
 
 namespace pomelohinge {
 namespace {
@@ -83,5 +84,78 @@
     EXPECT_EQ(it.at("e"), 4);
 }
 
+/// A value that cannot be read, the text it is in and what remains of it.
+struct invalid_text
+{
+    char const* text;
+    char const* value;
+    std::vector<std::string> places;
+};
+
+class invalid_json_test : public testing::TestWithParam<invalid_text>
+{
+};
+
+TEST_P(invalid_json_test, read_of_invalid_part_keeps_the_rest)
+{
+    auto const read = read_foreign_json(GetParam().text);
+    EXPECT_EQ(read.value, nlohmann::json::parse(GetParam().value))
+        << read.value.dump();
+    EXPECT_EQ(read.invalid, GetParam().places);
+    EXPECT_TRUE(parse_foreign_json(GetParam().text).is_discarded());
+}
+
+INSTANTIATE_TEST_SUITE_P(texts, invalid_json_test,
+    testing::Values(invalid_text{"[1, 1e999, 2]", "[1, {}, 2]", {"/1"}},
+        invalid_text{"{\"a\": NaN, \"b\": 1}", R"({"a": {}, "b": 1})", {"/a"}},
+        invalid_text{"[\"\\udcff\", \"\xff\", \"a\nb\", 1]", "[{}, {}, {}, 1]",
+            {"/0", "/1", "/2"}},
+        invalid_text{R"([{"\udcff": 1, "a": 2}])", R"([{"a": 2}])", {"/0/?"}},
+        invalid_text{R"([{"a" 1, "b": 2}, 3])", "[{}, 3]", {"/0"}},
+        invalid_text{R"({"a/b": [{"c": 1]})", R"({"a/b": [{}]})", {"/a~1b/0"}},
+        invalid_text{R"([[1}, 2], [3]])", "[{}, [3]]", {"/0"}},
+        invalid_text{R"([{"a": 1,}, 2])", "[{}, 2]", {"/0"}},
+        invalid_text{R"([[,], [1 2], {"a"}, {1: 2}, 5])", "[{}, {}, {}, {}, 5]",
+            {"/0", "/1", "/2", "/3"}}));
+
+/// Guards against a search through all open containers for each bracket.
+TEST_F(foreign_json_test, read_of_brackets_that_do_not_match_takes_linear_time)
+{
+    constexpr std::size_t depth = 500'000;
+    auto const text = std::string(depth, '{') + std::string(depth, ']');
+    EXPECT_TRUE(read_foreign_json(text).value.is_discarded());
+    EXPECT_TRUE(read_foreign_json("[" + text).value.is_discarded());
+}
+
+/// Mutated texts are read as the parser of the library does, if it accepts
+/// them, and otherwise name at least one place.
+TEST_F(foreign_json_test, read_of_mutated_texts_agrees_with_the_library)
+{
+    using nlohmann::json;
+    std::string const sound =
+        R"({"items": [{"a": 1.5, "b": [true, null, "x\u00e9\n"],
+            "c": {"d": -3}}, {"a": 2}], "at": 50})";
+    std::string const alphabet = "{}[],:\"\\0123eE+-.ntua \n\xff";
+    std::minstd_rand random(1);
+    for (int n = 0; n < 20'000; ++n) {
+        auto text = sound;
+        for (auto changes = 1 + random() % 3; changes > 0; --changes) {
+            auto const at = random() % text.size();
+            if (random() % 2 == 0)
+                text.erase(at, 1 + random() % 3);
+            else
+                text[at] = alphabet[random() % alphabet.size()];
+        }
+        auto const expected = json::parse(text, nullptr, false);
+        auto const read = read_foreign_json(text);
+        if (!expected.is_discarded()) {
+            ASSERT_EQ(read.value, expected) << text;
+        }
+        ASSERT_EQ(read.value.is_discarded() || !read.invalid.empty(),
+            expected.is_discarded())
+            << text;
+    }
+}
+
 } // namespace
 } // namespace pomelohinge
--- /dev/null
+++ b/tests/platform/fixed_store.hpp
@@ -0,0 +1,76 @@
+#ifndef POMELOHINGE_TESTS_PLATFORM_FIXED_STORE_HPP
+#define POMELOHINGE_TESTS_PLATFORM_FIXED_STORE_HPP
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace pomelohinge::platform {
+
+/// A server on loopback in place of the platform's store. It answers each call
+/// with the body that the test has set.
+class fixed_store
+{
+    using tcp = asio::ip::tcp;
+
+public:
+    fixed_store()
+        : acceptor_(
+              context_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+          thread_([this] { serve(); })
+    {
+    }
+
+    ~fixed_store()
+    {
+        stopped_ = true;
+        asio::error_code ec;
+        tcp::socket(context_).connect(acceptor_.local_endpoint(), ec);
+        thread_.join();
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+    void set_answer(int status, std::string body)
+    {
+        std::lock_guard const lock(mutex_);
+        answer_ = "HTTP/1.1 " + std::to_string(status) +
+            " Status\r\nContent-Length: " + std::to_string(body.size()) +
+            "\r\nConnection: close\r\n\r\n" + body;
+    }
+
+private:
+    void serve()
+    {
+        while (true) {
+            asio::error_code ec;
+            auto socket = acceptor_.accept(ec);
+            if (stopped_)
+                return;
+            std::string head;
+            asio::read_until(
+                socket, asio::dynamic_buffer(head), "\r\n\r\n", ec);
+            std::lock_guard const lock(mutex_);
+            asio::write(socket, asio::buffer(answer_), ec);
+        }
+    }
+
+    asio::io_context context_;
+    tcp::acceptor acceptor_;
+    std::mutex mutex_;
+    std::string answer_;
+    std::atomic<bool> stopped_ = false;
+    std::thread thread_;
+};
+
+} // namespace pomelohinge::platform
+
+#endif
