Store content types that are not UTF-8 with idempotency records

A process ended when a target answered an order that has an idempotency key with a Content-Type that isn't valid UTF-8: encoding the record as JSON threw nlohmann's type_error.316, which passed the thread's function.

Cause: header values are bytes, strings of JSON are not. Records with ASCII values are encoded as before.

--- a/drivers/platform/object_encoding.cpp
+++ b/drivers/platform/object_encoding.cpp
@@ -1,6 +1,7 @@
 #include "drivers/platform/object_encoding.hpp"
 
 #include "core/foreign_json.hpp"
+#include "core/latin1.hpp"
 #include "core/object_reader.hpp"
 
 #include <absl/strings/escaping.h>
@@ -139,7 +140,7 @@
         {"print", to_hexadecimal(record.request_fingerprint)},
         {"state", to_name(record.state)}, {"ends_at_ms", record.ends_at_ms},
         {"status", record.answer.status},
-        {"content_type", record.answer.content_type},
+        {"content_type", latin1_to_utf8(record.answer.content_type)},
         {"body", to_base64(record.answer.body)}}
         .dump();
 }
@@ -153,6 +154,7 @@
         return std::nullopt;
     idempotency_record record;
     std::string fingerprint_text;
+    std::string content_type;
     std::string body;
     std::int64_t status = 0;
     constexpr auto max_ends_at_ms = std::numeric_limits<std::int64_t>::max();
@@ -162,11 +164,15 @@
     reader.name("state", record.state);
     reader.integer("ends_at_ms", record.ends_at_ms, 0, max_ends_at_ms);
     reader.integer("status", status, 0, max_status);
-    reader.text("content_type", record.answer.content_type);
+    reader.text("content_type", content_type);
     reader.text("body", body);
     reader.finish();
     record.request_fingerprint = from_hexadecimal(fingerprint_text);
     record.answer.status = static_cast<int>(status);
+    if (auto type = utf8_to_latin1(content_type))
+        record.answer.content_type = std::move(*type);
+    else
+        reader.add("content_type", "characters of ISO 8859-1 are expected");
     if (!from_base64(body, record.answer.body))
         reader.add("body", "base64 is expected");
     if (found.items().size() != errors_before)
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -183,5 +183,18 @@
     EXPECT_EQ(it->version, 9u);
 }
 
+/// Guards against an exception that ends the process when a target's header is
+/// encoded as JSON.
+TEST_F(documents_test, record_with_content_type_that_is_not_utf8_is_read_back)
+{
+    idempotency_record record;
+    record.answer = {201, "text/plain; charset=\xff\x80\xc3\xa9", "a"};
+    nlohmann::json const object{
+        {"metadata", {{"rev", 9}}}, {"spec", encode_record(record)}};
+    auto const it = decode_record(nlohmann::json::parse(object.dump()), found_);
+    ASSERT_TRUE(it) << found_.to_text();
+    EXPECT_EQ(it->answer.content_type, record.answer.content_type);
+}
+
 } // namespace
 } // namespace pomelohinge::platform
