--- a/drivers/platform/http_object_store.cpp
+++ b/drivers/platform/http_object_store.cpp
@@ -4,6 +4,7 @@
 #include "core/log.hpp"
 
 #include <charconv>
+#include <optional>
 
 namespace pomelohinge {
 namespace {
@@ -37,20 +38,48 @@
                                       : store_status::unavailable;
 }
 
+std::optional<std::uint64_t> find_number(
+    nlohmann::json const& object, char const* field)
+{
+    if (!object.is_object())
+        return std::nullopt;
+    auto const it = object.find(field);
+    if (it == object.end() || !it->is_number_unsigned())
+        return std::nullopt;
+    return it->get<std::uint64_t>();
+}
+
+std::string find_text(nlohmann::json const& object, char const* field)
+{
+    if (!object.is_object())
+        return {};
+    auto const it = object.find(field);
+    return it != object.end() && it->is_string() ? it->get<std::string>()
+                                                 : std::string();
+}
+
 watch_reply parse_watch(http_result const& result)
 {
     watch_reply reply;
     if (status_of(result) != store_status::done)
         return reply;
-    auto const body = parse_foreign_json(result.body);
-    if (!body.is_object() || !body.contains("revision") ||
-        !body.contains("changed"))
+    auto const body = read_foreign_json(result.body).value;
+    auto const revision = find_number(body, "revision");
+    if (!revision || !body.contains("changed") ||
+        !body.at("changed").is_array())
         return reply;
     reply.status = store_status::done;
-    reply.revision = body.at("revision").get<std::uint64_t>();
-    for (auto const& it : body.at("changed"))
-        reply.changed.push_back({it.at("name").get<std::string>(),
-            it.at("version").get<std::uint64_t>(), {}});
+    reply.revision = *revision;
+    for (auto const& it : body.at("changed")) {
+        auto const version = find_number(it, "version");
+        auto const name = find_text(it, "name");
+        if (version && !name.empty())
+            reply.changed.push_back({name, *version, {}});
+        else
+            log(log_event::object_unreadable,
+                {{"object", name.empty() ? "?" : name},
+                    {"findings", "a name and a version are expected"}});
+    }
     return reply;
 }
 
--- a/drivers/platform/object_encoding.cpp
+++ b/drivers/platform/object_encoding.cpp
@@ -96,9 +96,14 @@
     auto const body = parse_foreign_json(value);
     if (!body.is_object() || !body.contains("parts"))
         return std::nullopt;
-    return split_reference{body.value("version", std::uint64_t{0}),
-        body.value("write_id", std::string()),
-        body.value("parts", std::size_t{0})};
+    for (auto const* field : {"version", "parts"})
+        if (!body.contains(field) || !body.at(field).is_number_unsigned())
+            return std::nullopt;
+    if (!body.contains("write_id") || !body.at("write_id").is_string())
+        return std::nullopt;
+    return split_reference{body.at("version").get<std::uint64_t>(),
+        body.at("write_id").get<std::string>(),
+        body.at("parts").get<std::size_t>()};
 }
 
 std::string encode_vm(vm_record const& vm)
