Bound the numbers in messages of other VMs

A message of another VM with a number that isn't finite, or with a time near the limits of its type, reached sorts (undefined behaviour with NaN as a key: `hub_order`, `entry_selection`) and sums with time points (overflow).

The codec now takes quantities as finite and not negative, times as at most a year, and slots as at least one, so that no later part has to check them.

--- a/drivers/peers/codec.cpp
+++ b/drivers/peers/codec.cpp
@@ -1,5 +1,6 @@
 #include "drivers/peers/codec.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace pomelohinge {
@@ -10,9 +11,22 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(value).count();
 }
 
+/// Longer times of another VM are cut, so that sums with a time point cannot
+/// overflow.
+constexpr std::int64_t max_microseconds =
+    std::chrono::microseconds(std::chrono::hours(24 * 365)).count();
+
 duration from_microseconds(std::int64_t value)
 {
-    return std::chrono::microseconds(value);
+    return std::chrono::microseconds(
+        std::clamp<std::int64_t>(value, 0, max_microseconds));
+}
+
+/// Decodes a quantity, which is finite and not negative. Sums and sorts depend
+/// on that.
+double quantity_from_wire(double value)
+{
+    return std::isfinite(value) ? std::max(value, 0.0) : 0.0;
 }
 
 /// Encodes an age in microseconds; -1 stands for `duration::max()`, the age of
@@ -57,8 +71,8 @@
 {
     return {vm_id(from.vm()), data_centre_id(from.data_centre()),
         from.peers_address(), from.callers_address(), from.incarnation(),
-        enum_from_wire(from.standing(), vm_standing::leaving), from.cores(),
-        from.link_mbps()};
+        enum_from_wire(from.standing(), vm_standing::leaving),
+        quantity_from_wire(from.cores()), quantity_from_wire(from.link_mbps())};
 }
 
 void fill(wire::Demand& to, grant_counts const& from)
@@ -118,12 +132,13 @@
         report.targets[it.target()] = target_report{
             it.in_flight(), it.answers(), it.faults(), it.silences()};
     for (auto const& it : from.demands())
-        report.organisations[it.organisation()] = organisation_report{
-            it.requests_per_second(), it.granted(), grants_from_wire(it)};
+        report.organisations[it.organisation()] =
+            organisation_report{quantity_from_wire(it.requests_per_second()),
+                quantity_from_wire(it.granted()), grants_from_wire(it)};
     for (auto const& it : from.suspects())
         report.suspects.push_back(
             {it.fingerprint(), it.crashes(), from_microseconds(it.age_us())});
-    report.load = from.load();
+    report.load = quantity_from_wire(from.load());
     report.entries = from.entries();
     report.partial = from.partial();
     return report;
@@ -151,7 +166,7 @@
     record.service = service_id(from.service());
     record.data_centre = data_centre_id(from.data_centre());
     record.address = from.address();
-    record.slots = from.slots();
+    record.slots = std::max<std::int64_t>(1, from.slots());
     record.standing =
         enum_from_wire(from.standing(), target_standing::draining);
     if (from.cold_left_us() > 0)
@@ -260,8 +275,8 @@
     if (from.has_members()) {
         reply.members.emplace();
         for (auto const& it : from.members())
-            reply.members->push_back(
-                {from_wire(it.record()), it.alive(), it.entry(), it.load()});
+            reply.members->push_back({from_wire(it.record()), it.alive(),
+                it.entry(), quantity_from_wire(it.load())});
     }
     reply.configuration.version = from.configuration_version();
     if (!from.configuration().empty())
--- /dev/null
+++ b/tests/drivers/codec_test.cpp
@@ -0,0 +1,232 @@
+#include "drivers/peers/codec.hpp"
+
+#include "servers/membership/hub_order.hpp"
+#include "servers/poison/poison_guard.hpp"
+
+#include <cmath>
+#include <gtest/gtest.h>
+#include <limits>
+#include <random>
+
+namespace pomelohinge {
+namespace {
+
+/// Messages of another VM, decoded and handed to the parts that use them.
+class codec_test : public testing::Test
+{
+protected:
+    static constexpr std::size_t vm_count = 40;
+    static constexpr int mutations = 5000;
+
+    static vm_record vm(std::size_t n)
+    {
+        vm_record record;
+        record.vm = vm_id("vm-" + std::to_string(n));
+        record.data_centre = data_centre_id("east");
+        record.peers_address = "10.0.0.1:7000";
+        record.callers_address = "10.0.0.1:80";
+        record.incarnation = n;
+        record.standing = vm_standing::serving;
+        record.cores = 1.5;
+        record.link_mbps = 500;
+        return record;
+    }
+
+    static traffic_report report()
+    {
+        traffic_report it;
+        it.targets["i-1"] = target_report{1, 2, 3, 4};
+        it.organisations["o-1"].demand = 2.5;
+        it.suspects.push_back({17, 2, std::chrono::milliseconds(30)});
+        it.load = 12;
+        return it;
+    }
+
+    static sync_question question()
+    {
+        sync_question it;
+        it.from = vm(1);
+        it.configuration_version = 7;
+        it.long_poll_timeout = std::chrono::milliseconds(900);
+        it.liveness_timeout = std::chrono::milliseconds(2500);
+        it.report = report();
+        return it;
+    }
+
+    sync_reply reply() const
+    {
+        sync_reply it;
+        it.members.emplace();
+        for (std::size_t n = 0; n < vm_count; ++n)
+            it.members->push_back({vm(n), true, false, 3.5});
+        it.configuration = {
+            7, std::make_shared<std::string>(R"({"version": 7})")};
+        it.read_age = std::chrono::milliseconds(20);
+        it.targets.emplace();
+        it.targets->revision = 50;
+        it.targets->whole = true;
+        target_record target;
+        target.id = target_id("i-1");
+        target.service = service_id("s1");
+        target.cold_until = now_ + std::chrono::seconds(1);
+        it.targets->put.push_back(target);
+        it.targets->removed.emplace_back("i-2");
+        it.closures = data_centre_closures{3, {data_centre_id("east")}};
+        it.others = report();
+        return it;
+    }
+
+    /// Changes, removes or doubles some bytes.
+    void mutate(std::string& bytes)
+    {
+        for (auto changes = 1 + random_() % 4; changes > 0; --changes) {
+            if (bytes.empty())
+                return;
+            auto const at = random_() % bytes.size();
+            switch (random_() % 3) {
+            case 0:
+                bytes[at] = static_cast<char>(random_() % 256);
+                break;
+            case 1:
+                bytes.erase(at, 1 + random_() % 8);
+                break;
+            default:
+                bytes.insert(at, bytes.substr(at, 1 + random_() % 8));
+            }
+        }
+    }
+
+    void check(duration it) const
+    {
+        EXPECT_GE(it, duration::zero());
+        EXPECT_GT(now_ + it, time_point{});
+        EXPECT_GT(now_ - it, time_point::min());
+    }
+
+    void check(vm_record const& it) const
+    {
+        EXPECT_TRUE(std::isfinite(it.cores) && it.cores >= 0);
+        EXPECT_TRUE(std::isfinite(it.link_mbps) && it.link_mbps >= 0);
+    }
+
+    void check(traffic_report const& it) const
+    {
+        EXPECT_TRUE(std::isfinite(it.load) && it.load >= 0);
+        for (auto const& [name, demand] : it.organisations)
+            EXPECT_TRUE(
+                std::isfinite(demand.demand) && std::isfinite(demand.granted));
+        poison_guard guard;
+        for (auto const& suspect : it.suspects) {
+            check(suspect.age);
+            guard.merge(suspect, now_);
+        }
+        guard.suspects(now_);
+    }
+
+    void check(wire::SyncQuestion const& message) const
+    {
+        auto const it = from_wire(message);
+        check(it.from);
+        check(it.long_poll_timeout);
+        check(it.liveness_timeout);
+        check(it.report);
+        EXPECT_FALSE(to_wire(it).SerializeAsString().empty());
+    }
+
+    void check(wire::SyncReply message) const
+    {
+        auto const it = from_wire(std::move(message), now_);
+        check(it.others);
+        if (it.read_age != duration::max())
+            check(it.read_age);
+        if (it.members) {
+            for (auto const& member : *it.members) {
+                check(member.record);
+                EXPECT_TRUE(std::isfinite(member.load));
+            }
+            hub_order(*it.members, data_centre_id("east"));
+        }
+        if (it.targets) {
+            for (auto const& target : it.targets->put)
+                EXPECT_GE(target.slots, 1);
+            target_mirror mirror;
+            mirror.apply(*it.targets);
+            mirror.catalogue();
+        }
+        to_wire(it, now_);
+    }
+
+    time_point const now_ = time_point(std::chrono::hours(24 * 400));
+    std::minstd_rand random_{1};
+};
+
+TEST_F(codec_test, question_is_read_back)
+{
+    auto const it = from_wire(to_wire(question()));
+    EXPECT_EQ(it.from, question().from);
+    EXPECT_EQ(it.liveness_timeout, question().liveness_timeout);
+    EXPECT_EQ(it.report.suspects.front().age, std::chrono::milliseconds(30));
+}
+
+TEST_F(codec_test, question_of_mutated_bytes_stays_in_bounds)
+{
+    auto const sound = to_wire(question()).SerializeAsString();
+    int parsed = 0;
+    for (int n = 0; n < mutations; ++n) {
+        auto bytes = sound;
+        mutate(bytes);
+        wire::SyncQuestion message;
+        if (!message.ParseFromString(bytes))
+            continue;
+        ++parsed;
+        check(message);
+    }
+    EXPECT_GT(parsed, mutations / 100);
+}
+
+TEST_F(codec_test, reply_of_mutated_bytes_stays_in_bounds)
+{
+    auto const sound = to_wire(reply(), now_).SerializeAsString();
+    int parsed = 0;
+    for (int n = 0; n < mutations; ++n) {
+        auto bytes = sound;
+        mutate(bytes);
+        wire::SyncReply message;
+        if (!message.ParseFromString(bytes))
+            continue;
+        ++parsed;
+        check(std::move(message));
+    }
+    EXPECT_GT(parsed, mutations / 100);
+}
+
+/// Guards against undefined behaviour of sorts and sums of times.
+TEST_F(codec_test, numbers_out_of_range_are_bounded)
+{
+    for (auto const number : {std::numeric_limits<double>::quiet_NaN(),
+             std::numeric_limits<double>::infinity(), -1e308}) {
+        for (auto const count : {std::numeric_limits<std::int64_t>::max(),
+                 std::numeric_limits<std::int64_t>::min()}) {
+            auto asked = to_wire(question());
+            asked.mutable_from()->set_cores(number);
+            asked.mutable_from()->set_link_mbps(number);
+            asked.set_wait_us(count);
+            asked.set_patience_us(count);
+            asked.mutable_report()->set_load(number);
+            asked.mutable_report()->mutable_suspects(0)->set_age_us(count);
+            check(asked);
+            auto replied = to_wire(reply(), now_);
+            for (int n = 0; n < replied.members_size(); n += 2) {
+                replied.mutable_members(n)->mutable_record()->set_cores(number);
+                replied.mutable_members(n)->set_load(number);
+            }
+            replied.set_read_age_us(count);
+            replied.mutable_targets()->mutable_put(0)->set_slots(count);
+            replied.mutable_targets()->mutable_put(0)->set_cold_left_us(count);
+            check(std::move(replied));
+        }
+    }
+}
+
+} // namespace
+} // namespace pomelohinge
