--- a/drivers/platform/object_encoding.cpp
+++ b/drivers/platform/object_encoding.cpp
@@ -1,6 +1,7 @@
 #include "drivers/platform/object_encoding.hpp"
 
 #include "core/foreign_json.hpp"
+#include "core/latin1.hpp"
 #include "core/object_reader.hpp"
 
 #include <absl/strings/escaping.h>
@@ -95,9 +96,14 @@
     auto const body = parse_foreign_json(value);
     if (!body.is_object() || !body.contains("parts"))
         return std::nullopt;
-    return split_reference{body.value("version", std::uint64_t{0}),
-        body.value("write_id", std::string()),
-        body.value("parts", std::size_t{0})};
+    for (auto const* field : {"version", "parts"})
+        if (!body.contains(field) || !body.at(field).is_number_unsigned())
+            return std::nullopt;
+    if (!body.contains("write_id") || !body.at("write_id").is_string())
+        return std::nullopt;
+    return split_reference{body.at("version").get<std::uint64_t>(),
+        body.at("write_id").get<std::string>(),
+        body.at("parts").get<std::size_t>()};
 }
 
 std::string encode_vm(vm_record const& vm)
@@ -139,7 +145,7 @@
         {"print", to_hexadecimal(record.request_fingerprint)},
         {"state", to_name(record.state)}, {"ends_at_ms", record.ends_at_ms},
         {"status", record.answer.status},
-        {"content_type", record.answer.content_type},
+        {"content_type", latin1_to_utf8(record.answer.content_type)},
         {"body", to_base64(record.answer.body)}}
         .dump();
 }
@@ -153,6 +159,7 @@
         return std::nullopt;
     idempotency_record record;
     std::string fingerprint_text;
+    std::string content_type;
     std::string body;
     std::int64_t status = 0;
     constexpr auto max_ends_at_ms = std::numeric_limits<std::int64_t>::max();
@@ -162,11 +169,15 @@
     reader.name("state", record.state);
     reader.integer("ends_at_ms", record.ends_at_ms, 0, max_ends_at_ms);
     reader.integer("status", status, 0, max_status);
-    reader.text("content_type", record.answer.content_type);
+    reader.text("content_type", content_type);
     reader.text("body", body);
     reader.finish();
     record.request_fingerprint = from_hexadecimal(fingerprint_text);
     record.answer.status = static_cast<int>(status);
+    if (auto type = utf8_to_latin1(content_type))
+        record.answer.content_type = std::move(*type);
+    else
+        reader.add("content_type", "characters of ISO 8859-1 are expected");
     if (!from_base64(body, record.answer.body))
         reader.add("body", "base64 is expected");
     if (found.items().size() != errors_before)
