Accept again after the descriptors were out

A VM that once had no descriptor for a caller never took a new connection again and stayed ready: RESTinio ends its loop of accepts at the first error. Targets, peers, the store and the operators' port shared the descriptors with callers' idle connections and got none.

--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -2,6 +2,7 @@
 #define POMELOHINGE_DRIVERS_FRONT_FRONT_SERVER_HPP
 
 #include "core/log.hpp"
+#include "drivers/front/accept_limiter.hpp"
 #include "drivers/front/front_dialect.hpp"
 #include "drivers/front/front_socket.hpp"
 #include "drivers/front/http_messages.hpp"
@@ -13,6 +14,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -43,6 +45,8 @@
 {
     /// Requests with larger bodies are refused before they reach a handler.
     std::size_t max_body_bytes = 1 << 20;
+    /// Further connections wait until others are closed.
+    std::size_t max_connections = std::numeric_limits<std::size_t>::max();
 };
 
 /// The HTTP server for callers on one traffic thread. Callbacks run on that
@@ -66,6 +70,8 @@
         if (!endpoint)
             return absl::InvalidArgumentError(
                 "\"" + address + "\" is not an IP:PORT");
+        accepts_->set_max_connections(limits_.max_connections);
+        accept_limiter::current() = accepts_;
         try {
             server_ = std::make_unique<server>(
                 restinio::external_io_context(context_),
@@ -88,6 +94,35 @@
         stop_listening_before(boottime_clock::now() + max_accept_time);
     }
 
+    /// Accepts connections again if accepting has failed, for instance since
+    /// the process had no descriptor left. To be called periodically.
+    void check_accepting()
+    {
+        if (!has_queued_connection()) {
+            has_waited_ = is_limit_logged_ = is_failure_logged_ = false;
+            return;
+        }
+        if (accepts_->is_at_limit()) {
+            if (!std::exchange(is_limit_logged_, true))
+                log(log_event::connections_limited,
+                    {{"limit", limits_.max_connections}});
+            return;
+        }
+        is_limit_logged_ = false;
+        bool const has_stopped = std::exchange(has_waited_, true) &&
+            accepts_->accepted() == last_accepted_;
+        last_accepted_ = accepts_->accepted();
+        if (!has_stopped)
+            return;
+        if (!std::exchange(is_failure_logged_, true))
+            log(log_event::accept_failed,
+                {{"connections", accepts_->connections()}});
+        // An accept that is still pending ends by this.
+        asio::error_code ec;
+        acceptor_->cancel(ec);
+        accepts_->restart();
+    }
+
     /// The number of requests without an answer, or with one that is still
     /// being sent.
     std::size_t open_requests() const { return open_requests_ + *unsent_; }
@@ -124,11 +159,7 @@
     /// may be established all the time.
     static constexpr duration max_accept_time = std::chrono::milliseconds(500);
 
-    struct traits : restinio::default_single_thread_traits_t
-    {
-        using stream_socket_t = front_socket;
-    };
-
+    using traits = front_traits;
     using server = restinio::http_server_t<traits>;
     using request_handle = restinio::request_handle_t;
 
@@ -425,6 +456,13 @@
     std::unique_ptr<server> server_;
     /// The listening socket of `server_`.
     asio::ip::tcp::acceptor* acceptor_ = nullptr;
+    std::shared_ptr<accept_control> accepts_ =
+        std::make_shared<accept_control>();
+    std::size_t last_accepted_ = 0;
+    /// A connection waited to be accepted at the latest check.
+    bool has_waited_ = false;
+    bool is_limit_logged_ = false;
+    bool is_failure_logged_ = false;
     std::size_t open_requests_ = 0;
     /// Answers that are not sent yet. The sockets that send them may outlive
     /// the server.
--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -12,6 +12,8 @@
 #include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <limits>
+#include <sys/resource.h>
 #include <thread>
 
 namespace pomelohinge {
@@ -47,7 +49,8 @@
               configured.bounds),
           server_(context_, make_handlers(),
               front_limits{
-                  static_cast<std::size_t>(configured.request_body_bytes)}),
+                  static_cast<std::size_t>(configured.request_body_bytes),
+                  max_connections(configured.traffic_threads)}),
           directory_server_(context_,
               [this](std::string const& target,
                   std::function<void(page_reply)> reply) {
@@ -211,6 +214,19 @@
         return record_client_->records;
     }
 
+    /// Callers' connections per thread. The rest of the descriptors that the
+    /// process may open is kept for targets, peers, the store and closes.
+    static std::size_t max_connections(std::int64_t threads)
+    {
+        constexpr rlim_t callers_part = 2;
+        rlimit limit{};
+        if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+            limit.rlim_cur == RLIM_INFINITY)
+            return std::numeric_limits<std::size_t>::max();
+        return std::max<std::size_t>(
+            limit.rlim_cur / callers_part / static_cast<rlim_t>(threads), 1);
+    }
+
     front_handlers make_handlers()
     {
         front_handlers handlers;
@@ -325,6 +341,7 @@
     {
         auto const at = now();
         entry_state_.tick(at);
+        server_.check_accepting();
         notify_if_report_due();
         if (at - last_connection_cleanup_at_ >= connection_cleanup_period) {
             last_connection_cleanup_at_ = at;
--- a/tests/drivers/front_connection_test.cpp
+++ b/tests/drivers/front_connection_test.cpp
@@ -6,10 +6,13 @@
 #include <asio/post.hpp>
 #include <asio/read.hpp>
 #include <asio/write.hpp>
+#include <ctime>
 #include <future>
 #include <gtest/gtest.h>
 #include <poll.h>
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 
 namespace pomelohinge {
 namespace {
@@ -120,6 +123,15 @@
         return n.get_future().get();
     }
 
+    /// Lets the server check every 50 ms whether it accepts connections.
+    void check_accepting_for(std::chrono::milliseconds time)
+    {
+        for (auto left = time; left > 0ms; left -= 50ms) {
+            asio::post(context_, [this] { front_.check_accepting(); });
+            std::this_thread::sleep_for(50ms);
+        }
+    }
+
     /// Waits until no request is open.
     bool await_no_open_request()
     {
@@ -308,5 +320,37 @@
     EXPECT_TRUE(await_no_open_request());
 }
 
+TEST_F(front_connection_test, callers_are_served_after_descriptors_were_out)
+{
+    constexpr std::size_t callers = 20;
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (std::size_t n = 0; n < callers; ++n) {
+        sockets.emplace_back(caller_context_);
+        sockets.back().open(asio::ip::tcp::v4());
+    }
+    rlimit limit{};
+    ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &limit), 0);
+    auto lowered = limit;
+    auto const next = dup(sockets.back().native_handle());
+    close(next);
+    lowered.rlim_cur = static_cast<rlim_t>(next) + 3;
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &lowered), 0);
+    asio::ip::tcp::endpoint const server{
+        asio::ip::make_address(loopback_address()), port};
+    for (auto& it : sockets) {
+        it.connect(server);
+        send(it, "GET /small HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    }
+    auto const started = std::clock();
+    check_accepting_for(500ms);
+    EXPECT_LT(std::clock() - started, CLOCKS_PER_SEC / 4);
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &limit), 0);
+    check_accepting_for(500ms);
+    std::size_t answered = 0;
+    for (auto& it : sockets)
+        answered += read_for(it, 500ms).find("HTTP/1.1 200") == 0 ? 1 : 0;
+    EXPECT_EQ(answered, callers);
+}
+
 } // namespace
 } // namespace pomelohinge
--- /dev/null
+++ b/tests/process/descriptors_test.py
@@ -0,0 +1,73 @@
+"""Real processes that run out of descriptors."""
+
+import resource
+import socket
+import time
+import unittest
+
+from process_fixture import ProcessTest, fleets
+
+LIMIT = 160
+CALLERS = 300
+FLOOD_S = 3
+
+
+class DescriptorsTest(ProcessTest):
+    def start_with_limit(self) -> None:
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self.fleet.start_platform()
+        for it in self.upstreams:
+            self.fleet.start_upstream(it)
+        self.fleet.apply(self.configuration())
+        resource.setrlimit(resource.RLIMIT_NOFILE, (LIMIT, hard))
+        try:
+            for vm in self.vms:
+                self.fleet.start_vm(vm)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        self.fleet.wait_ready()
+
+    def connect(self, vm: fleets.Vm) -> socket.socket:
+        host, port = vm.callers.split(":")
+        it = socket.create_connection((host, int(port)), 5)
+        self.addCleanup(it.close)
+        return it
+
+    def ask(self, connection: socket.socket) -> bytes:
+        """Returns the status line of an answer; empty if none comes."""
+        connection.settimeout(5)
+        try:
+            connection.sendall(
+                b"GET /.pomelohinge/entries HTTP/1.1\r\nHost: x\r\n"
+                b"Connection: close\r\n\r\n")
+            return connection.recv(65536).split(b"\r\n")[0]
+        except OSError:
+            return b""
+
+    def test_flood_of_connections_leaves_targets_and_later_callers_served(
+            self):
+        self.start_with_limit()
+        vm = self.vms[0]
+        assert vm.process is not None
+        flood = [self.connect(vm) for _ in range(CALLERS)]
+        for upstream in self.upstreams:
+            self.fleet.kill(upstream.process)
+            self.fleet.start_upstream(upstream)
+        before = fleets.cpu_seconds(vm.process.pid)
+        time.sleep(FLOOD_S)
+        used = fleets.cpu_seconds(vm.process.pid) - before
+        self.assertLess(used, FLOOD_S / 2)
+        self.assert_running(vm)
+        self.assertEqual(vm.status()["standing"], "serving")
+        self.assertTrue(self.ask(flood[0]).startswith(b"HTTP/1.1 200"))
+        for it in flood:
+            it.close()
+        time.sleep(1)
+        for _ in range(10):
+            self.assertTrue(
+                self.ask(self.connect(vm)).startswith(b"HTTP/1.1 200"))
+        self.assert_stops(vm, 15)
+
+
+if __name__ == "__main__":
+    unittest.main()
