Let only one complete message exceed a buffer budget

What callers see: a VM that many of them ask for large answers and read slowly runs out of memory, and what it has passed on is cut.

Cause: the oldest message that is being received may exceed the budget, so that messages of which none fits do not wait for each other. A complete message keeps its bytes but not its place, so the next one became the oldest and exceeded the budget as well; the sum of the complete ones had no bound.

The random test missed it, since its messages end when they are complete.

Change: a message may exceed the budget only while no other that did so is held. Messages that wait get their turn, because what is complete is written or given up within its time limits. A constructor takes the limit of one source, for budgets whose messages have no sources.

--- a/servers/buffers/buffer_budget.cpp
+++ b/servers/buffers/buffer_budget.cpp
@@ -53,7 +53,12 @@
 }
 
 buffer_budget::buffer_budget(std::size_t total_bytes)
-    : total_limit_(total_bytes), source_limit_(total_bytes / sources_per_budget)
+    : buffer_budget(total_bytes, total_bytes / sources_per_budget)
+{
+}
+
+buffer_budget::buffer_budget(std::size_t total_bytes, std::size_t source_bytes)
+    : total_limit_(total_bytes), source_limit_(source_bytes)
 {
 }
 
@@ -73,14 +78,17 @@
     auto const& source = sources_.at(it.source);
     bool const fits_source = source.bytes + added <= source_limit_ ||
         id == *source.receiving.begin();
-    bool const fits =
-        usage_.used_bytes + added <= total_limit_ || id == *receiving_.begin();
+    bool const may_exceed =
+        id == *receiving_.begin() && (exceeding_ == 0 || exceeding_ == id);
+    bool const fits = usage_.used_bytes + added <= total_limit_ || may_exceed;
     return fits_source && fits;
 }
 
-void buffer_budget::set_bytes(message& it, std::size_t bytes)
+void buffer_budget::set_bytes(std::uint64_t id, message& it, std::size_t bytes)
 {
     auto const added = bytes - it.bytes;
+    if (usage_.used_bytes + added > total_limit_)
+        exceeding_ = id;
     it.bytes = bytes;
     sources_.at(it.source).bytes += added;
     usage_.used_bytes += added;
@@ -94,7 +102,7 @@
     if (!it.receiving || bytes <= it.bytes)
         return true;
     if (has_room(id, it, bytes)) {
-        set_bytes(it, bytes);
+        set_bytes(id, it, bytes);
         waiting_.erase(id);
         return true;
     }
@@ -121,6 +129,8 @@
 {
     auto const it = messages_.find(id);
     stop_receiving(id, it->second);
+    if (exceeding_ == id)
+        exceeding_ = 0;
     usage_.used_bytes -= it->second.bytes;
     messages_.erase(it);
     wake_waiting();
@@ -147,7 +157,7 @@
         auto& it = messages_.at(id);
         if (!has_room(id, it, it.wanted_bytes))
             return false;
-        set_bytes(it, it.wanted_bytes);
+        set_bytes(id, it, it.wanted_bytes);
         woken.push_back(std::exchange(it.on_room, nullptr));
         return true;
     });
--- a/servers/buffers/buffer_budget.hpp
+++ b/servers/buffers/buffer_budget.hpp
@@ -64,11 +64,13 @@
 ///
 /// The oldest message that is being received from a source may exceed the limit
 /// of the source, and the oldest of all may exceed both, so that several
-/// messages of which none fits do not wait for each other for ever.
+/// messages of which none fits do not wait for each other for ever. Only one of
+/// the messages that are held may have exceeded the total.
 class buffer_budget
 {
 public:
     explicit buffer_budget(std::size_t total_bytes);
+    buffer_budget(std::size_t total_bytes, std::size_t source_bytes);
     buffer_budget(buffer_budget const&) = delete;
     buffer_budget& operator=(buffer_budget const&) = delete;
 
@@ -99,7 +101,7 @@
     };
 
     bool has_room(std::uint64_t id, message const& it, std::size_t bytes) const;
-    void set_bytes(message& it, std::size_t bytes);
+    void set_bytes(std::uint64_t id, message& it, std::size_t bytes);
     bool grow(
         std::uint64_t id, std::size_t bytes, std::function<void()> on_room);
     void complete(std::uint64_t id);
@@ -110,6 +112,8 @@
     std::size_t total_limit_;
     std::size_t source_limit_;
     buffer_usage usage_;
+    /// The message that exceeds the total limit; 0 if there is none.
+    std::uint64_t exceeding_ = 0;
     std::uint64_t last_id_ = 0;
     std::map<std::uint64_t, message> messages_;
     std::map<std::string, source_state> sources_;
--- a/tests/servers/buffer_budget_test.cpp
+++ b/tests/servers/buffer_budget_test.cpp
@@ -102,6 +102,23 @@
     EXPECT_EQ(budget_.usage().used_bytes, 2 * source_limit);
 }
 
+/// Each message that came to be the oldest exceeded the total once more.
+TEST_F(buffer_budget_test, complete_messages_let_only_one_exceed_the_total)
+{
+    constexpr std::size_t bytes = 50;
+    for (int it = 0; it < 50; ++it) {
+        auto message = budget_.open("a");
+        if (grow(message, bytes)) {
+            message.complete();
+            held_.push_back(std::move(message));
+        }
+    }
+    EXPECT_LE(budget_.usage().used_bytes, total + bytes);
+    held_.clear();
+    auto next = budget_.open("a");
+    EXPECT_TRUE(grow(next, total + bytes));
+}
+
 TEST_F(buffer_budget_test, message_that_ends_while_it_waits_is_not_woken)
 {
     auto first = budget_.open("a");
