Bound the memory that bodies of requests hold together

Cause: each body was kept three times until its answer (RESTinio's request, the request, the exchange with the target), an idle connection kept the last one, and nothing limited their sum. The handler runs only when a body is complete, too late to refuse it.

Change: shared_body hands RESTinio's own copy on to the exchange, which drops it once written. The front socket follows each request with a parser, charges one above 16 KiB to a budget (request_buffers, as large as that for answers) for its stated length, or for what has come, and does not read on while there is no room. After a second the request is refused as overloaded, not run, with Retry-After; the rest of its body is discarded, so that the refusal arrives. An eighth of the budget is for requests up to 256 KiB. Chunks are charged for the records that RESTinio keeps of them, and a request of too many is refused. Metrics of buffers have the kind.

The tests of front_buffers_test play the burst, turns, small requests beside large ones, chunks and stalled callers.

--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -38,6 +38,8 @@
 {
     /// Requests with larger bodies are refused before they reach a handler.
     std::size_t max_body_bytes = 1 << 20;
+    /// Memory for all large requests together.
+    std::size_t buffer_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// The HTTP server for callers on one traffic thread. Callbacks run on that
@@ -48,7 +50,11 @@
 public:
     front_server(
         asio::io_context& context, front_handlers handlers, front_limits limits)
-        : context_(context), handlers_(std::move(handlers)), limits_(limits)
+        : context_(context), handlers_(std::move(handlers)), limits_(limits),
+          buffers_(asio::make_service<request_buffers>(context,
+              request_buffer_limits{limits.buffer_bytes,
+                  2 * limits.max_body_bytes + max_head_bytes},
+              encode_whole_refusal))
     {
     }
 
@@ -84,6 +90,9 @@
             server_->close_sync();
     }
 
+    /// The memory that large requests hold.
+    request_buffers const& buffers() const { return buffers_; }
+
     /// The number of requests that are not answered yet.
     std::size_t open_requests() const { return open_requests_; }
 
@@ -94,6 +103,7 @@
     static constexpr std::size_t max_field_name_bytes = 256;
     static constexpr std::size_t max_field_value_bytes = 16 << 10;
     static constexpr std::size_t max_fields = 128;
+    static constexpr std::size_t max_head_bytes = 128 << 10;
 
     /// Bodies above `front_limits::max_body_bytes` are read and then refused;
     /// bodies above this limit are not read.
@@ -158,6 +168,8 @@
         std::shared_ptr<connection_state> connection;
         request_pipeline::request_number number = 0;
         std::string id;
+        /// The memory that a large request holds.
+        buffer_charge charge;
     };
     using open_request_pointer = std::shared_ptr<open_request>;
 
@@ -168,6 +180,7 @@
             ? connection_state::current()
             : std::make_shared<connection_state>();
         it->connection->mark_received();
+        it->charge = it->connection->intake().take_charge();
         it->request = std::move(request);
         std::string const target(it->request->header().request_target());
         if constexpr (Dialect::entries_at_front)
@@ -207,7 +220,9 @@
                         std::to_string(limits_.max_body_bytes) + " bytes",
                     {}});
         message.head.body_bytes = body.size();
-        message.body = body;
+        if (!body.empty())
+            message.body =
+                shared_body(std::shared_ptr<std::string const>(it, &body));
         bool const repeatable = handlers_.is_repeatable(message.head);
         add(it, repeatable,
             [this, it,
@@ -301,6 +316,29 @@
         finish(it, response, std::move(encoded.body));
     }
 
+    /// Encodes the refusal of a request that is not read completely.
+    static std::string encode_whole_refusal(
+        received_head const& head, refusal const& refused)
+    {
+        auto const parsed =
+            Dialect::parse(head.method, head.target, head.headers);
+        auto const* const message = std::get_if<incoming_request>(&parsed);
+        std::string const id =
+            message == nullptr ? "" : message->head.request_id;
+        log(log_event::request_refused,
+            {{"request", id}, {"kind", to_name(refused.kind)},
+                {"outcome", to_name(refused.result)},
+                {"detail", refused.detail}});
+        auto const encoded = Dialect::encode_refusal(refused, id);
+        auto const status = status_line(encoded.status);
+        auto text = "HTTP/1.1 " + std::to_string(encoded.status) + " " +
+            status.reason_phrase() + "\r\n";
+        for (auto const& field : encoded.headers)
+            text += field.name + ": " + field.value + "\r\n";
+        return text + "Connection: close\r\nContent-Length: " +
+            std::to_string(encoded.body.size()) + "\r\n\r\n" + encoded.body;
+    }
+
     template <class Response>
     static void add_answer_headers(
         Response& response, std::string const& request_id)
@@ -332,6 +370,7 @@
     asio::io_context& context_;
     front_handlers handlers_;
     front_limits limits_;
+    request_buffers& buffers_;
     std::unique_ptr<server> server_;
     std::size_t open_requests_ = 0;
     bool closing_ = false;
--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -1,11 +1,15 @@
 #ifndef POMELOHINGE_DRIVERS_FRONT_FRONT_SOCKET_HPP
 #define POMELOHINGE_DRIVERS_FRONT_FRONT_SOCKET_HPP
 
+#include "drivers/front/request_buffers.hpp"
 #include "servers/requests/request_pipeline.hpp"
 
 #include <asio/associated_executor.hpp>
 #include <asio/bind_executor.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -23,6 +27,14 @@
 class connection_state
 {
 public:
+    explicit connection_state(request_buffers* buffers = nullptr)
+        : intake_(buffers)
+    {
+    }
+
+    /// The memory of the request that is being received.
+    request_intake& intake() { return intake_; }
+
     /// Marks the bytes received so far as those of a complete request.
     void mark_received() { unhandled_bytes_ = 0; }
 
@@ -81,6 +93,7 @@
     bool closed_ = false;
     std::map<std::uint64_t, std::function<void()>> on_closed_;
     request_pipeline pipeline_;
+    request_intake intake_;
 };
 
 /// The complete HTTP response to a request that cannot be parsed.
@@ -94,20 +107,19 @@
     using base = asio::ip::tcp::socket;
 
     explicit front_socket(asio::io_context& context)
-        : base(context), state_(std::make_shared<connection_state>())
+        : base(context), state_(std::make_shared<connection_state>(
+                             &asio::use_service<request_buffers>(context)))
     {
     }
     /// RESTinio accepts the next connection into the moved-from socket, so
     /// the moved-from socket gets a new state.
     front_socket(front_socket&& other) noexcept
-        : base(std::move(other)), state_(std::exchange(other.state_,
-                                      std::make_shared<connection_state>()))
+        : base(std::move(other)), state_(other.replace_state())
     {
     }
     front_socket& operator=(front_socket&& other) noexcept
     {
-        state_ =
-            std::exchange(other.state_, std::make_shared<connection_state>());
+        state_ = other.replace_state();
         base::operator=(std::move(other));
         return *this;
     }
@@ -117,11 +129,16 @@
     {
         auto const executor =
             asio::get_associated_executor(handler, get_executor());
-        base::async_read_some(buffers,
+        asio::mutable_buffer const input =
+            *asio::buffer_sequence_begin(buffers);
+        read_with_room(input,
             asio::bind_executor(executor,
-                [state = state_, handler = std::forward<Handler>(handler)](
+                [state = state_, input,
+                    handler = std::forward<Handler>(handler)](
                     asio::error_code const& ec, std::size_t bytes) mutable {
                     state->add_received(bytes);
+                    state->intake().receive(
+                        {static_cast<char const*>(input.data()), bytes});
                     {
                         current_connection_scope const scope(state);
                         handler(ec, bytes);
@@ -173,6 +190,109 @@
         std::shared_ptr<connection_state> previous_;
     };
 
+    static constexpr duration max_discard_time = std::chrono::seconds(5);
+
+    /// A wait that ends at a time or before.
+    struct timed_wait
+    {
+        explicit timed_wait(asio::any_io_executor const& executor)
+            : timer(executor)
+        {
+        }
+        void end()
+        {
+            ended = true;
+            timer.cancel();
+        }
+
+        asio::steady_timer timer;
+        bool ended = false;
+    };
+
+    std::shared_ptr<connection_state> replace_state()
+    {
+        auto* const buffers = state_->intake().buffers();
+        return std::exchange(
+            state_, std::make_shared<connection_state>(buffers));
+    }
+
+    /// Reads once there is room for what the request needs. The handler keeps
+    /// the socket alive.
+    template <class Handler>
+    void read_with_room(asio::mutable_buffer const& input, Handler handler)
+    {
+        auto& intake = state_->intake();
+        if (!intake.needs_charge())
+            return base::async_read_some(input, std::move(handler));
+        auto const wait = std::make_shared<timed_wait>(base::get_executor());
+        bool const too_large = intake.is_too_large();
+        if (!too_large && intake.charge([weak = std::weak_ptr(wait)] {
+                if (auto const it = weak.lock())
+                    it->end();
+            }))
+            return base::async_read_some(input, std::move(handler));
+        wait->timer.expires_after(
+            too_large ? duration::zero() : request_buffers::max_wait);
+        await_room(wait, input, std::move(handler));
+    }
+
+    template <class Handler>
+    void await_room(std::shared_ptr<timed_wait> const& wait,
+        asio::mutable_buffer const& input, Handler handler)
+    {
+        wait->timer.async_wait(
+            [this, wait, input, handler = std::move(handler)](
+                asio::error_code const&) mutable {
+                if (wait->ended || !base::is_open())
+                    return base::async_read_some(input, std::move(handler));
+                if (state_->pipeline().empty())
+                    return refuse_request(input, std::move(handler));
+                // A refusal would overtake the answers to earlier requests.
+                wait->timer.expires_after(request_buffers::max_wait);
+                await_room(wait, input, std::move(handler));
+            });
+    }
+
+    /// Refuses a request whose body has not been read.
+    template <class Handler>
+    void refuse_request(asio::mutable_buffer const& input, Handler handler)
+    {
+        state_->mark_received();
+        auto const text =
+            std::make_shared<std::string>(state_->intake().refuse());
+        asio::async_write(static_cast<base&>(*this), asio::buffer(*text),
+            [this, text, input, handler = std::move(handler)](
+                asio::error_code ec, std::size_t) mutable {
+                base::shutdown(shutdown_send, ec);
+                auto const limit =
+                    std::make_shared<timed_wait>(base::get_executor());
+                limit->timer.expires_after(max_discard_time);
+                limit->timer.async_wait([this, limit](asio::error_code const&) {
+                    asio::error_code ignored;
+                    if (!limit->ended)
+                        base::shutdown(shutdown_receive, ignored);
+                });
+                discard(limit, input, std::move(handler));
+            });
+    }
+
+    /// Reads until the caller closes the connection. Closing a socket with
+    /// unread bytes sends a reset, which may discard the refusal before the
+    /// caller has read it.
+    template <class Handler>
+    void discard(std::shared_ptr<timed_wait> const& limit,
+        asio::mutable_buffer const& input, Handler handler)
+    {
+        base::async_read_some(input,
+            [this, limit, input, handler = std::move(handler)](
+                asio::error_code const& ec, std::size_t) mutable {
+                if (!ec)
+                    return discard(limit, input, std::move(handler));
+                limit->end();
+                handler(ec, 0);
+            });
+    }
+
     void refuse_unparsable()
     {
         asio::error_code ec;
--- a/drivers/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -195,9 +195,11 @@
         start_timer(deadline_ - boottime_clock::now());
         is_writing_ = true;
         std::array<asio::const_buffer, 2> const buffers{
-            asio::buffer(call_.head), asio::buffer(call_.body)};
+            asio::buffer(call_.head),
+            asio::buffer(std::string_view(call_.body))};
         asio::async_write(socket_, buffers,
-            [self = shared_from_this(), id = id_](asio::error_code ec,
+            [self = shared_from_this(), id = id_,
+                body = std::exchange(call_.body, {})](asio::error_code ec,
                 std::size_t) { self->on_written(id, ec); });
         if (!is_reading_)
             read();
--- a/drivers/http/connection_pool.hpp
+++ b/drivers/http/connection_pool.hpp
@@ -51,7 +51,7 @@
     std::string address;
     /// Request line and headers, including the final empty line.
     std::string head;
-    std::string body;
+    shared_body body;
     /// The answer to a HEAD request has no body.
     bool is_head = false;
     /// Time limit of the whole exchange, including connecting.
--- a/main/traffic_metrics.cpp
+++ b/main/traffic_metrics.cpp
@@ -145,9 +145,12 @@
 {
     add_classes(organisations_, other.organisations_);
     add_classes(services_, other.services_);
-    buffers_.used_bytes += other.buffers_.used_bytes;
-    buffers_.peak_bytes += other.buffers_.peak_bytes;
-    buffers_.waits += other.buffers_.waits;
+    for (std::size_t it = 0; it < buffers_.size(); ++it) {
+        buffers_[it].used_bytes += other.buffers_[it].used_bytes;
+        buffers_[it].peak_bytes += other.buffers_[it].peak_bytes;
+        buffers_[it].waits += other.buffers_[it].waits;
+    }
+    buffer_refusals_ += other.buffer_refusals_;
 }
 
 std::string traffic_metrics::to_prometheus() const
@@ -160,13 +163,20 @@
         append_class(text, "organisation", name, it);
     for (auto const& [name, it] : services_)
         append_class(text, "service", name, it);
-    text += fmt::format("# TYPE pomelohinge_buffer_bytes gauge\n"
-                        "pomelohinge_buffer_bytes {}\n"
-                        "# TYPE pomelohinge_buffer_peak_bytes gauge\n"
-                        "pomelohinge_buffer_peak_bytes {}\n"
-                        "# TYPE pomelohinge_buffer_waits_total counter\n"
-                        "pomelohinge_buffer_waits_total {}\n",
-        buffers_.used_bytes, buffers_.peak_bytes, buffers_.waits);
+    text += "# TYPE pomelohinge_buffer_bytes gauge\n"
+            "# TYPE pomelohinge_buffer_peak_bytes gauge\n"
+            "# TYPE pomelohinge_buffer_waits_total counter\n"
+            "# TYPE pomelohinge_buffer_refusals_total counter\n";
+    for (auto const& kind : name_table<buffer_kind>) {
+        auto const& it = buffers_[index_of(kind.value)];
+        text +=
+            fmt::format("pomelohinge_buffer_bytes{{kind=\"{0}\"}} {1}\n"
+                        "pomelohinge_buffer_peak_bytes{{kind=\"{0}\"}} {2}\n"
+                        "pomelohinge_buffer_waits_total{{kind=\"{0}\"}} {3}\n",
+                kind.name, it.used_bytes, it.peak_bytes, it.waits);
+    }
+    text +=
+        fmt::format("pomelohinge_buffer_refusals_total {}\n", buffer_refusals_);
     return text;
 }
 
--- a/main/traffic_metrics.hpp
+++ b/main/traffic_metrics.hpp
@@ -23,6 +23,17 @@
 });
 static_assert(is_ordered<latency_kind>());
 
+/// The messages that a buffer budget is for.
+enum class buffer_kind { answers, requests, small_requests };
+
+template <>
+inline constexpr auto name_table<buffer_kind> = make_name_table<buffer_kind>({
+    {buffer_kind::answers, "answers"},
+    {buffer_kind::requests, "requests"},
+    {buffer_kind::small_requests, "small_requests"},
+});
+static_assert(is_ordered<buffer_kind>());
+
 /// A histogram of durations in milliseconds with logarithmic bins from 0.05
 /// ms to 100 s. Histograms of several threads and VMs can be added.
 using latency_histogram = decltype(boost::histogram::make_histogram(
@@ -60,8 +71,13 @@
         service_id const& service, entry_result const& result, duration total,
         duration upstream, duration queue, std::size_t attempts);
 
-    /// Sets what the thread holds of its buffer budget.
-    void set_buffers(buffer_usage const& usage) { buffers_ = usage; }
+    /// Sets what the thread holds of a buffer budget.
+    void set_buffers(buffer_kind kind, buffer_usage const& usage)
+    {
+        buffers_[index_of(kind)] = usage;
+    }
+    /// Sets the number of requests refused since there was no room for them.
+    void set_buffer_refusals(std::uint64_t n) { buffer_refusals_ = n; }
 
     void add(traffic_metrics const& other);
 
@@ -85,7 +101,8 @@
 
     std::map<std::string, class_metrics> organisations_;
     std::map<std::string, class_metrics> services_;
-    buffer_usage buffers_;
+    std::array<buffer_usage, enum_count<buffer_kind>> buffers_{};
+    std::uint64_t buffer_refusals_ = 0;
 };
 
 } // namespace pomelohinge
--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -47,7 +47,9 @@
               configured.bounds),
           server_(context_, make_handlers(),
               front_limits{
-                  static_cast<std::size_t>(configured.request_body_bytes)}),
+                  static_cast<std::size_t>(configured.request_body_bytes),
+                  static_cast<std::size_t>(
+                      configured.buffer_bytes / configured.traffic_threads)}),
           directory_server_(context_,
               [this](std::string const& target,
                   std::function<void(page_reply)> reply) {
@@ -110,7 +112,11 @@
     front_server<typename Platform::front_dialect>& server() { return server_; }
     traffic_metrics const& metrics()
     {
-        metrics_.set_buffers(buffers_.usage());
+        auto const& requests = server_.buffers();
+        metrics_.set_buffers(buffer_kind::answers, buffers_.usage());
+        metrics_.set_buffers(buffer_kind::requests, requests.large());
+        metrics_.set_buffers(buffer_kind::small_requests, requests.small());
+        metrics_.set_buffer_refusals(requests.refused());
         return metrics_;
     }
     /// Refuses requests that the stop would cut, and closes each caller's
--- a/servers/requests/attempt.hpp
+++ b/servers/requests/attempt.hpp
@@ -103,7 +103,7 @@
     std::string host;
     std::string path;
     std::vector<header_field> headers;
-    std::string body;
+    shared_body body;
     organisation_id organisation;
     /// Time within which the target has to answer.
     duration time_limit{};
--- a/servers/requests/request.hpp
+++ b/servers/requests/request.hpp
@@ -4,6 +4,7 @@
 #include "config/objects.hpp"
 #include "core/clock.hpp"
 #include "core/identifiers.hpp"
+#include "servers/buffers/shared_body.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -46,7 +47,7 @@
 {
     request_head head;
     std::vector<header_field> headers;
-    std::string body;
+    shared_body body;
     /// Time since it was received, for which it has waited behind others of its
     /// connection.
     duration waited{};
