--- a/drivers/http/curl_loop.cpp
+++ b/drivers/http/curl_loop.cpp
@@ -1,5 +1,6 @@
 #include "drivers/http/curl_loop.hpp"
 
+#include "core/log.hpp"
 #include "drivers/http/header_names.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -411,6 +412,8 @@
         auto const bytes = size * count;
         if (it.result.body.size() + bytes > it.call.max_answer_bytes) {
             it.too_large = true;
+            log(log_event::http_answer_too_large,
+                {{"url", it.call.url}, {"limit", it.call.max_answer_bytes}});
             return 0;
         }
         it.result.body.append(data, bytes);
--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -41,12 +41,25 @@
     void set_answer(int status, std::string body)
     {
         std::lock_guard const lock(mutex_);
-        answer_ = "HTTP/1.1 " + std::to_string(status) +
+        make_body_ = nullptr;
+        answer_ = encode(status, body);
+    }
+
+    /// Answers each call with a new body.
+    void set_answers(std::function<std::string()> make_body)
+    {
+        std::lock_guard const lock(mutex_);
+        make_body_ = std::move(make_body);
+    }
+
+private:
+    static std::string encode(int status, std::string const& body)
+    {
+        return "HTTP/1.1 " + std::to_string(status) +
             " Status\r\nContent-Length: " + std::to_string(body.size()) +
             "\r\nConnection: close\r\n\r\n" + body;
     }
 
-private:
     void serve()
     {
         while (true) {
@@ -58,6 +71,8 @@
             asio::read_until(
                 socket, asio::dynamic_buffer(head), "\r\n\r\n", ec);
             std::lock_guard const lock(mutex_);
+            if (make_body_)
+                answer_ = encode(200, make_body_());
             asio::write(socket, asio::buffer(answer_), ec);
         }
     }
@@ -66,6 +81,7 @@
     tcp::acceptor acceptor_;
     std::mutex mutex_;
     std::string answer_;
+    std::function<std::string()> make_body_;
     std::atomic<bool> stopped_ = false;
     std::thread thread_;
 };
@@ -127,6 +143,48 @@
     records records_;
 };
 
+/// The pages of a list that never ended were kept until the memory was used up.
+TEST_F(store_test, list_whose_page_repeats_ends_as_unavailable)
+{
+    int pages = 0;
+    server_.set_answers([&] {
+        ++pages;
+        return R"({"items": [)" + target("i-1") +
+            R"(], "hasMore": true, "at": 50})";
+    });
+    auto status = store_status::done;
+    bool ended = false;
+    store_.list_targets([&](targets_result it) {
+        status = it.status;
+        ended = true;
+        context_.stop();
+    });
+    run();
+    EXPECT_TRUE(ended);
+    EXPECT_EQ(status, store_status::unavailable);
+    EXPECT_EQ(pages, 2);
+}
+
+TEST_F(store_test, list_without_end_ends_as_unavailable)
+{
+    int pages = 0;
+    server_.set_answers([&] {
+        constexpr std::size_t page_bytes = 4 << 20;
+        return R"({"items": [)" + target("i-" + std::to_string(++pages)) +
+            R"(], "hasMore": true, "at": 50, "rest": ")" +
+            std::string(page_bytes, 'x') + "\"}";
+    });
+    bool ended = false;
+    store_.list_targets([&](targets_result it) {
+        EXPECT_EQ(it.status, store_status::unavailable);
+        ended = true;
+        context_.stop();
+    });
+    run();
+    EXPECT_TRUE(ended);
+    EXPECT_EQ(pages, 16);
+}
+
 /// Guards against a process that ends because one entry is nested so deeply
 /// that a recursive operation on it uses up the stack.
 TEST_F(store_test, list_with_deeply_nested_entry_keeps_the_others)
