--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -47,6 +47,8 @@
     std::size_t max_body_bytes = 1 << 20;
     /// Further connections wait until others are closed.
     std::size_t max_connections = std::numeric_limits<std::size_t>::max();
+    /// Memory for all large requests together.
+    std::size_t buffer_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// The HTTP server for callers on one traffic thread. Callbacks run on that
@@ -57,7 +59,11 @@
 public:
     front_server(
         asio::io_context& context, front_handlers handlers, front_limits limits)
-        : context_(context), handlers_(std::move(handlers)), limits_(limits)
+        : context_(context), handlers_(std::move(handlers)), limits_(limits),
+          buffers_(asio::make_service<request_buffers>(context,
+              request_buffer_limits{limits.buffer_bytes,
+                  2 * limits.max_body_bytes + max_head_bytes},
+              encode_whole_refusal))
     {
     }
 
@@ -94,6 +100,9 @@
         stop_listening_before(boottime_clock::now() + max_accept_time);
     }
 
+    /// The memory that large requests hold.
+    request_buffers const& buffers() const { return buffers_; }
+
     /// Accepts connections again if accepting has failed, for instance since
     /// the process had no descriptor left. To be called periodically.
     void check_accepting()
@@ -134,6 +143,7 @@
     static constexpr std::size_t max_field_name_bytes = 256;
     static constexpr std::size_t max_field_value_bytes = 16 << 10;
     static constexpr std::size_t max_fields = 128;
+    static constexpr std::size_t max_head_bytes = 128 << 10;
 
     /// Bodies above `front_limits::max_body_bytes` are read and then refused;
     /// bodies above this limit are not read.
@@ -235,6 +245,8 @@
         std::uint64_t registration = 0;
         /// The caller has probably left, so a stop doesn't wait for the answer.
         bool cancelled = false;
+        /// The memory that a large request holds.
+        buffer_charge charge;
     };
     using open_request_pointer = std::shared_ptr<open_request>;
 
@@ -245,6 +257,7 @@
             ? connection_state::current()
             : std::make_shared<connection_state>();
         it->connection->mark_received();
+        it->charge = it->connection->intake().take_charge();
         it->request = std::move(request);
         std::string const target(it->request->header().request_target());
         if constexpr (Dialect::entries_at_front)
@@ -284,7 +297,9 @@
                         std::to_string(limits_.max_body_bytes) + " bytes",
                     {}});
         message.head.body_bytes = body.size();
-        message.body = body;
+        if (!body.empty())
+            message.body =
+                shared_body(std::shared_ptr<std::string const>(it, &body));
         bool const repeatable = handlers_.is_repeatable(message.head);
         add(it, repeatable,
             [this, it, repeatable,
@@ -404,6 +419,29 @@
         finish(it, response, std::move(encoded.body));
     }
 
+    /// Encodes the refusal of a request that is not read completely.
+    static std::string encode_whole_refusal(
+        received_head const& head, refusal const& refused)
+    {
+        auto const parsed =
+            Dialect::parse(head.method, head.target, head.headers);
+        auto const* const message = std::get_if<incoming_request>(&parsed);
+        std::string const id =
+            message == nullptr ? "" : message->head.request_id;
+        log(log_event::request_refused,
+            {{"request", id}, {"kind", to_name(refused.kind)},
+                {"outcome", to_name(refused.result)},
+                {"detail", refused.detail}});
+        auto const encoded = Dialect::encode_refusal(refused, id);
+        auto const status = status_line(encoded.status);
+        auto text = "HTTP/1.1 " + std::to_string(encoded.status) + " " +
+            status.reason_phrase() + "\r\n";
+        for (auto const& field : encoded.headers)
+            text += field.name + ": " + field.value + "\r\n";
+        return text + "Connection: close\r\nContent-Length: " +
+            std::to_string(encoded.body.size()) + "\r\n\r\n" + encoded.body;
+    }
+
     template <class Response>
     static void add_answer_headers(
         Response& response, std::string const& request_id)
@@ -453,6 +491,7 @@
     asio::io_context& context_;
     front_handlers handlers_;
     front_limits limits_;
+    request_buffers& buffers_;
     std::unique_ptr<server> server_;
     /// The listening socket of `server_`.
     asio::ip::tcp::acceptor* acceptor_ = nullptr;
--- a/tests/platform/fixed_store.hpp
+++ b/tests/platform/fixed_store.hpp
@@ -6,6 +6,7 @@
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
 #include <atomic>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -42,12 +43,25 @@
     void set_answer(int status, std::string body)
     {
         std::lock_guard const lock(mutex_);
-        answer_ = "HTTP/1.1 " + std::to_string(status) +
+        make_body_ = nullptr;
+        answer_ = encode(status, body);
+    }
+
+    /// Answers each call with a new body.
+    void set_answers(std::function<std::string()> make_body)
+    {
+        std::lock_guard const lock(mutex_);
+        make_body_ = std::move(make_body);
+    }
+
+private:
+    static std::string encode(int status, std::string const& body)
+    {
+        return "HTTP/1.1 " + std::to_string(status) +
             " Status\r\nContent-Length: " + std::to_string(body.size()) +
             "\r\nConnection: close\r\n\r\n" + body;
     }
 
-private:
     void serve()
     {
         while (true) {
@@ -59,6 +73,8 @@
             asio::read_until(
                 socket, asio::dynamic_buffer(head), "\r\n\r\n", ec);
             std::lock_guard const lock(mutex_);
+            if (make_body_)
+                answer_ = encode(200, make_body_());
             asio::write(socket, asio::buffer(answer_), ec);
         }
     }
@@ -67,6 +83,7 @@
     tcp::acceptor acceptor_;
     std::mutex mutex_;
     std::string answer_;
+    std::function<std::string()> make_body_;
     std::atomic<bool> stopped_ = false;
     std::thread thread_;
 };
--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -64,6 +64,48 @@
     records records_;
 };
 
+/// The pages of a list that never ended were kept until the memory was used up.
+TEST_F(store_test, list_whose_page_repeats_ends_as_unavailable)
+{
+    int pages = 0;
+    server_.set_answers([&] {
+        ++pages;
+        return R"({"items": [)" + target("i-1") +
+            R"(], "hasMore": true, "at": 50})";
+    });
+    auto status = store_status::done;
+    bool ended = false;
+    store_.list_targets([&](targets_result it) {
+        status = it.status;
+        ended = true;
+        context_.stop();
+    });
+    run();
+    EXPECT_TRUE(ended);
+    EXPECT_EQ(status, store_status::unavailable);
+    EXPECT_EQ(pages, 2);
+}
+
+TEST_F(store_test, list_without_end_ends_as_unavailable)
+{
+    int pages = 0;
+    server_.set_answers([&] {
+        constexpr std::size_t page_bytes = 4 << 20;
+        return R"({"items": [)" + target("i-" + std::to_string(++pages)) +
+            R"(], "hasMore": true, "at": 50, "rest": ")" +
+            std::string(page_bytes, 'x') + "\"}";
+    });
+    bool ended = false;
+    store_.list_targets([&](targets_result it) {
+        EXPECT_EQ(it.status, store_status::unavailable);
+        ended = true;
+        context_.stop();
+    });
+    run();
+    EXPECT_TRUE(ended);
+    EXPECT_EQ(pages, 16);
+}
+
 /// Guards against a process that ends because one entry is nested so deeply
 /// that a recursive operation on it uses up the stack.
 TEST_F(store_test, list_with_deeply_nested_entry_keeps_the_others)
