Return the memory of freed bodies to the system

Cause: glibc raises the size from which it maps a buffer on its own, up to 32 MiB, with the first large one that is freed. Later bodies come from the heap, which fragments and is not given back.

Change: the daemon fixes the threshold at 256 KiB, so a larger buffer is returned when it is freed.

--- a/main/daemon_main.hpp
+++ b/main/daemon_main.hpp
@@ -8,6 +8,7 @@
 
 #include <cxxopts.hpp>
 #include <iostream>
+#include <malloc.h>
 
 namespace pomelohinge {
 
@@ -19,6 +20,15 @@
     invariant_violated = 3,
 };
 
+/// Makes the allocator return a large buffer to the system as soon as it is
+/// freed. By default glibc raises the size for this when it sees larger ones.
+inline void return_freed_buffers()
+{
+    constexpr int min_mapped_bytes = 256 << 10;
+    if (mallopt(M_MMAP_THRESHOLD, min_mapped_bytes) == 0)
+        std::cerr << "the allocator keeps large buffers after they are freed\n";
+}
+
 /// Reads settings and charts, then runs the daemon until it stops.
 template <FleetPlatform Platform>
 daemon_exit run_daemon(cxxopts::ParseResult const& options)
@@ -37,6 +47,7 @@
     }
     if (options.count("check-settings") > 0)
         return daemon_exit::done;
+    return_freed_buffers();
     configure_log(configured->logs);
     absl::Status status;
     {
