--- a/main/daemon_main.hpp
+++ b/main/daemon_main.hpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <malloc.h>
 
 namespace pomelohinge {
 
@@ -41,6 +42,15 @@
     return it == nullptr ? program.settings_path : it;
 }
 
+/// Makes the allocator return a large buffer to the system as soon as it is
+/// freed. By default glibc raises the size for this when it sees larger ones.
+inline void return_freed_buffers()
+{
+    constexpr int min_mapped_bytes = 256 << 10;
+    if (mallopt(M_MMAP_THRESHOLD, min_mapped_bytes) == 0)
+        std::cerr << "the allocator keeps large buffers after they are freed\n";
+}
+
 /// Reads settings and charts, then runs the daemon until it stops.
 template <FleetPlatform Platform>
 daemon_exit run_daemon(
@@ -69,6 +79,7 @@
             std::cerr << path << ": " << it << "\n";
         return daemon_exit::done;
     }
+    return_freed_buffers();
     configure_log(source->parsed.logs);
     for (auto const& it : source->parsed.adjustments)
         log(log_event::settings_adjusted, {{"detail", it}});
