Report an unreadable configuration once

As long as the store held a configuration that can't be decoded, every VM that reads the store decoded it and logged it (event 301, an error, which no rate limits) at each read, every 800 ms.

The reader now keeps the last document that was refused and skips the same text. A changed text of the same version is decoded again.

--- a/servers/control/store_reader.hpp
+++ b/servers/control/store_reader.hpp
@@ -162,13 +162,21 @@
 
     void decode_document(configuration_document document)
     {
+        // A document is reported once, not at each read.
+        bool const was_refused = refused_.text != nullptr &&
+            refused_.version == document.version &&
+            *refused_.text == *document.text;
+        if (was_refused)
+            return;
         findings found("configuration");
         auto decoded = environment_.decode_configuration(*document.text, found);
         if (!decoded) {
             log(log_event::configuration_unreadable,
                 {{"version", document.version}, {"findings", found.to_text()}});
+            refused_ = std::move(document);
             return;
         }
+        refused_ = {};
         log(log_event::configuration_applied,
             {{"version", document.version}, {"source", "store"}});
         fleet_state_.set_configuration(std::move(document), *decoded);
@@ -263,6 +271,8 @@
     std::function<void()> on_change_;
     bool active_ = false;
     bool reached_ = true;
+    /// The last configuration that could not be decoded.
+    configuration_document refused_;
     call_state configuration_;
     call_state targets_;
     call_state closures_;
--- a/tests/servers/store_reader_test.cpp
+++ b/tests/servers/store_reader_test.cpp
@@ -24,6 +24,7 @@
     std::optional<configuration> decode_configuration(
         std::string_view text, findings& found)
     {
+        ++decodes_;
         if (text != "unreadable")
             return configuration();
         found.add({}, "", "unreadable");
@@ -97,6 +98,7 @@
     std::vector<target_record> targets_;
     std::vector<data_centre_id> closed_;
     int calls_ = 0;
+    int decodes_ = 0;
 
 private:
     static constexpr duration answer_delay = 10ms;
@@ -272,6 +274,21 @@
     EXPECT_LE(state_.read_at(), read_at + 1s);
 }
 
+/// Guards against a log line and a decoded document at every read.
+TEST_F(store_reader_test, unreadable_configuration_is_reported_once)
+{
+    reader_.set_active(true);
+    advance(1s);
+    store_.version_ = 2;
+    store_.text_ = "unreadable";
+    auto const before = store_.decodes_;
+    advance(10s);
+    EXPECT_EQ(store_.decodes_, before + 1);
+    store_.text_ = "text";
+    advance(1s);
+    EXPECT_EQ(state_.document().version, 2u);
+}
+
 TEST_F(store_reader_test, inactive_reader_makes_no_calls)
 {
     reader_.set_active(true);
