Test what a refusal says of each end of an attempt

For every end of an attempt that isn't passed on, for a look-up and an order: the refusal says `not_run` exactly if the end proves it, an order is sent once, and its refusal has a status that promises "not run" only in that case.

--- a/tests/servers/entry_request_test.cpp
+++ b/tests/servers/entry_request_test.cpp
@@ -455,5 +455,51 @@
     EXPECT_FALSE(result_);
 }
 
+/// How an attempt ended, and whether a refusal behind it may say `not_run`.
+struct attempt_end_row
+{
+    attempt_result end;
+    bool proves_not_run;
+};
+
+constexpr attempt_end_row attempt_ends[] = {
+    {attempt_result::shed, true},
+    {attempt_result::misdirected, true},
+    {attempt_result::connect_failed, true},
+    {attempt_result::connection_lost, false},
+    {attempt_result::kept_connection_lost, false},
+    {attempt_result::timed_out, false},
+    {attempt_result::wrong_answer, false},
+    {attempt_result::too_large, false},
+    {attempt_result::cancelled, false},
+};
+// `answered` and `server_error` are passed on instead of refused.
+static_assert(std::size(attempt_ends) + 2 == enum_count<attempt_result>);
+
+TEST_F(entry_request_test, refusal_says_not_run_only_if_the_attempt_proves_it)
+{
+    environment_.set_targets({"t1"});
+    for (auto const& row : attempt_ends)
+        for (std::string const method : {"GET", "POST"}) {
+            environment_.set_targets({});
+            environment_.set_targets({"t1"});
+            auto const sent_before = environment_.sent().size();
+            begin(method, method == "GET" ? "/look/1" : "/pay/1");
+            ASSERT_EQ(environment_.sent().size(), sent_before + 1);
+            environment_.end_attempt(row.end);
+            auto const where = std::string(to_name(row.end)) + " " + method;
+            ASSERT_EQ(refused_outcome(),
+                row.proves_not_run ? outcome::not_run : outcome::unknown)
+                << where;
+            EXPECT_EQ(environment_.sent().size(), sent_before + 1) << where;
+            // The other kinds have a status that promises "not run".
+            auto const kind = std::get<refusal>(*result_).kind;
+            if (method == "POST" && !row.proves_not_run)
+                EXPECT_TRUE(kind == refusal_kind::upstream_failed ||
+                    kind == refusal_kind::deadline_passed)
+                    << where << " " << to_name(kind);
+        }
+}
+
 } // namespace
 } // namespace pomelohinge
