Send nothing behind the last answer of a connection

A caller that had sent a part of a further request behind one with "Connection: close" received a 400 behind the answer to it: bytes that belong to no request it waits for. The refusal of requests that can't be parsed was sent whenever a connection closed with unread bytes.

Before: part_of_a_request_behind_the_last_gets_no_answer read 321 bytes of body instead of 5.

--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -124,7 +124,8 @@
     /// request without an answer.
     bool needs_refusal() const
     {
-        return !closed_ && pipeline_.empty() && unhandled_bytes_ > 0;
+        return !closed_ && pipeline_.empty() && unhandled_bytes_ > 0 &&
+            last_answer_ == nullptr;
     }
 
     /// The connection whose socket handler is running on this thread; null
