Keep the requests in flight of a target that leaves the list for a while

What callers could see: a target that was missing in one list and listed again while requests ran got more than it has slots, for good: it shed them or made them late.

Cause: the state of a target that leaves the list was destroyed with its count of requests in flight. When it was listed again with the same incarnation, the count began at 0, and the ends of earlier attempts made it negative.

Evidence: target_that_is_listed_again_keeps_its_requests on the code before: 0 in flight instead of 1, then -1 instead of 0.

Now the state is kept until the attempts have ended. servers_test (431 tests) and simulation_test (21) pass.

--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -94,6 +94,7 @@
 {
     policy_ = next;
     std::map<target_id, std::unique_ptr<traffic_target>> targets;
+    targets_.merge(unlisted_);
     for (auto const& record : next->targets->records()) {
         auto const existing = targets_.find(record.id);
         bool const same = existing != targets_.end() &&
@@ -108,7 +109,11 @@
             it->set_leaving();
         targets.emplace(record.id, std::move(it));
     }
-    targets_ = std::move(targets);
+    std::erase_if(targets_, [&](auto const& it) {
+        return it.second == nullptr || targets.contains(it.first) ||
+            it.second->in_flight() <= 0;
+    });
+    unlisted_ = std::exchange(targets_, std::move(targets));
     rebuild_services();
     local_entries_ = static_cast<std::size_t>(std::count_if(
         next->members->begin(), next->members->end(), [&](auto const& it) {
@@ -155,11 +160,13 @@
 
 traffic_target* dispatcher::find_current(target_record const& target)
 {
-    auto const it = targets_.find(target.id);
-    if (it == targets_.end() ||
-        it->second->record().incarnation != target.incarnation)
-        return nullptr;
-    return it->second.get();
+    for (auto const* targets : {&targets_, &unlisted_}) {
+        auto const it = targets->find(target.id);
+        if (it != targets->end() &&
+            it->second->record().incarnation == target.incarnation)
+            return it->second.get();
+    }
+    return nullptr;
 }
 
 traffic_target const* dispatcher::find(target_id const& id) const
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -324,6 +324,9 @@
     policy_pointer policy_;
     std::size_t local_entries_ = 1;
     std::map<target_id, std::unique_ptr<traffic_target>> targets_;
+    /// Targets that left the list with attempts in flight. Kept until these
+    /// have ended, since the list may contain the target again.
+    std::map<target_id, std::unique_ptr<traffic_target>> unlisted_;
     /// Targets that have said that they shut down. Kept when they leave the
     /// list, since an older list may bring them back.
     std::map<target_id, leaving_target> leaving_;
--- a/tests/servers/dispatch_callbacks_test.cpp
+++ b/tests/servers/dispatch_callbacks_test.cpp
@@ -110,6 +110,32 @@
     EXPECT_EQ(in_flight(), 0);
 }
 
+/// A target that was missing in one list got more requests than it has slots.
+TEST_F(dispatch_callbacks_test, target_that_is_listed_again_keeps_its_requests)
+{
+    auto const listed = records_;
+    records_.clear();
+    adopt();
+    EXPECT_EQ(place(make_request()), "");
+    records_ = listed;
+    adopt();
+    EXPECT_EQ(in_flight(), 1);
+    end_attempt(record("t"));
+    EXPECT_EQ(in_flight(), 0);
+}
+
+TEST_F(dispatch_callbacks_test, target_listed_again_later_has_no_old_requests)
+{
+    auto const listed = records_;
+    records_.clear();
+    adopt();
+    end_attempt(listed.front());
+    records_ = listed;
+    adopt();
+    EXPECT_EQ(in_flight(), 0);
+    EXPECT_EQ(place(make_request()), "t");
+}
+
 TEST_F(dispatch_callbacks_test, rejected_request_may_withdraw_the_next_one)
 {
     ticket second = 0;
