Count a request that ends while its connection closes only once

What callers saw: a planned stop waited for requests that did not exist until the grace was over, and the process was killed then, with what was open.

Cause: when a caller closed its connection, the callbacks of its requests were called from a copy of their list. The cancellation of one frees a slot, so another one of the connection may be sent or refused meanwhile. It ended by itself and was then ended once more: `front_server` counted its open requests down twice, below zero. The end of a request whose caller had disconnected would also have read an empty node of `open_requests_`.

Evidence: request_that_ends_while_closing_ends_only_once on the code before: the callback of the request that had ended was called. That this is what stops waited for in the field is not shown.

Now each callback is taken out of the list when it is called, and a request that is no longer open ends without effect. drivers_test (29 tests) passes.

--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -49,13 +49,13 @@
     void add_received(std::size_t bytes) { unhandled_bytes_ += bytes; }
 
     /// Marks the connection as closed by the caller and calls `on_closed` of
-    /// every registered request.
+    /// every registered request, unless it is unregistered by another one's.
     void mark_closed_by_caller()
     {
         closed_ = true;
         pipeline_.stop();
-        for (auto const& [id, callback] : std::exchange(on_closed_, {}))
-            callback();
+        while (!on_closed_.empty())
+            on_closed_.extract(on_closed_.begin()).mapped()();
     }
 
     /// Whether the caller has not closed the connection, no request is
--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -239,8 +239,11 @@
             *this, std::move(message),
             [this, started_at, number, done = std::move(done)](
                 entry_result result) {
-                auto const finished =
-                    std::move(open_requests_.extract(number).mapped());
+                auto const open = open_requests_.extract(number);
+                // The caller has disconnected.
+                if (!open)
+                    return;
+                auto const finished = open.mapped();
                 auto const& statistics = finished->statistics();
                 metrics_.record_request(statistics.organisation,
                     statistics.service, result, now() - started_at,
