--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -116,17 +116,18 @@
         input_ended_ = true;
         pipeline_.stop();
         for (auto const& [id, callback] : std::map(on_disconnected_))
-            callback();
+            if (on_disconnected_.contains(id))
+                callback();
     }
 
     /// Marks the connection as closed by the caller and calls the callback of
-    /// every registered request.
+    /// every registered request, unless it is unregistered by another one's.
     void mark_closed_by_caller()
     {
         closed_ = true;
         pipeline_.stop();
-        for (auto const& [id, callback] : std::exchange(on_disconnected_, {}))
-            callback();
+        while (!on_disconnected_.empty())
+            on_disconnected_.extract(on_disconnected_.begin()).mapped()();
     }
 
     /// Whether the caller has not closed the connection, no request is
