Keep gRPC's thread from destroying its last channel

A process could end by SIGABRT at the end of a stop ("assertion failed: prior > 0", grpc_cq_internal_unref on a thread of gRPC). The callbacks of all channels and servers share one completion queue, which ends with the last of them and joins its threads. A call holds its channel and was destroyed in its own callback, on such a thread; if the server had been shut down before, this was the last channel, and the thread joined itself.

The client owns its calls and destroys them on its own thread. A stop ends the calls first and the server after them.

--- a/drivers/peers/peer_client.cpp
+++ b/drivers/peers/peer_client.cpp
@@ -3,6 +3,7 @@
 #include "drivers/peers/codec.hpp"
 #include "drivers/peers/grpc_limits.hpp"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <condition_variable>
 #include <grpcpp/grpcpp.h>
@@ -47,26 +48,35 @@
     wire::SyncReply reply;
 };
 
-/// The calls that gRPC has not ended yet. Thread-safe.
+/// The calls that gRPC has not ended yet. Thread-safe. A call holds its
+/// channel, and gRPC's thread must not destroy the last channel: it would join
+/// itself.
 class peer_client::open_calls
+    : public std::enable_shared_from_this<peer_client::open_calls>
 {
 public:
     explicit open_calls(asio::io_context& context) : context_(&context) {}
 
     /// Returns false if the client stops.
-    bool add(std::shared_ptr<call> const& it)
+    bool add(std::shared_ptr<call> it)
     {
         std::lock_guard const lock(mutex_);
-        return !stopping_ && calls_.insert(it).second;
+        return !stopping_ && calls_.insert(std::move(it)).second;
     }
 
-    /// Removes a call and posts `work`, unless the client is destroyed.
-    void end(std::shared_ptr<call> const& it, std::function<void()> work)
+    /// Removes a call and posts `work` with it.
+    void end(call* ended, std::function<void(call&)> work)
     {
         std::lock_guard const lock(mutex_);
-        calls_.erase(it);
-        if (context_ != nullptr)
-            asio::post(*context_, std::move(work));
+        auto const found = std::find_if(calls_.begin(), calls_.end(),
+            [&](auto const& it) { return it.get() == ended; });
+        if (context_ == nullptr)
+            return;
+        auto node = calls_.extract(found);
+        asio::post(
+            *context_, [work = std::move(work), it = std::move(node.value())] {
+                work(*it);
+            });
         ended_.notify_all();
     }
 
@@ -74,19 +84,18 @@
     {
         std::unique_lock lock(mutex_);
         stopping_ = true;
-        auto const cancelled = calls_;
-        lock.unlock();
-        for (auto const& it : cancelled)
+        for (auto const& it : calls_)
             it->context.TryCancel();
-        lock.lock();
         ended_.wait_for(lock, grace, [this] { return calls_.empty(); });
     }
 
-    /// Called when the client is destroyed.
+    /// Called when the client is destroyed. Calls that end later are leaked.
     void detach()
     {
         std::lock_guard const lock(mutex_);
         context_ = nullptr;
+        if (!calls_.empty())
+            leaked_ = shared_from_this();
     }
 
 private:
@@ -95,6 +104,7 @@
     asio::io_context* context_;
     std::set<std::shared_ptr<call>> calls_;
     bool stopping_ = false;
+    std::shared_ptr<open_calls> leaked_;
 };
 
 peer_client::peer_client(asio::io_context& context)
@@ -126,23 +136,25 @@
 void peer_client::sync(std::string const& address,
     sync_question const& question, std::function<void(sync_reply)> done)
 {
-    auto const it = std::make_shared<call>();
+    auto owned = std::make_shared<call>();
+    auto* const it = owned.get();
     it->question = to_wire(question);
     it->context.set_deadline(std::chrono::system_clock::now() +
         std::chrono::duration_cast<std::chrono::system_clock::duration>(
             question.long_poll_timeout + sync_timeout_margin));
-    if (!calls_->add(it))
+    if (!calls_->add(std::move(owned)))
         return asio::post(context_, [done] { done(sync_reply{}); });
     stub(address).async()->Sync(&it->context, &it->question, &it->reply,
         [this, calls = calls_, it, address, done = std::move(done)](
             grpc::Status const& status) {
-            calls->end(it, [this, it, address, ok = status.ok(), done] {
-                if (ok)
-                    return done(
-                        from_wire(std::move(it->reply), boottime_clock::now()));
-                peers_.erase(address);
-                done(sync_reply{});
-            });
+            calls->end(
+                it, [this, address, ok = status.ok(), done](call& ended) {
+                    if (ok)
+                        return done(from_wire(
+                            std::move(ended.reply), boottime_clock::now()));
+                    peers_.erase(address);
+                    done(sync_reply{});
+                });
         });
 }
 
--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -118,8 +118,9 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(grace);
         run_step(
             [this, limit] {
-                peer_server_.stop(limit);
+                // While the server is there, gRPC's threads are.
                 control_.stop_calls(limit);
+                peer_server_.stop(limit);
             },
             std::move(closed));
     }
