--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -101,6 +101,8 @@
         self.platform = platform
         self.log_level = log_level
         self.traffic_threads = traffic_threads
+        #: Further settings of all VMs.
+        self.settings: dict[str, Any] = {}
         self.vms: dict[str, Vm] = {}
         self.upstreams: dict[str, Upstream] = {}
         self._processes: list[subprocess.Popen[bytes]] = []
@@ -164,6 +166,7 @@
                       list(self.vms.values())[:3] if other is not it],
             "traffic_threads": self.traffic_threads,
             "log": {"format": "json", "level": self.log_level},
+            **self.settings,
         }, indent=2), encoding="utf-8")
         it.process = self._start(
             it.name, "pomelohinged", "--settings", str(settings))
