--- a/tests/drivers/front_buffers_test.cpp
+++ b/tests/drivers/front_buffers_test.cpp
@@ -64,7 +64,7 @@
 
     caller_pointer send(std::string bytes)
     {
-        auto const it = std::make_shared<caller>(context_);
+        auto it = std::make_shared<caller>(context_);
         it->bytes = std::move(bytes);
         it->socket.connect({asio::ip::make_address(loopback_address()), port});
         asio::async_write(it->socket, asio::buffer(it->bytes),
@@ -104,6 +104,7 @@
     std::vector<caller_pointer> send_many(std::string const& bytes, int count)
     {
         std::vector<caller_pointer> callers;
+        callers.reserve(static_cast<std::size_t>(count));
         for (int it = 0; it < count; ++it)
             callers.push_back(send(bytes));
         return callers;
