Send nothing behind the last answer of a connection

A caller that had sent a part of a further request behind one with "Connection: close" received a 400 behind the answer to it: bytes that belong to no request it waits for. The refusal of requests that can't be parsed was sent whenever a connection closed with unread bytes.

Before: part_of_a_request_behind_the_last_gets_no_answer read 321 bytes of body instead of 5.

--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -58,6 +58,7 @@
     /// Keeps `answer` open until the caller has received all that was written.
     void set_last_answer(std::shared_ptr<void> answer)
     {
+        has_last_answer_ = true;
         last_answer_ = std::move(answer);
     }
 
@@ -124,7 +125,8 @@
     /// request without an answer.
     bool needs_refusal() const
     {
-        return !closed_ && pipeline_.empty() && unhandled_bytes_ > 0;
+        return !closed_ && pipeline_.empty() && unhandled_bytes_ > 0 &&
+            !has_last_answer_;
     }
 
     /// The connection whose socket handler is running on this thread; null
@@ -142,6 +144,7 @@
     bool input_ended_ = false;
     std::map<std::uint64_t, std::function<void()>> on_disconnected_;
     request_pipeline pipeline_;
+    bool has_last_answer_ = false;
     std::shared_ptr<void> last_answer_;
     std::shared_ptr<std::size_t> unsent_answers_ =
         std::make_shared<std::size_t>(0);
--- a/tests/drivers/front_connection_test.cpp
+++ b/tests/drivers/front_connection_test.cpp
@@ -352,5 +352,20 @@
     EXPECT_EQ(answered, callers);
 }
 
+TEST_F(front_connection_test, part_of_a_request_behind_the_last_gets_no_answer)
+{
+    auto socket = connect();
+    send(socket,
+        "POST /order HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        "Content-Length: 0\r\n\r\n");
+    std::this_thread::sleep_for(100ms);
+    send(socket, "POST /small HTT");
+    std::this_thread::sleep_for(100ms);
+    asio::post(context_, [this] {
+        order_done_(upstream_answer{200, {}, "small"});
+    });
+    EXPECT_EQ(read_body(socket), 5u);
+}
+
 } // namespace
 } // namespace pomelohinge
