Wait in a stop for requests whose bytes still arrive

Callers whose request was still being received when the last open request of a planned stop ended were cut: a stop counted requests only once they were read whole, also if the rest was in the socket's buffer already.

A request of which a part was received counts as open while its bytes keep coming, with pauses of a second at most, so that a caller that never ends its request doesn't hold the stop up.

--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -124,8 +124,14 @@
     }
 
     /// The number of requests without an answer, or with one that is still
-    /// being sent.
-    std::size_t open_requests() const { return open_requests_ + *unsent_; }
+    /// being sent. Those of which only a part has been received count while
+    /// their bytes keep coming.
+    std::size_t open_requests() const
+    {
+        return open_requests_ + *unsent_ +
+            connection_state::count_receiving(
+                boottime_clock::now() - max_receive_pause);
+    }
 
 private:
     /// Limits on the head of a request. RESTinio closes the connection of a
@@ -155,6 +161,9 @@
     /// the thread once per connection.
     static constexpr auto timeout_check_period = std::chrono::seconds(20);
 
+    /// A request whose bytes stop coming for longer does not delay a stop.
+    static constexpr duration max_receive_pause = std::chrono::seconds(1);
+
     /// Limit on accepting connections before listening stops, since new ones
     /// may be established all the time.
     static constexpr duration max_accept_time = std::chrono::milliseconds(500);
--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -4,6 +4,7 @@
 #include "drivers/front/expect_continue.hpp"
 #include "servers/requests/request_pipeline.hpp"
 
+#include <algorithm>
 #include <array>
 #include <asio/associated_executor.hpp>
 #include <asio/bind_executor.hpp>
@@ -31,10 +32,25 @@
 class connection_state
 {
 public:
+    connection_state() = default;
+    ~connection_state() { receiving().erase(this); }
+    connection_state(connection_state const&) = delete;
+    connection_state& operator=(connection_state const&) = delete;
+
+    /// The number of connections of this thread on which a part of a request
+    /// has been received, the latest bytes since `since`.
+    static std::size_t count_receiving(time_point since)
+    {
+        return static_cast<std::size_t>(
+            std::count_if(receiving().begin(), receiving().end(),
+                [&](auto const& it) { return it.second >= since; }));
+    }
+
     /// Marks the bytes received so far as those of a complete request.
     void mark_received()
     {
         unhandled_bytes_ = 0;
+        receiving().erase(this);
         expect_continue_.request_received();
     }
 
@@ -58,6 +74,7 @@
     /// Keeps `answer` open until the caller has received all that was written.
     void set_last_answer(std::shared_ptr<void> answer)
     {
+        receiving().erase(this);
         has_last_answer_ = true;
         last_answer_ = std::move(answer);
     }
@@ -72,6 +89,8 @@
     void add_received(std::string_view bytes)
     {
         unhandled_bytes_ += bytes.size();
+        if (!bytes.empty())
+            receiving()[this] = boottime_clock::now();
         expect_continue_.add(bytes);
     }
 
@@ -114,6 +133,7 @@
     void mark_closed_by_caller()
     {
         closed_ = true;
+        receiving().erase(this);
         pipeline_.stop();
         for (auto const& [id, callback] : std::exchange(on_disconnected_, {}))
             callback();
@@ -138,6 +158,14 @@
     }
 
 private:
+    /// Connections of this thread with a part of a request, and when its latest
+    /// bytes came.
+    static std::map<connection_state const*, time_point>& receiving()
+    {
+        thread_local std::map<connection_state const*, time_point> connections;
+        return connections;
+    }
+
     std::uint64_t last_id_ = 0;
     std::size_t unhandled_bytes_ = 0;
     bool closed_ = false;
--- a/tests/drivers/front_connection_test.cpp
+++ b/tests/drivers/front_connection_test.cpp
@@ -367,5 +367,29 @@
     EXPECT_EQ(read_body(socket), 5u);
 }
 
+TEST_F(front_connection_test, request_whose_body_arrives_is_open)
+{
+    auto socket = connect();
+    send(socket,
+        "POST /small HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n1");
+    std::this_thread::sleep_for(700ms);
+    send(socket, "2");
+    std::this_thread::sleep_for(700ms);
+    EXPECT_EQ(open_requests(), 1u);
+    send(socket, "345");
+    EXPECT_EQ(read_for(socket, 200ms).find("HTTP/1.1 200"), 0u);
+    EXPECT_EQ(open_requests(), 0u);
+}
+
+TEST_F(front_connection_test, request_whose_body_stays_out_is_not_open)
+{
+    auto socket = connect();
+    send(socket, "POST /small HTTP/1.1\r\nHost: x\r\nContent-Le");
+    std::this_thread::sleep_for(100ms);
+    EXPECT_EQ(open_requests(), 1u);
+    std::this_thread::sleep_for(1200ms);
+    EXPECT_EQ(open_requests(), 0u);
+}
+
 } // namespace
 } // namespace pomelohinge
