--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -5,6 +5,7 @@
 #include "drivers/front/request_buffers.hpp"
 #include "servers/requests/request_pipeline.hpp"
 
+#include <algorithm>
 #include <array>
 #include <asio/associated_executor.hpp>
 #include <asio/bind_executor.hpp>
@@ -38,6 +39,18 @@
         : intake_(buffers)
     {
     }
+    ~connection_state() { receiving().erase(this); }
+    connection_state(connection_state const&) = delete;
+    connection_state& operator=(connection_state const&) = delete;
+
+    /// The number of connections of this thread on which a part of a request
+    /// has been received, the latest bytes since `since`.
+    static std::size_t count_receiving(time_point since)
+    {
+        return static_cast<std::size_t>(
+            std::count_if(receiving().begin(), receiving().end(),
+                [&](auto const& it) { return it.second >= since; }));
+    }
 
     /// The memory of the request that is being received.
     request_intake& intake() { return intake_; }
@@ -46,6 +59,7 @@
     void mark_received()
     {
         unhandled_bytes_ = 0;
+        receiving().erase(this);
         expect_continue_.request_received();
     }
 
@@ -69,6 +83,8 @@
     /// Keeps `answer` open until the caller has received all that was written.
     void set_last_answer(std::shared_ptr<void> answer)
     {
+        receiving().erase(this);
+        has_last_answer_ = true;
         last_answer_ = std::move(answer);
     }
 
@@ -82,6 +98,8 @@
     void add_received(std::string_view bytes)
     {
         unhandled_bytes_ += bytes.size();
+        if (!bytes.empty())
+            receiving()[this] = boottime_clock::now();
         expect_continue_.add(bytes);
     }
 
@@ -125,6 +143,7 @@
     void mark_closed_by_caller()
     {
         closed_ = true;
+        receiving().erase(this);
         pipeline_.stop();
         while (!on_disconnected_.empty())
             on_disconnected_.extract(on_disconnected_.begin()).mapped()();
@@ -137,7 +156,7 @@
     bool needs_refusal() const
     {
         return !closed_ && pipeline_.empty() && unhandled_bytes_ > 0 &&
-            last_answer_ == nullptr;
+            !has_last_answer_;
     }
 
     /// The connection whose socket handler is running on this thread; null
@@ -149,12 +168,21 @@
     }
 
 private:
+    /// Connections of this thread with a part of a request, and when its latest
+    /// bytes came.
+    static std::map<connection_state const*, time_point>& receiving()
+    {
+        thread_local std::map<connection_state const*, time_point> connections;
+        return connections;
+    }
+
     std::uint64_t last_id_ = 0;
     std::size_t unhandled_bytes_ = 0;
     bool closed_ = false;
     bool input_ended_ = false;
     std::map<std::uint64_t, std::function<void()>> on_disconnected_;
     request_pipeline pipeline_;
+    bool has_last_answer_ = false;
     std::shared_ptr<void> last_answer_;
     std::shared_ptr<std::size_t> unsent_answers_ =
         std::make_shared<std::size_t>(0);
