Recognise all transient errors of a listening socket

Running out of descriptors while listening ended the process with status 1, as if the address could never be bound: the error codes of Asio do not compare equal to std::errc. The numbers of the system are compared in their place.

With a limit of 20 and 22 descriptors at start: status 1 before, "cannot listen on ...: Too many open files"; the process waits (address_awaited) now and stops with status 0.

--- a/drivers/http/endpoint.hpp
+++ b/drivers/http/endpoint.hpp
@@ -2,11 +2,13 @@
 #define POMELOHINGE_DRIVERS_HTTP_ENDPOINT_HPP
 
 #include <absl/status/status.h>
-#include <asio/error.hpp>
+#include <algorithm>
 #include <asio/ip/address_v4.hpp>
 #include <asio/ip/tcp.hpp>
+#include <cerrno>
 #include <charconv>
 #include <cstdint>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -42,10 +44,9 @@
     std::string const& address, std::error_code ec)
 {
     auto const message = "cannot listen on " + address + ": " + ec.message();
-    bool const may_pass = ec == asio::error::address_in_use ||
-        ec == std::errc::too_many_files_open ||
-        ec == std::errc::too_many_files_open_in_system ||
-        ec == std::errc::no_buffer_space || ec == std::errc::not_enough_memory;
+    constexpr int passing[] = {EADDRINUSE, EMFILE, ENFILE, ENOBUFS, ENOMEM};
+    bool const may_pass = std::find(std::begin(passing), std::end(passing),
+                              ec.value()) != std::end(passing);
     return may_pass ? absl::UnavailableError(message)
                     : absl::FailedPreconditionError(message);
 }
