Give the progress of a request's attempts a type of its own

What has become of the attempts, and what may be said and recorded of it, is a plain value now (request_progress). Nothing else changes. A test of the platform follows the new parameter of shutdown_log.

--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -8,6 +8,7 @@
 #include "servers/requests/key_check.hpp"
 #include "servers/requests/request_chart.hpp"
 #include "servers/requests/request_log.hpp"
+#include "servers/requests/request_progress.hpp"
 #include "servers/requests/request_times.hpp"
 
 #include <algorithm>
@@ -96,11 +97,11 @@
         case request_guard::may_retry:
             return may_retry();
         case request_guard::has_answer:
-            return has_answer(last_result_);
+            return has_answer(progress_.last_result);
         case request_guard::may_reroute:
             return may_reroute();
         case request_guard::must_complete:
-            return in_progress_ && !admitted_.idempotent;
+            return progress_.in_progress && !admitted_.idempotent;
         }
         return false;
     }
@@ -129,7 +130,7 @@
             return refund_charge();
         case request_action::finish_record:
             return idempotency_.finish(
-                environment_, final_record_state(), answer_);
+                environment_, progress_.final_record_state(), answer_);
         case request_action::answer_upstream:
             return end(std::move(answer_));
         case request_action::answer_recorded:
@@ -139,8 +140,9 @@
         case request_action::answer_deadline:
             return answer_deadline();
         case request_action::answer_stopping:
-            return end(refusal{refusal_kind::stopping, current_outcome(),
-                "the VM stops before the answer has come", {}});
+            return end(
+                refusal{refusal_kind::stopping, progress_.current_outcome(),
+                    "the VM stops before the answer has come", {}});
         }
     }
 
@@ -160,10 +162,6 @@
     static constexpr duration reroute_retry_delay =
         std::chrono::milliseconds(100);
 
-    /// Number of attempts beyond the route's limit that are allowed while
-    /// attempts fail to connect.
-    static constexpr std::size_t extra_unsent_attempts = 3;
-
     entry_state& state() { return environment_.state(); }
 
     /// Wraps a callback so that it does nothing once the request is destroyed.
@@ -192,7 +190,7 @@
         auto const* const refused = std::get_if<refusal>(&result);
         check_invariant(invariant::not_run_is_true,
             refused == nullptr || refused->result != outcome::not_run ||
-                !(may_have_run_ || in_progress_),
+                !(progress_.may_have_run || progress_.in_progress),
             message_.head.request_id);
         log_request_ended(message_.head.request_id, result,
             {admitted_.organisation, admitted_.service, target_.id,
@@ -211,16 +209,10 @@
             callback(std::move(result));
     }
 
-    /// An earlier attempt may have run the request.
-    outcome current_outcome() const
-    {
-        return may_have_run_ ? outcome::unknown : outcome::not_run;
-    }
-
     void refuse(refusal_kind kind, std::string detail,
         std::optional<duration> retry_after = {})
     {
-        refusal_ = {kind, current_outcome(), std::move(detail), {}};
+        refusal_ = {kind, progress_.current_outcome(), std::move(detail), {}};
         if (retry_after)
             refusal_.retry_after =
                 std::chrono::ceil<std::chrono::milliseconds>(*retry_after);
@@ -281,20 +273,10 @@
         if (result == record_outcome::done)
             return fire(request_event::record_found);
         auto const refused = refusal_for(result);
-        may_have_run_ = refused.may_have_run;
+        progress_.may_have_run = refused.may_have_run;
         refuse(refused.kind, std::string(refused.detail), refused.retry_after);
     }
 
-    /// The state to store in the idempotency record; `started` if the request
-    /// has not run.
-    record_state final_record_state() const
-    {
-        if (has_answer(last_result_) && statistics_.attempts > 0)
-            return record_state::done;
-        return may_have_run_ || in_progress_ ? record_state::unknown
-                                             : record_state::started;
-    }
-
     // Rate limits.
 
     void charge_rate()
@@ -327,31 +309,26 @@
 
     void refund_charge()
     {
-        if (std::exchange(is_charged_, false) && !may_have_run_ &&
-            !in_progress_)
+        if (std::exchange(is_charged_, false) && !progress_.may_have_run &&
+            !progress_.in_progress)
             state().limits.refund(
                 admitted_.organisation.text(), environment_.now());
     }
 
     // Placement.
 
-    bool has_attempts_left() const
-    {
-        return sent_attempts_ < admitted_.attempts &&
-            statistics_.attempts < admitted_.attempts + extra_unsent_attempts;
-    }
-
     bool is_retryable()
     {
         return admitted_.idempotent &&
-            sent_attempts_ + 1 < admitted_.attempts &&
+            progress_.sent_attempts + 1 < admitted_.attempts &&
             state().retries.allows(
                 admitted_.service.text(), environment_.now());
     }
 
     placement_request make_placement_request()
     {
-        return {admitted_.service, admitted_.priority, is_retryable(), tried_,
+        return {admitted_.service, admitted_.priority, is_retryable(),
+            progress_.tried,
             times_.start_deadline(
                 state().targets.median_latency(admitted_.service))};
     }
@@ -387,7 +364,7 @@
         }
         auto const& rejection = std::get<placement_rejection>(decision);
         bool const full = rejection.reason == rejection_reason::overloaded;
-        if (has_answer(last_result_))
+        if (has_answer(progress_.last_result))
             return fire(request_event::answer);
         refuse(full ? refusal_kind::overloaded : refusal_kind::no_upstream,
             full ? "all targets are at their limit"
@@ -415,14 +392,12 @@
         // The request may have waited for its record or a target.
         if (!ends_before_stop(now)) {
             release_target(now);
-            return has_answer(last_result_) ? fire(request_event::answer)
-                                            : refuse_stopping();
+            return has_answer(progress_.last_result)
+                ? fire(request_event::answer)
+                : refuse_stopping();
         }
         ++statistics_.attempts;
-        tried_.push_back(target_.id);
-        in_progress_ = true;
-        is_late_ = false;
-        sent_at_ = now;
+        progress_.attempt_began(target_.id, now);
         auto const number = statistics_.attempts;
         log_request_sent(message_.head.request_id,
             {number, target_, reason_,
@@ -466,7 +441,7 @@
     {
         if (environment_.now() + wait < times_.deadline)
             environment_.after(wait, if_alive([this, number, action] {
-                if (number == statistics_.attempts && in_progress_)
+                if (number == statistics_.attempts && progress_.in_progress)
                     action();
             }));
     }
@@ -486,61 +461,50 @@
 
     void mark_late()
     {
-        is_late_ = true;
+        progress_.is_late = true;
         state().targets.attempt_late(target_, environment_.now());
     }
 
     void finish_attempt(attempt_result result, target_notice const& notice = {})
     {
         auto const now = environment_.now();
-        in_progress_ = false;
-        if (std::exchange(is_late_, false))
+        progress_.in_progress = false;
+        if (std::exchange(progress_.is_late, false))
             state().targets.late_attempt_ended(target_);
-        statistics_.upstream_time += now - sent_at_;
+        statistics_.upstream_time += now - progress_.sent_at;
         if (shows_latency(result))
-            state().latencies.add(
-                admitted_.route, admitted_.service, now - sent_at_, now);
+            state().latencies.add(admitted_.route, admitted_.service,
+                now - progress_.sent_at, now);
         state().targets.attempt_ended(
-            target_, result, now - sent_at_, now, notice);
+            target_, result, now - progress_.sent_at, now, notice);
     }
 
     void attempt_ended(attempt_end it)
     {
-        if (!in_progress_)
+        if (!progress_.in_progress)
             return;
         auto const now = environment_.now();
         log_attempt_ended(message_.head.request_id, statistics_.attempts,
-            target_.id, it, now - sent_at_);
-        last_result_ = it.result;
-        record_attempt_end(it.result);
+            target_.id, it, now - progress_.sent_at);
+        progress_.attempt_ended(it.result);
+        if (it.result == attempt_result::connection_lost)
+            state().poison.record_crash(fingerprint_, target_.id.text(), now);
         answer_ = std::move(it.answer);
         finish_attempt(it.result, it.notice);
-        if (last_result_ == attempt_result::answered)
+        if (progress_.last_result == attempt_result::answered)
             return fire(request_event::answer);
-        refusal_ = refusal_after(last_result_, may_have_run_);
+        refusal_ = refusal_after(progress_.last_result, progress_.may_have_run);
         fire(request_event::attempt_failed);
     }
 
-    void record_attempt_end(attempt_result result)
-    {
-        bool const lost = result == attempt_result::connection_lost;
-        if (lost)
-            state().poison.record_crash(
-                fingerprint_, target_.id.text(), environment_.now());
-        if (result != attempt_result::connect_failed)
-            ++sent_attempts_;
-        if (!proves_not_run(result))
-            may_have_run_ = true;
-    }
-
     /// Whether the request is sent to another target after a failed attempt. If
     /// so, the retry is counted against the budget.
     bool may_retry()
     {
         bool const is_safe =
-            admitted_.idempotent || proves_not_run(last_result_);
-        if (!is_safe || (may_have_run_ && !admitted_.idempotent) ||
-            !has_attempts_left() || caller_disconnected_)
+            admitted_.idempotent || proves_not_run(progress_.last_result);
+        if (!is_safe || (progress_.may_have_run && !admitted_.idempotent) ||
+            !progress_.has_attempts_left(admitted_) || caller_disconnected_)
             return false;
         auto const now = environment_.now();
         auto const median = state().targets.median_latency(admitted_.service);
@@ -550,7 +514,7 @@
             return false;
         // The retry budget limits the extra load on targets, so it does not
         // apply to a request that has reached none.
-        if (sent_attempts_ == 0)
+        if (progress_.sent_attempts == 0)
             return true;
         return state().retries.take(admitted_.service.text(), now);
     }
@@ -562,7 +526,7 @@
     {
         auto const now = environment_.now();
         auto const median = state().targets.median_latency(admitted_.service);
-        if (!in_progress_ || !is_retryable() ||
+        if (!progress_.in_progress || !is_retryable() ||
             times_.deadline - now <=
                 std::max<duration>(median * 2, answer_reserve) ||
             !ends_before_stop(now) ||
@@ -579,20 +543,18 @@
 
     void cancel_attempt()
     {
-        if (!in_progress_)
+        if (!progress_.in_progress)
             return;
         environment_.cancel_upstream(upstream_call_);
         log_attempt_cancelled(message_.head.request_id, statistics_.attempts,
-            target_.id, chart_.event(), environment_.now() - sent_at_);
-        ++sent_attempts_;
-        may_have_run_ = true;
-        last_result_ = attempt_result::cancelled;
+            target_.id, chart_.event(), environment_.now() - progress_.sent_at);
+        progress_.attempt_ended(attempt_result::cancelled);
         finish_attempt(attempt_result::cancelled);
     }
 
     void answer_deadline()
     {
-        auto const result = current_outcome();
+        auto const result = progress_.current_outcome();
         end(refusal{result == outcome::unknown ? refusal_kind::deadline_passed
                                                : refusal_kind::overloaded,
             result, "the time for the request is over", {}});
@@ -616,7 +578,6 @@
 
     ticket ticket_ = 0;
     time_point placement_requested_at_{};
-    std::vector<target_id> tried_;
     target_record target_;
     placement_reason reason_;
     /// The target that a reroute goes to.
@@ -624,17 +585,8 @@
 
     /// Identifies the current call of `send_upstream`.
     std::uint64_t upstream_call_ = 0;
-    /// Ended attempts, except those that failed to connect.
-    std::size_t sent_attempts_ = 0;
-    time_point sent_at_{};
-    /// An attempt has started and not ended yet.
-    bool in_progress_ = false;
+    request_progress progress_;
     bool caller_disconnected_ = false;
-    bool is_late_ = false;
-    /// An attempt ended without proof that the target has not run the request,
-    /// or another request with the same idempotency key may have run.
-    bool may_have_run_ = false;
-    attempt_result last_result_ = attempt_result::cancelled;
 };
 
 } // namespace pomelohinge
--- a/tests/platform/invalid_entry_test.cpp
+++ b/tests/platform/invalid_entry_test.cpp
@@ -315,10 +315,9 @@
     list_targets();
     set_list(target("i-1") + "," + odd("\"\\udcff\""));
     list_targets();
-    shutdown_log();
+    EXPECT_TRUE(shutdown_log(std::chrono::seconds(1)));
     auto const logged = testing::internal::GetCapturedStdout();
     // It has become valid in between.
-
     EXPECT_EQ(count(logged, "\"object\":\"servers/i-once\""), 2u) << logged;
     EXPECT_EQ(
         count(logged, "servers/i-once: /spec/info/service: not valid JSON"), 2u)
