--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
     nlohmann-json3-dev libcurl4-openssl-dev libssl-dev libxxhash-dev \
     libgtest-dev libgmock-dev libbenchmark-dev
 
-.PHONY: all install build test demo bench format lint sanitize clean
+.PHONY: all install build test demo bench format lint sanitize sanitize-threads clean
 
 all: build
 
@@ -40,6 +40,17 @@
 	    -DPOMELOHINGE_SANITIZE=ON
 	ninja -C $(BUILD)-sanitize
 	ctest --test-dir $(BUILD)-sanitize --output-on-failure -j 4
+	python3 soak/soak.py --build $(BUILD)-sanitize \
+	    --run-dir $(BUILD)-sanitize/soak-run --seeds 4:1 --duration 16 --untimed
+
+# The suite and the soak's seed of CI with ThreadSanitizer.
+sanitize-threads: install
+	cmake -S . -B $(BUILD)-threads -G Ninja -DCMAKE_BUILD_TYPE=Debug \
+	    -DPOMELOHINGE_SANITIZE_THREADS=ON
+	ninja -C $(BUILD)-threads
+	ctest --test-dir $(BUILD)-threads --output-on-failure -j 4
+	python3 soak/soak.py --build $(BUILD)-threads \
+	    --run-dir $(BUILD)-threads/soak-run --seeds 4:1 --duration 16 --untimed
 
 clean:
-	rm -rf $(BUILD) $(BUILD)-sanitize
+	rm -rf $(BUILD) $(BUILD)-sanitize $(BUILD)-threads
