Keep the signal handlers until the process has ended

A signal set that is never destroyed keeps the handlers in place. stop_steps_test: 3 of 3 runs beside each other pass.

--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -57,8 +57,7 @@
                 [](absl::Status const&) {});
         claim_next(daemon_address::peers);
         control_.context().run();
-        // The handlers are about to be removed.
-        block_signals();
+        keep_signal_handlers();
         log(log_event::stopped,
             {{"vm", settings_.vm.text()},
                 {"open", lifecycle_.open_requests()}});
@@ -262,6 +261,16 @@
         };
     }
 
+    /// Asio restores the default action with its last signal set. This one is
+    /// never destroyed, since other threads still take signals.
+    static void keep_signal_handlers()
+    {
+        static auto* const context = new asio::io_context(1);
+        static auto* const kept =
+            new asio::signal_set(*context, SIGTERM, SIGINT, SIGHUP);
+        static_cast<void>(kept);
+    }
+
     void await_signal()
     {
         signals_.async_wait([this](asio::error_code ec, int signal) {
