Return the memory of a request when its caller leaves

The bytes that a stalled request had charged stayed charged until its connection had lingered: charge_of_a_disconnected_caller_is_returned, 900,093 bytes instead of 0 once connections linger. The connection's state returns them when the caller has closed it.

The test of the buffers names the limits that it sets, since there is one more.

--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -144,6 +144,7 @@
     {
         closed_ = true;
         receiving().erase(this);
+        intake_.abandon();
         pipeline_.stop();
         while (!on_disconnected_.empty())
             on_disconnected_.extract(on_disconnected_.begin()).mapped()();
--- a/drivers/front/request_buffers.hpp
+++ b/drivers/front/request_buffers.hpp
@@ -115,6 +115,9 @@
     /// Hands over the charge of a request that is complete.
     buffer_charge take_charge();
 
+    /// Returns the memory of a request that will not be completed.
+    void abandon() { charge_ = {}; }
+
     /// Gives up the request. Returns the HTTP response that refuses it.
     std::string refuse();
 
--- a/tests/drivers/front_buffers_test.cpp
+++ b/tests/drivers/front_buffers_test.cpp
@@ -36,7 +36,7 @@
                   [](data_centre_id const&) {
                       return entry_answer{};
                   }},
-              {max_body_bytes, total_bytes})
+              {.max_body_bytes = max_body_bytes, .buffer_bytes = total_bytes})
     {
         auto const status =
             front_.listen(loopback_address() + ":" + std::to_string(port));
