Do not end a request by the timeout of its connection

What callers saw: 502 with an unknown outcome for an order that had just been sent, on a VM whose thread had been held up for 350 ms or more (a freeze, a used-up quota of processor time, many events at once) while it connected to a target.

Cause: the timer of the connect had expired, with its handler queued, when the connection was found to be made. Starting the timer of the request cancels waits that have not ended, not that handler; it took itself for the request's and broke the exchange off.

connect_that_is_noticed_late_does_not_end_the_exchange: timed_out instead of answered before, in 2 of 2 runs; passes now. Each wait has a number, and only the latest one counts. The other timers of the product were read for the same: they look up their subject by an id, or what they do late is harmless.

--- a/drivers/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -346,9 +346,10 @@
     void start_timer(duration wait)
     {
         timer_.expires_after(std::max(wait, duration::zero()));
-        timer_.async_wait([self = shared_from_this(), id = id_](
+        // A wait that has ended already is not cancelled any more.
+        timer_.async_wait([self = shared_from_this(), number = ++last_wait_](
                               asio::error_code ec) {
-            if (!ec && self->pool_ != nullptr && id == self->id_ &&
+            if (!ec && self->pool_ != nullptr && number == self->last_wait_ &&
                 !self->is_idle_)
                 self->fail(self->is_connected_ ? exchange_end::timed_out
                                                : exchange_end::connect_failed);
@@ -370,6 +371,8 @@
     std::string address_;
     tcp::socket socket_;
     asio::steady_timer timer_;
+    /// The latest wait for `timer_`.
+    std::uint64_t last_wait_ = 0;
     std::array<char, 4096> input_{};
     std::uint64_t id_ = 0;
     exchange_call call_;
--- a/tests/drivers/connection_pool_test.cpp
+++ b/tests/drivers/connection_pool_test.cpp
@@ -15,8 +15,10 @@
     static constexpr auto answer =
         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
-    /// Runs an exchange to its end.
-    exchange_end run_exchange(scripted_target const& target)
+    /// Runs an exchange to its end. The thread is busy for `pause` after its
+    /// start.
+    exchange_end run_exchange(
+        scripted_target const& target, std::chrono::milliseconds pause = 0ms)
     {
         exchange_call call;
         call.address = target.address();
@@ -24,6 +26,7 @@
         call.timeout = 2s;
         std::optional<exchange_end> end;
         pool_.start(std::move(call), [&](exchange_result it) { end = it.end; });
+        std::this_thread::sleep_for(pause);
         while (!end)
             context_.run_one();
         return *end;
@@ -66,5 +69,18 @@
     EXPECT_EQ(target.accepted(), 2);
 }
 
+/// The timeout of the connect was taken for that of the request, which had just
+/// been sent.
+TEST_F(connection_pool_test,
+    connect_that_is_noticed_late_does_not_end_the_exchange)
+{
+    scripted_target const target([](target_connection& it) {
+        it.read_head();
+        it.write(answer);
+        it.shut_down();
+    });
+    EXPECT_EQ(run_exchange(target, 500ms), exchange_end::answered);
+}
+
 } // namespace
 } // namespace pomelohinge
