Close the connections of callers that give up

Found by the review of this change: each caller that closed its connection before its answer left a descriptor and a timer of 50 ms behind until the process ended, and for an order every planned stop ran to its limit.

Cause: a connection that lingers is not read any more once its caller has shut down its side, and the reset that follows the answer does not lower the number of unsent bytes, which was all that was looked at.

--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -20,6 +20,7 @@
 #include <linux/sockios.h>
 #include <map>
 #include <memory>
+#include <netinet/tcp.h>
 #include <string>
 #include <string_view>
 #include <sys/ioctl.h>
@@ -225,6 +226,8 @@
                     return self->skip_input();
                 self->input_ended_ = true;
                 if (ec != asio::error::eof || self->is_delivered())
+    /// Time that a caller has to receive all.
+    static constexpr int max_checks = 1200;
                     self->close();
             });
     }
@@ -245,9 +248,22 @@
                 ++checks_after_delivery_ > max_checks_after_delivery)
                 return close();
         }
+    /// Whether the connection has failed. A socket that is not read any more
+    /// does not report this by itself.
+    bool has_failed()
+    {
+        tcp_info info{};
+        socklen_t size = sizeof info;
+        return ::getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO,
+                   &info, &size) == 0 &&
+            info.tcpi_state == TCP_CLOSE;
+    }
+
         timer_.expires_after(check_period);
         timer_.async_wait([self = shared_from_this()](asio::error_code ec) {
             if (!ec)
+        if (has_failed() || ++checks_ > max_checks)
+            return close();
                 self->check_delivery();
         });
     }
@@ -273,6 +289,7 @@
 
 /// The stream socket that RESTinio uses for callers. It keeps the
 /// `connection_state` up to date and refuses requests that cannot be parsed.
+    int checks_ = 0;
 class front_socket : public asio::ip::tcp::socket
 {
 public:
--- a/tests/drivers/front_connection_test.cpp
+++ b/tests/drivers/front_connection_test.cpp
@@ -7,6 +7,7 @@
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <ctime>
+#include <filesystem>
 #include <future>
 #include <gtest/gtest.h>
 #include <poll.h>
@@ -130,6 +131,13 @@
             asio::post(context_, [this] { front_.check_accepting(); });
             std::this_thread::sleep_for(50ms);
         }
+    /// The number of this process's open descriptors.
+    static std::ptrdiff_t count_descriptors()
+    {
+        return std::distance(
+            std::filesystem::directory_iterator("/proc/self/fd"), {});
+    }
+
     }
 
     /// Waits until no request is open.
@@ -393,3 +401,37 @@
 
 } // namespace
 } // namespace pomelohinge
+TEST_F(front_connection_test, request_that_is_refused_at_once_is_released)
+{
+    auto socket = connect();
+    send(socket, "GET /refuse HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_EQ(read_for(socket, 200ms).find("HTTP/1.1 503"), 0u);
+    socket.close();
+    EXPECT_TRUE(await_no_open_request());
+    EXPECT_TRUE(held_.expired());
+}
+
+TEST_F(front_connection_test, connections_of_callers_that_give_up_are_closed)
+{
+    // The callers' context opens descriptors of its own with the first one.
+    auto const first = connect();
+    auto const before = count_descriptors();
+    for (int n = 0; n < 20; ++n) {
+        auto socket = connect();
+        send(socket,
+            "POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+        std::this_thread::sleep_for(20ms);
+        socket.close();
+        std::this_thread::sleep_for(20ms);
+        asio::post(context_, [done = std::move(order_done_)] {
+            done(upstream_answer{
+                200, {}, std::string(medium_answer_bytes, 'a')});
+        });
+        std::this_thread::sleep_for(20ms);
+    }
+    for (int n = 0; n < 60 && count_descriptors() > before; ++n)
+        std::this_thread::sleep_for(50ms);
+    EXPECT_LE(count_descriptors(), before);
+    EXPECT_TRUE(await_no_open_request());
+}
+
