Release requests that are refused at once

Found by the review of this change: a request whose result came before its handler returned was kept for ever, with its body and its share of the memory for large requests, so that refusals filled a VM's memory.

Cause: the function that cancels a request holds the one that takes its result, which holds the place where the first one was put after the result had cleared it.

--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -360,7 +360,7 @@
                 if (ends)
                     answer_cancelled(*it);
             });
-        *on_disconnected = handlers_.request(std::move(message),
+        auto callback = handlers_.request(std::move(message),
             [this, it, ended, on_disconnected](entry_result result) {
                 it->connection->end_request(it->registration);
                 *on_disconnected = nullptr;
@@ -374,6 +374,9 @@
     /// Answers a request that was cancelled since its caller has shut down its
     /// sending side. Most such callers have closed the connection.
     void answer_cancelled(open_request& it)
+        // The callback may hold what holds it, which only the result ends.
+        if (!*ended)
+            *on_disconnected = std::move(callback);
     {
         if (it.connection->is_closed())
             return;
--- a/tests/drivers/front_connection_test.cpp
+++ b/tests/drivers/front_connection_test.cpp
@@ -66,6 +66,13 @@
         if (message.head.target == "/cancel")
             return [] {
             };
+        if (message.head.target == "/refuse") {
+            auto const held = std::make_shared<int>(0);
+            held_ = held;
+            done(refusal{refusal_kind::overloaded, outcome::not_run, "", {}});
+            return [held, done] {
+            };
+        }
         if (message.head.target == "/large")
             done(upstream_answer{200, {}, std::string(answer_bytes, 'a')});
         else if (message.head.target == "/medium")
@@ -157,6 +164,8 @@
     asio::executor_work_guard<asio::io_context::executor_type> work_guard_;
     std::thread thread_;
     std::function<void(entry_result)> order_done_;
+    /// What the callback of a refused request holds.
+    std::weak_ptr<int> held_;
 };
 
 TEST_F(front_connection_test, answer_that_is_being_written_is_open)
