Do not write a refusal into an answer

Found by the review of this change: the refusal of a large request without room, or of bytes that cannot be parsed, was written while the answer to an earlier request of the connection was still being written: its caller got the refusal's bytes within the body and lost the rest (4,042,074 of 25,165,941 bytes).

An earlier request counts as answered once its answer is written. refusal_does_not_enter_an_answer_that_is_written fails before. Bytes that cannot be parsed behind a request still cut its answer, by RESTinio.

--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -157,7 +157,7 @@
     /// request without an answer.
     bool needs_refusal() const
     {
-        return !closed_ && pipeline_.empty() && unhandled_bytes_ > 0 &&
+        return !closed_ && is_answered() && unhandled_bytes_ > 0 &&
             !has_last_answer_;
     }
 
@@ -489,7 +489,7 @@
                 asio::error_code const&) mutable {
                 if (wait->ended || !base::is_open())
                     return base::async_read_some(input, std::move(handler));
-                if (state_->pipeline().empty())
+                if (state_->is_answered())
                     return refuse_request(input, std::move(handler));
                 // A refusal would overtake the answers to earlier requests.
                 wait->timer.expires_after(request_buffers::max_wait);
--- a/tests/drivers/front_buffers_test.cpp
+++ b/tests/drivers/front_buffers_test.cpp
@@ -265,5 +265,33 @@
     context_.run_for(50ms);
 }
 
+TEST_F(front_buffers_test, refusal_does_not_enter_an_answer_that_is_written)
+{
+    constexpr std::size_t answer_bytes = 24 << 20;
+    auto const holders = send_many(request(900'000), 6);
+    context_.run_for(100ms);
+    auto const held = open_.size();
+    asio::ip::tcp::socket caller(context_);
+    caller.connect({asio::ip::make_address(loopback_address()), port});
+    asio::write(caller,
+        asio::buffer("GET /a HTTP/1.1\r\nHost: x\r\n\r\n" +
+            head("Content-Length: 900000") + std::string(1000, 'x')));
+    context_.run_for(100ms);
+    ASSERT_EQ(open_.size(), held + 1);
+    open_.back().done(
+        upstream_answer{200, {}, std::string(answer_bytes, 'a'), {}});
+    open_.pop_back();
+    // The request waits for room for longer than it may.
+    context_.run_for(1500ms);
+    std::string received;
+    asio::async_read(caller, asio::dynamic_buffer(received),
+        [](asio::error_code, std::size_t) {});
+    context_.run_for(2s);
+    auto const begin = received.find("\r\n\r\n") + 4;
+    ASSERT_GE(received.size(), begin + answer_bytes);
+    EXPECT_EQ(received.find_first_not_of('a', begin), begin + answer_bytes);
+    EXPECT_EQ(received.find("HTTP/1.1 503"), begin + answer_bytes);
+}
+
 } // namespace
 } // namespace pomelohinge
