Close a connection whose last answer was given before an earlier one

Found by the review: a caller sends two look-ups on one connection, the second is answered first, and then a planned stop begins. No answer closes the connection, and a request that comes later is read and never answered.

Cause: the answer that is written last carries the close, but it had been handed over before the stop.

The connection ends once all is written. stop_behind_answers_out_of_order_closes_connection ended by the idle timeout of 120 s before; it has a limit of 2 s.

--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -125,6 +125,15 @@
         return pipeline_.empty() && *unsent_answers_ == 0;
     }
 
+    /// Whether all requests are answered that ever will be, while no answer has
+    /// closed the connection, since the last one was given before an earlier
+    /// one.
+    bool is_close_due() const
+    {
+        return pipeline_.is_stopped() && is_answered() && !has_last_answer_ &&
+            !closed_;
+    }
+
     /// Whether the caller has shut down its sending side.
     bool has_input_ended() const { return input_ended_; }
 
@@ -360,6 +369,8 @@
                     asio::error_code ignored;
                     if (state->has_input_ended() && state->is_answered())
                         base::cancel(ignored);
+                    else if (is_open() && state->is_close_due())
+                        base::shutdown(shutdown_receive, ignored);
                 }));
     }
 
--- a/servers/requests/request_pipeline.hpp
+++ b/servers/requests/request_pipeline.hpp
@@ -55,6 +55,9 @@
         return stopped_ && number == last_started_;
     }
 
+    /// Whether no further request starts.
+    bool is_stopped() const { return stopped_; }
+
     /// Whether no request is unanswered.
     bool empty() const { return requests_.empty(); }
 
--- a/tests/drivers/pipelining_test.cpp
+++ b/tests/drivers/pipelining_test.cpp
@@ -10,6 +10,7 @@
 #include <condition_variable>
 #include <gtest/gtest.h>
 #include <mutex>
+#include <poll.h>
 #include <thread>
 
 namespace pomelohinge {
@@ -252,5 +253,21 @@
     EXPECT_EQ(read_answer(), "/3");
 }
 
+/// The connection stayed open, and a request that came later got no answer.
+TEST_F(pipelining_test, stop_behind_answers_out_of_order_closes_connection)
+{
+    send(get("/1") + get("/2"));
+    await_started(2);
+    answer("/2");
+    std::this_thread::sleep_for(50ms);
+    stop();
+    answer("/1");
+    EXPECT_EQ(read_answer(), "/1");
+    EXPECT_EQ(read_answer(), "/2");
+    pollfd end{caller_.native_handle(), POLLIN, 0};
+    EXPECT_EQ(::poll(&end, 1, 2000), 1);
+    EXPECT_EQ(read_answer(), "");
+}
+
 } // namespace
 } // namespace pomelohinge
