Do not use an object of which a key cannot be read

Found by the review of this change: a field with an unreadable key was left out of its object. A configuration whose key for the organisations is damaged would have opened all routes.

Such an object is invalid as a whole, so the configuration before stays in force, and of a target only that entry is lost.

--- a/core/foreign_json.cpp
+++ b/core/foreign_json.cpp
@@ -153,12 +153,13 @@
         if (!is_key)
             return add_scalar(std::move(value));
         auto& it = open_.back();
-        it.next = expected::colon;
         it.has_key = value.is_string();
         if (it.has_key)
             it.key = std::move(value.get_ref<std::string&>());
         else
-            note_invalid();
+            // Without the field, the object could mean something else.
+            syntax_error();
+        it.next = expected::colon;
     }
 
     void read_word(std::string_view token)
--- a/tests/platform/invalid_entry_test.cpp
+++ b/tests/platform/invalid_entry_test.cpp
@@ -283,6 +283,19 @@
     }
 }
 
+/// Without the field that the key was meant for, all routes could be open.
+TEST_F(unreadable_entry_test, configuration_with_invalid_key_is_not_used)
+{
+    set_list(R"({"metadata": {"name": "main", "rev": 3}, "spec": {
+        "version": 7, "hosts": [], "ten\udcffants": []}})");
+    configuration_result result;
+    store_.read_configuration(
+        [&](configuration_result it) { result = std::move(it); });
+    run();
+    EXPECT_EQ(result.status, store_status::done);
+    EXPECT_EQ(result.document.text, nullptr);
+}
+
 TEST_F(unreadable_entry_test, configuration_with_invalid_unknown_value_is_used)
 {
     set_list(R"({"metadata": {"name": "main", "rev": 3}, "spec": {
