Do not open servers that a stop has closed

Found by the review of this change: a stop that comes while an address is still waited for could close the server for other VMs in one thread while the control thread opened it. Claims of addresses end when the stop begins.

At the limit of connections a stop does not wait for connections that will not be accepted.

--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -177,6 +177,9 @@
     /// Limit on accepting connections before listening stops, since new ones
     /// may be established all the time.
     static constexpr duration max_accept_time = std::chrono::milliseconds(500);
+    /// Period at which the queue of the listening socket is looked at
+    /// meanwhile.
+    static constexpr auto accept_check_period = std::chrono::milliseconds(5);
 
     using traits = front_traits;
     using server = restinio::http_server_t<traits>;
@@ -228,7 +231,9 @@
     {
         if (server_ == nullptr)
             return;
-        if (has_queued_connection() && boottime_clock::now() < deadline)
+        bool const waits = has_queued_connection() &&
+            !accepts_->is_at_limit() && boottime_clock::now() < deadline;
+        if (waits)
             return asio::post(context_,
                 [this, deadline] { stop_listening_before(deadline); });
         server_->close_sync();
@@ -369,14 +374,14 @@
                 --open_requests_;
                 answer(*it, std::move(result));
             });
+        // The callback may hold what holds it, which only the result ends.
+        if (!*ended)
+            *on_disconnected = std::move(callback);
     }
 
     /// Answers a request that was cancelled since its caller has shut down its
     /// sending side. Most such callers have closed the connection.
     void answer_cancelled(open_request& it)
-        // The callback may hold what holds it, which only the result ends.
-        if (!*ended)
-            *on_disconnected = std::move(callback);
     {
         if (it.connection->is_closed())
             return;
--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -226,6 +226,8 @@
     static constexpr std::chrono::milliseconds check_period{50};
     /// Time that a caller has to close its side after it has received all.
     static constexpr int max_checks_after_delivery = 20;
+    /// Time that a caller has to receive all.
+    static constexpr int max_checks = 1200;
 
     void skip_input()
     {
@@ -235,8 +237,6 @@
                     return self->skip_input();
                 self->input_ended_ = true;
                 if (ec != asio::error::eof || self->is_delivered())
-    /// Time that a caller has to receive all.
-    static constexpr int max_checks = 1200;
                     self->close();
             });
     }
@@ -248,15 +248,6 @@
             unsent_bytes == 0;
     }
 
-    /// A caller that stops reading ends this by the timeout of the socket.
-    void check_delivery()
-    {
-        if (is_delivered()) {
-            state_->mark_delivered();
-            if (input_ended_ ||
-                ++checks_after_delivery_ > max_checks_after_delivery)
-                return close();
-        }
     /// Whether the connection has failed. A socket that is not read any more
     /// does not report this by itself.
     bool has_failed()
@@ -268,11 +259,20 @@
             info.tcpi_state == TCP_CLOSE;
     }
 
+    /// A caller that stops reading ends this by the timeout of the socket.
+    void check_delivery()
+    {
+        if (has_failed() || ++checks_ > max_checks)
+            return close();
+        if (is_delivered()) {
+            state_->mark_delivered();
+            if (input_ended_ ||
+                ++checks_after_delivery_ > max_checks_after_delivery)
+                return close();
+        }
         timer_.expires_after(check_period);
         timer_.async_wait([self = shared_from_this()](asio::error_code ec) {
             if (!ec)
-        if (has_failed() || ++checks_ > max_checks)
-            return close();
                 self->check_delivery();
         });
     }
@@ -289,6 +289,7 @@
     asio::steady_timer timer_;
     std::shared_ptr<connection_state> state_;
     std::array<char, 4096> input_{};
+    int checks_ = 0;
     int checks_after_delivery_ = 0;
     bool input_ended_ = false;
 };
@@ -298,7 +299,6 @@
 
 /// The stream socket that RESTinio uses for callers. It keeps the
 /// `connection_state` up to date and refuses requests that cannot be parsed.
-    int checks_ = 0;
 class front_socket : public asio::ip::tcp::socket
 {
 public:
--- a/main/address_claim.hpp
+++ b/main/address_claim.hpp
@@ -45,7 +45,8 @@
     }
 
     /// `done` is called once: with OK as soon as the address is listened on, or
-    /// with the error of an address that can never be.
+    /// with the error of an address that can never be. It is not called if an
+    /// attempt ends with `kCancelled`.
     void start(status_callback done)
     {
         listen_([self = this->shared_from_this(), done = std::move(done)](
@@ -59,6 +60,8 @@
 
     void attempt_ended(absl::Status const& status, status_callback const& done)
     {
+        if (absl::IsCancelled(status))
+            return;
         if (absl::IsUnavailable(status)) {
             if (!std::exchange(waits_, true))
                 log(log_event::address_awaited,
--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -203,6 +203,9 @@
     void try_listen(
         daemon_address which, std::function<void(absl::Status)> tried)
     {
+        // Servers that a stop has closed must not be opened again.
+        if (lifecycle_.is_stopping())
+            return tried(absl::CancelledError("the process stops"));
         auto const& address = address_of(which);
         switch (which) {
         case daemon_address::peers:
--- a/servers/lifecycle/process_lifecycle.hpp
+++ b/servers/lifecycle/process_lifecycle.hpp
@@ -89,7 +89,7 @@
             return environment_.refuse_requests();
         case process_action::close_peers:
             return environment_.close_peers(
-                step_time() / 2, closed_callback(process_state::closing_peers));
+                step_time() / 3, closed_callback(process_state::closing_peers));
         case process_action::stop_threads:
             return environment_.stop_threads(
                 closed_callback(process_state::stopping_threads));
--- a/tests/drivers/front_connection_test.cpp
+++ b/tests/drivers/front_connection_test.cpp
@@ -131,13 +131,6 @@
         return n.get_future().get();
     }
 
-    /// Lets the server check every 50 ms whether it accepts connections.
-    void check_accepting_for(std::chrono::milliseconds time)
-    {
-        for (auto left = time; left > 0ms; left -= 50ms) {
-            asio::post(context_, [this] { front_.check_accepting(); });
-            std::this_thread::sleep_for(50ms);
-        }
     /// The number of this process's open descriptors.
     static std::ptrdiff_t count_descriptors()
     {
@@ -145,6 +138,13 @@
             std::filesystem::directory_iterator("/proc/self/fd"), {});
     }
 
+    /// Lets the server check every 50 ms whether it accepts connections.
+    void check_accepting_for(std::chrono::milliseconds time)
+    {
+        for (auto left = time; left > 0ms; left -= 50ms) {
+            asio::post(context_, [this] { front_.check_accepting(); });
+            std::this_thread::sleep_for(50ms);
+        }
     }
 
     /// Waits until no request is open.
@@ -408,8 +408,6 @@
     EXPECT_EQ(open_requests(), 0u);
 }
 
-} // namespace
-} // namespace pomelohinge
 TEST_F(front_connection_test, request_that_is_refused_at_once_is_released)
 {
     auto socket = connect();
@@ -444,3 +442,5 @@
     EXPECT_TRUE(await_no_open_request());
 }
 
+} // namespace
+} // namespace pomelohinge
