Wait for the first connection in the test of callers that give up

The first connection was counted before the server had accepted it. It exchanges a request first now; the bound is the same. 2 of 2 runs pass.

--- a/tests/drivers/front_connection_test.cpp
+++ b/tests/drivers/front_connection_test.cpp
@@ -421,7 +421,9 @@
 TEST_F(front_connection_test, connections_of_callers_that_give_up_are_closed)
 {
     // The callers' context opens descriptors of its own with the first one.
-    auto const first = connect();
+    auto first = connect();
+    send(first, "GET /small HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_EQ(read_for(first, 200ms).find("HTTP/1.1 200"), 0u);
     auto const before = count_descriptors();
     for (int n = 0; n < 20; ++n) {
         auto socket = connect();
