--- a/drivers/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -1,5 +1,6 @@
 #include "drivers/http/connection_pool.hpp"
 
+#include "core/log.hpp"
 #include "drivers/http/answer_parser.hpp"
 #include "drivers/http/curl_loop.hpp"
 #include "drivers/http/endpoint.hpp"
@@ -95,6 +96,7 @@
     asio::io_context& context_;
     buffer_budget& buffers_;
     std::uint64_t last_id_ = 0;
+    std::uint64_t last_connection_ = 0;
     absl::flat_hash_map<std::uint64_t, connection_pointer> exchanges_;
     absl::flat_hash_map<std::string, std::vector<connection_pointer>> idle_;
     connection_reuse reuse_;
@@ -107,7 +109,8 @@
 {
 public:
     connection(detail& pool, std::string address)
-        : pool_(&pool), address_(std::move(address)), socket_(pool.context_),
+        : pool_(&pool), number_(++pool.last_connection_),
+          address_(std::move(address)), socket_(pool.context_),
           timer_(pool.context_)
     {
     }
@@ -138,6 +141,7 @@
             reused_ ? boottime_clock::now() - idle_since_ : duration::zero();
         is_idle_ = false;
         skipped_answers_ = 0;
+        history_.begin_request(call_.request_id);
         parser_.emplace(call_.is_head, call_.max_answer_bytes);
         deadline_ = boottime_clock::now() + call_.timeout;
         if (is_connected_)
@@ -298,8 +302,8 @@
         record_use(false);
         auto* const pool = pool_;
         auto const self = shared_from_this();
-        exchange_result result{
-            exchange_end::answered, std::move(answer), reused_};
+        auto const use = current_use(owner_of(answer));
+        exchange_result result{exchange_end::answered, std::move(answer), use};
         auto on_end = std::exchange(on_end_, nullptr);
         pool->exchanges_.erase(id_);
         if (reusable && idle_timeout_ > duration::zero())
@@ -309,6 +313,19 @@
         on_end(std::move(result));
     }
 
+    answer_owner owner_of(upstream_answer const& answer) const
+    {
+        return history_.owner_of(
+            call_.named_request ? call_.named_request(answer) : "");
+    }
+
+    connection_use current_use(answer_owner owner = answer_owner::unnamed) const
+    {
+        return {number_, history_.earlier_requests(),
+            history_.repeats_request(),
+            static_cast<std::size_t>(skipped_answers_), owner};
+    }
+
     /// Records whether the connection ended without an answer. Returns whether
     /// the target has probably closed it while it was idle.
     bool record_use(bool lost)
@@ -323,6 +340,11 @@
     /// Skips an answer to an earlier request.
     void skip(std::string_view rest)
     {
+        auto const& answer = parser_->answer();
+        log(log_event::answer_skipped,
+            {{"request", call_.request_id}, {"address", address_},
+                {"connection", number_}, {"status", answer.status},
+                {"owner", to_name(owner_of(answer))}});
         if (++skipped_answers_ > max_skipped_answers || !parser_->keeps_alive())
             return fail(exchange_end::unparsable);
         parser_.emplace(call_.is_head, call_.max_answer_bytes);
@@ -364,10 +386,11 @@
         auto on_end = std::exchange(on_end_, nullptr);
         pool_->exchanges_.erase(id_);
         close();
-        on_end(exchange_result{end, {}, reused_});
+        on_end(exchange_result{end, {}, current_use()});
     }
 
     detail* pool_;
+    std::uint64_t number_;
     std::string address_;
     tcp::socket socket_;
     asio::steady_timer timer_;
@@ -379,6 +402,7 @@
     callback on_end_;
     std::optional<answer_parser> parser_;
     buffer_charge charge_;
+    connection_history history_;
     time_point deadline_{};
     time_point idle_since_{};
     duration idle_timeout_ = default_idle_timeout;
--- a/drivers/http/connection_pool.hpp
+++ b/drivers/http/connection_pool.hpp
@@ -64,6 +64,10 @@
     /// because a target may answer an earlier request late. If empty, every
     /// answer is accepted.
     std::function<bool(upstream_answer const&)> matches_request;
+    /// Id of the request.
+    std::string request_id;
+    /// The id of the request that an answer names; empty if it names none.
+    std::function<std::string_view(upstream_answer const&)> named_request;
     /// Limit on the body of the answer.
     std::size_t max_answer_bytes = 4 << 20;
 };
@@ -72,8 +76,7 @@
 {
     exchange_end end = exchange_end::connect_failed;
     upstream_answer answer;
-    /// Whether the connection had carried requests before.
-    bool reused = false;
+    connection_use use;
 };
 
 /// HTTP/1.1 connections to upstreams on one thread, which are reused for
--- a/drivers/upstream/native_upstream_dialect.cpp
+++ b/drivers/upstream/native_upstream_dialect.cpp
@@ -28,6 +28,12 @@
                         : echo == request.request_id;
 }
 
+std::string_view native_upstream_dialect::named_request(
+    upstream_answer const& answer)
+{
+    return find_header(answer.headers, header::request_id);
+}
+
 attempt_result native_upstream_dialect::classify(upstream_answer const& answer)
 {
     constexpr int service_unavailable = 503;
--- a/drivers/upstream/upstream_client.hpp
+++ b/drivers/upstream/upstream_client.hpp
@@ -50,11 +50,13 @@
         call.matches_request = [sent](upstream_answer const& answer) {
             return Dialect::matches_request(answer, *sent);
         };
+        call.request_id = sent->request_id;
+        call.named_request = &Dialect::named_request;
         call.max_answer_bytes = max_answer_bytes_;
         return pool_.start(
             std::move(call), [on_end = std::move(on_end)](exchange_result it) {
                 attempt_end end;
-                end.reused = it.reused;
+                end.use = it.use;
                 end.result = it.end == exchange_end::answered
                     ? Dialect::classify(it.answer)
                     : to_attempt_result(it.end);
--- a/drivers/upstream/upstream_dialect.hpp
+++ b/drivers/upstream/upstream_dialect.hpp
@@ -23,6 +23,10 @@
     {
         Dialect::matches_request(answer, request)
         } -> std::same_as<bool>;
+    /// The id of the request that the answer names; empty if it names none.
+    {
+        Dialect::named_request(answer)
+        } -> std::same_as<std::string_view>;
     /// The result of an attempt that ended with this complete answer.
     {
         Dialect::classify(answer)
@@ -46,6 +50,7 @@
         target_record const& target, upstream_request const& request);
     static bool matches_request(
         upstream_answer const& answer, upstream_request const& request);
+    static std::string_view named_request(upstream_answer const& answer);
     static attempt_result classify(upstream_answer const& answer);
     static target_notice read_notice(upstream_answer const& answer);
 };
--- a/servers/requests/attempt.hpp
+++ b/servers/requests/attempt.hpp
@@ -3,6 +3,7 @@
 
 #include "core/name_table.hpp"
 #include "servers/buffers/buffer_budget.hpp"
+#include "servers/requests/connection_history.hpp"
 #include "servers/requests/refusal.hpp"
 #include "servers/requests/request.hpp"
 #include "servers/targets/target_catalogue.hpp"
@@ -126,8 +127,7 @@
     upstream_answer answer;
     /// What the target says of itself in the answer.
     target_notice notice;
-    /// Whether the connection had been used for earlier requests.
-    bool reused = false;
+    connection_use use;
 };
 
 } // namespace pomelohinge
--- a/servers/requests/request_log.cpp
+++ b/servers/requests/request_log.cpp
@@ -55,7 +55,13 @@
     log(log_event::attempt_ended,
         {{"request", request}, {"attempt", number}, {"target", target.text()},
             {"result", to_name(end.result)}, {"status", end.answer.status},
-            {"reused", end.reused ? 1 : 0}, {"ms", to_milliseconds(elapsed)}});
+            {"reused", end.use.earlier_requests > 0 ? 1 : 0},
+            {"connection", end.use.connection},
+            {"earlier_requests", end.use.earlier_requests},
+            {"repeats_request", end.use.repeats_request ? 1 : 0},
+            {"skipped_answers", end.use.skipped_answers},
+            {"owner", to_name(end.use.owner)},
+            {"ms", to_milliseconds(elapsed)}});
 }
 
 void log_attempt_cancelled(std::string const& request, std::size_t number,
