Do not carry a request twice on one connection

Callers saw an order refused as not run that ran (REFUSED), or an order run twice (TWICE). Cause: a target turns an order away, with 421 since another entry of the store names its address, or with 503 before its caller comes again with the same id. The order goes out once more on the kept connection, which is the newest of its address, and a further copy of the refusal comes first. It bears the order's own id, so it was taken for the answer to the second attempt.

A connection remembers the ids that it has carried, as hashes, and carries none twice: then an answer that names the request under way can only be its own. A shared hash costs a new connection, never a wrong answer.

--- a/drivers/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -89,7 +89,7 @@
     class connection;
     using connection_pointer = std::shared_ptr<connection>;
 
-    connection_pointer take_idle(std::string const& address, duration max_idle);
+    connection_pointer take_idle(exchange_call const& call);
     void keep_idle(connection_pointer it);
     void remove_idle(connection_pointer const& it);
 
@@ -116,6 +116,10 @@
     }
 
     std::string const& address() const { return address_; }
+    bool can_carry(std::string_view request_id) const
+    {
+        return history_.can_carry(request_id);
+    }
     std::uint64_t id() const { return id_; }
     time_point idle_since() const { return idle_since_; }
     time_point expires_at() const { return idle_since_ + idle_timeout_; }
@@ -289,10 +293,20 @@
 
     void on_answer(std::string_view rest)
     {
-        if (call_.matches_request && !call_.matches_request(parser_->answer()))
+        auto const owner = owner_of(parser_->answer());
+        auto const verdict = history_.judge(owner, call_.names_required);
+        if (verdict != answer_verdict::accepted)
+            log(log_event::answer_skipped,
+                {{"request", call_.request_id}, {"address", address_},
+                    {"connection", number_},
+                    {"status", parser_->answer().status},
+                    {"owner", to_name(owner)}});
+        if (verdict == answer_verdict::rejected)
+            return fail(exchange_end::unparsable);
+        if (verdict == answer_verdict::skipped)
             return skip(rest);
         bool const reusable = parser_->keeps_alive() && rest.empty() &&
-            !is_writing_ && !write_failed_;
+            !is_writing_ && !write_failed_ && !history_.is_full();
         auto answer = std::move(parser_->answer());
         charge_.complete();
         answer.charge = std::move(charge_);
@@ -302,8 +316,8 @@
         record_use(false);
         auto* const pool = pool_;
         auto const self = shared_from_this();
-        auto const use = current_use(owner_of(answer));
-        exchange_result result{exchange_end::answered, std::move(answer), use};
+        exchange_result result{
+            exchange_end::answered, std::move(answer), current_use(owner)};
         auto on_end = std::exchange(on_end_, nullptr);
         pool->exchanges_.erase(id_);
         if (reusable && idle_timeout_ > duration::zero())
@@ -322,7 +336,6 @@
     connection_use current_use(answer_owner owner = answer_owner::unnamed) const
     {
         return {number_, history_.earlier_requests(),
-            history_.repeats_request(),
             static_cast<std::size_t>(skipped_answers_), owner};
     }
 
@@ -340,11 +353,6 @@
     /// Skips an answer to an earlier request.
     void skip(std::string_view rest)
     {
-        auto const& answer = parser_->answer();
-        log(log_event::answer_skipped,
-            {{"request", call_.request_id}, {"address", address_},
-                {"connection", number_}, {"status", answer.status},
-                {"owner", to_name(owner_of(answer))}});
         if (++skipped_answers_ > max_skipped_answers || !parser_->keeps_alive())
             return fail(exchange_end::unparsable);
         parser_.emplace(call_.is_head, call_.max_answer_bytes);
@@ -429,8 +437,7 @@
     exchange_call call, callback on_end)
 {
     auto const id = ++last_id_;
-    auto it = take_idle(call.address,
-        std::min(call.max_idle, reuse_.max_idle(boottime_clock::now())));
+    auto it = take_idle(call);
     if (it == nullptr)
         it = std::make_shared<connection>(*this, call.address);
     exchanges_.emplace(id, it);
@@ -449,20 +456,24 @@
 }
 
 connection_pool::detail::connection_pointer connection_pool::detail::take_idle(
-    std::string const& address, duration max_idle)
+    exchange_call const& call)
 {
-    auto const list = idle_.find(address);
+    auto const list = idle_.find(call.address);
     if (list == idle_.end())
         return nullptr;
     auto& connections = list->second;
     auto const now = boottime_clock::now();
-    while (!connections.empty()) {
-        // The most recently used connection is the least likely to be closed
-        // by the upstream.
-        auto it = connections.back();
+    auto const max_idle = std::min(call.max_idle, reuse_.max_idle(now));
+    // The most recently used connection is the least likely to be closed by
+    // the upstream.
+    for (auto n = connections.size(); n > 0; --n) {
+        auto const it = connections[n - 1];
         if (now >= it->expires_at() || now - it->idle_since() > max_idle)
             return nullptr;
-        connections.pop_back();
+        if (!it->can_carry(call.request_id))
+            continue;
+        connections.erase(
+            connections.begin() + static_cast<std::ptrdiff_t>(n - 1));
         if (it->is_usable())
             return it;
         it->close();
--- a/drivers/http/connection_pool.hpp
+++ b/drivers/http/connection_pool.hpp
@@ -24,8 +24,8 @@
     /// the target has probably closed it while it was idle.
     kept_lost,
     timed_out,
-    /// The received bytes are not a valid HTTP answer, or the answers do not
-    /// belong to this request.
+    /// The received bytes are not a valid HTTP answer, or it cannot be told
+    /// that the answer belongs to this request.
     unparsable,
     too_large,
     cancelled,
@@ -60,14 +60,12 @@
     /// must not run twice needs a short limit: if the target closes the
     /// connection while the request is sent, it is unknown whether it has run.
     duration max_idle = duration::max();
-    /// Whether an answer belongs to this request. Other answers are skipped,
-    /// because a target may answer an earlier request late. If empty, every
-    /// answer is accepted.
-    std::function<bool(upstream_answer const&)> matches_request;
-    /// Id of the request.
+    /// Id of the request. No connection carries an id twice.
     std::string request_id;
     /// The id of the request that an answer names; empty if it names none.
-    std::function<std::string_view(upstream_answer const&)> named_request;
+    std::function<std::string(upstream_answer const&)> named_request;
+    /// Whether each answer of the target names its request.
+    bool names_required = false;
     /// Limit on the body of the answer.
     std::size_t max_answer_bytes = 4 << 20;
 };
--- a/drivers/upstream/native_upstream_dialect.cpp
+++ b/drivers/upstream/native_upstream_dialect.cpp
@@ -20,18 +20,10 @@
     return text;
 }
 
-bool native_upstream_dialect::matches_request(
-    upstream_answer const& answer, upstream_request const& request)
-{
-    auto const echo = find_header(answer.headers, header::request_id);
-    return echo.empty() ? !request.echoes_request_id
-                        : echo == request.request_id;
-}
-
-std::string_view native_upstream_dialect::named_request(
+std::string native_upstream_dialect::named_request(
     upstream_answer const& answer)
 {
-    return find_header(answer.headers, header::request_id);
+    return std::string(find_header(answer.headers, header::request_id));
 }
 
 attempt_result native_upstream_dialect::classify(upstream_answer const& answer)
--- a/drivers/upstream/upstream_client.hpp
+++ b/drivers/upstream/upstream_client.hpp
@@ -47,10 +47,8 @@
         call.timeout = sent->time_limit;
         if (!sent->idempotent)
             call.max_idle = max_idle_non_idempotent;
-        call.matches_request = [sent](upstream_answer const& answer) {
-            return Dialect::matches_request(answer, *sent);
-        };
         call.request_id = sent->request_id;
+        call.names_required = sent->echoes_request_id;
         call.named_request = &Dialect::named_request;
         call.max_answer_bytes = max_answer_bytes_;
         return pool_.start(
--- a/drivers/upstream/upstream_dialect.hpp
+++ b/drivers/upstream/upstream_dialect.hpp
@@ -19,14 +19,11 @@
     {
         Dialect::added_headers(target, request)
         } -> std::same_as<std::string>;
-    /// Whether the headers of the answer show that it belongs to the request.
-    {
-        Dialect::matches_request(answer, request)
-        } -> std::same_as<bool>;
-    /// The id of the request that the answer names; empty if it names none.
+    /// The id of the request that the answer names; empty if it names none. If
+    /// it names several, they are joined.
     {
         Dialect::named_request(answer)
-        } -> std::same_as<std::string_view>;
+        } -> std::same_as<std::string>;
     /// The result of an attempt that ended with this complete answer.
     {
         Dialect::classify(answer)
@@ -48,9 +45,7 @@
 {
     static std::string added_headers(
         target_record const& target, upstream_request const& request);
-    static bool matches_request(
-        upstream_answer const& answer, upstream_request const& request);
-    static std::string_view named_request(upstream_answer const& answer);
+    static std::string named_request(upstream_answer const& answer);
     static attempt_result classify(upstream_answer const& answer);
     static target_notice read_notice(upstream_answer const& answer);
 };
--- a/servers/requests/connection_history.cpp
+++ b/servers/requests/connection_history.cpp
@@ -14,14 +14,24 @@
 
 } // namespace
 
+bool connection_history::has_carried(std::string_view request_id) const
+{
+    return std::find(earlier_.begin(), earlier_.end(), hash_of(request_id)) !=
+        earlier_.end();
+}
+
+bool connection_history::can_carry(std::string_view request_id) const
+{
+    return !has_request_ ||
+        (!is_full() && request_id != current_ && !has_carried(request_id));
+}
+
 void connection_history::begin_request(std::string_view request_id)
 {
     if (has_request_)
         earlier_.push_back(hash_of(current_));
     has_request_ = true;
     current_ = request_id;
-    repeats_request_ = std::find(earlier_.begin(), earlier_.end(),
-                           hash_of(current_)) != earlier_.end();
 }
 
 answer_owner connection_history::owner_of(std::string_view named_id) const
@@ -30,9 +40,24 @@
         return answer_owner::unnamed;
     if (named_id == current_)
         return answer_owner::current;
-    bool const is_earlier = std::find(earlier_.begin(), earlier_.end(),
-                                hash_of(named_id)) != earlier_.end();
-    return is_earlier ? answer_owner::earlier : answer_owner::foreign;
+    return has_carried(named_id) ? answer_owner::earlier
+                                 : answer_owner::foreign;
+}
+
+answer_verdict connection_history::judge(
+    answer_owner owner, bool names_required) const
+{
+    switch (owner) {
+    case answer_owner::current:
+        return answer_verdict::accepted;
+    case answer_owner::earlier:
+    case answer_owner::foreign:
+        return answer_verdict::skipped;
+    case answer_owner::unnamed:
+        break;
+    }
+    return names_required ? answer_verdict::rejected
+                          : answer_verdict::accepted;
 }
 
 } // namespace pomelohinge
--- a/servers/requests/request_log.cpp
+++ b/servers/requests/request_log.cpp
@@ -58,7 +58,6 @@
             {"reused", end.use.earlier_requests > 0 ? 1 : 0},
             {"connection", end.use.connection},
             {"earlier_requests", end.use.earlier_requests},
-            {"repeats_request", end.use.repeats_request ? 1 : 0},
             {"skipped_answers", end.use.skipped_answers},
             {"owner", to_name(end.use.owner)},
             {"ms", to_milliseconds(elapsed)}});
--- a/tests/drivers/connection_pool_test.cpp
+++ b/tests/drivers/connection_pool_test.cpp
@@ -24,6 +24,10 @@
         call.address = target.address();
         call.head = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
         call.timeout = 2s;
+        call.request_id = std::to_string(++last_request_);
+        call.named_request = [id = call.request_id](upstream_answer const&) {
+            return id;
+        };
         std::optional<exchange_end> end;
         pool_.start(std::move(call), [&](exchange_result it) { end = it.end; });
         std::this_thread::sleep_for(pause);
@@ -32,6 +36,7 @@
         return *end;
     }
 
+    int last_request_ = 0;
     buffer_budget buffers_{1 << 20};
     asio::io_context context_{1};
     connection_pool pool_{context_, buffers_};
--- a/tests/platform/dialects_test.cpp
+++ b/tests/platform/dialects_test.cpp
@@ -133,13 +133,12 @@
         "X-Target-Instance: t1\r\nX-Tenant: pub\r\n");
 }
 
-TEST_F(upstream_dialect_test, answer_with_another_id_does_not_match_the_request)
+TEST_F(upstream_dialect_test, answer_names_the_request_whose_id_it_has)
 {
-    upstream_request request;
-    request.request_id = "r1";
-    EXPECT_TRUE(upstream_dialect::matches_request(answer(200, {id_}), request));
-    EXPECT_FALSE(upstream_dialect::matches_request(
-        answer(200, {{"X-Request-Id", "r2"}}), request));
+    header_field const other{"x-request-id", "r2"};
+    EXPECT_EQ(upstream_dialect::named_request(answer(200, {id_})), "r1");
+    EXPECT_EQ(upstream_dialect::named_request(answer(503, {other})), "r2");
+    EXPECT_EQ(upstream_dialect::named_request(answer(421, {})), "");
 }
 
 TEST_F(upstream_dialect_test, notice_of_leaving_is_read_from_any_answer)
