Accept an answer without an id only on a connection's first request

Cause: an answer without an id counted as that of the request under way, whatever its connection had carried, so a copy of an earlier refusal ended the next order.

On the first request of a connection such an answer can only be its own. It ends the connection, since a copy of it could not be told from the next answer; on a connection that has carried others it is rejected and proves nothing. A service of the product's own interface whose upstreams do not return the id gets a connection for each request.

--- a/drivers/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -305,8 +305,12 @@
             return fail(exchange_end::unparsable);
         if (verdict == answer_verdict::skipped)
             return skip(rest);
+        // A copy of an answer without a name could not be told from the answer
+        // to the next request.
+        bool const has_distinct_copies = owner == answer_owner::current;
         bool const reusable = parser_->keeps_alive() && rest.empty() &&
-            !is_writing_ && !write_failed_ && !history_.is_full();
+            !is_writing_ && !write_failed_ && has_distinct_copies &&
+            !history_.is_full();
         auto answer = std::move(parser_->answer());
         charge_.complete();
         answer.charge = std::move(charge_);
--- a/servers/requests/connection_history.cpp
+++ b/servers/requests/connection_history.cpp
@@ -56,8 +56,8 @@
     case answer_owner::unnamed:
         break;
     }
-    return names_required ? answer_verdict::rejected
-                          : answer_verdict::accepted;
+    return earlier_.empty() && !names_required ? answer_verdict::accepted
+                                               : answer_verdict::rejected;
 }
 
 } // namespace pomelohinge
--- a/servers/requests/connection_history.hpp
+++ b/servers/requests/connection_history.hpp
@@ -64,7 +64,8 @@
     answer_owner owner_of(std::string_view named_id) const;
 
     /// `names_required` is whether the target names the request in each of its
-    /// answers. Otherwise one without a name is accepted.
+    /// answers. Otherwise one without a name belongs to the only request that
+    /// the connection has carried.
     answer_verdict judge(answer_owner owner, bool names_required) const;
 
     /// The number of requests that the connection carried before the current
--- a/tests/servers/connection_history_test.cpp
+++ b/tests/servers/connection_history_test.cpp
@@ -62,5 +62,17 @@
         history_.judge(answer_owner::foreign, false), answer_verdict::skipped);
 }
 
+TEST_F(connection_history_test, answer_without_name_counts_on_the_first_request)
+{
+    history_.begin_request("a");
+    EXPECT_EQ(
+        history_.judge(answer_owner::unnamed, false), answer_verdict::accepted);
+    EXPECT_EQ(
+        history_.judge(answer_owner::unnamed, true), answer_verdict::rejected);
+    history_.begin_request("b");
+    EXPECT_EQ(
+        history_.judge(answer_owner::unnamed, false), answer_verdict::rejected);
+}
+
 } // namespace
 } // namespace pomelohinge
