Accept no answer that names two requests

An answer with two different ids counted as that of the request whose id stands first, so a refusal run together from two answers was a proof for either.

--- a/drivers/http/curl_loop.cpp
+++ b/drivers/http/curl_loop.cpp
@@ -63,6 +63,16 @@
     return it == headers.end() ? std::string_view() : it->value;
 }
 
+std::string combined_header(
+    std::vector<header_field> const& headers, std::string_view name)
+{
+    std::string values;
+    for (auto const& it : headers)
+        if (is_same_header(it.name, name))
+            values += (values.empty() ? "" : ", ") + it.value;
+    return values;
+}
+
 class curl_loop::detail
 {
 public:
--- a/drivers/http/curl_loop.hpp
+++ b/drivers/http/curl_loop.hpp
@@ -71,6 +71,11 @@
 std::string_view find_header(
     std::vector<header_field> const& headers, std::string_view name);
 
+/// The values of all headers with this name, ignoring case, joined by commas;
+/// empty if there is none.
+std::string combined_header(
+    std::vector<header_field> const& headers, std::string_view name);
+
 /// Runs HTTP calls with libcurl on an Asio context. It may only be used on the
 /// context's single thread, which also runs the callbacks.
 class curl_loop
--- a/drivers/upstream/native_upstream_dialect.cpp
+++ b/drivers/upstream/native_upstream_dialect.cpp
@@ -23,7 +23,7 @@
 std::string native_upstream_dialect::named_request(
     upstream_answer const& answer)
 {
-    return std::string(find_header(answer.headers, header::request_id));
+    return combined_header(answer.headers, header::request_id);
 }
 
 attempt_result native_upstream_dialect::classify(upstream_answer const& answer)
--- a/tests/platform/dialects_test.cpp
+++ b/tests/platform/dialects_test.cpp
@@ -141,6 +141,16 @@
     EXPECT_EQ(upstream_dialect::named_request(answer(421, {})), "");
 }
 
+TEST_F(upstream_dialect_test, answer_with_two_ids_names_neither_request)
+{
+    header_field const other{"x-request-id", "r2"};
+    auto const named =
+        upstream_dialect::named_request(answer(503, {id_, other}));
+    EXPECT_NE(named, "");
+    EXPECT_NE(named, "r1");
+    EXPECT_NE(named, "r2");
+}
+
 TEST_F(upstream_dialect_test, notice_of_leaving_is_read_from_any_answer)
 {
     header_field const leaves{"Server-Leaving", "1"};
