Do not reuse a connection that has carried a HEAD request

A copy of the answer to HEAD states a length but has no body. When it came before the answer to the next request, that answer was taken for its body, and the request was lost, or its answer was read from the middle. answer_owner_test.copy_of_answer_to_head_does_not_take_the_next_answer failed before (timed out).

--- a/drivers/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -305,9 +305,10 @@
             return fail(exchange_end::unparsable);
         if (verdict == answer_verdict::skipped)
             return skip(rest);
-        // A copy of an answer without a name could not be told from the answer
-        // to the next request.
-        bool const has_distinct_copies = owner == answer_owner::current;
+        // A copy of an answer without a name, or of one to HEAD, whose body it
+        // lacks, could not be told from the answer to the next request.
+        bool const has_distinct_copies =
+            owner == answer_owner::current && !call_.is_head;
         bool const reusable = parser_->keeps_alive() && rest.empty() &&
             !is_writing_ && !write_failed_ && has_distinct_copies &&
             !history_.is_full();
