Ignore the trailers of an answer

http_parser reports the trailers of a chunked answer through the callbacks for headers, and the parser appended them to the headers of the answer. A mark "not run" or a request id behind the body counted as one of the head.

The parser now counts trailers against the number of fields and drops them.

answer_parser_test.trailers_are_not_headers_of_the_answer failed before: the answer had the mark of its trailer. The other tests of the file (interim answers, contradictory framing, cut bodies, HEAD) passed before and guard what holds already.

--- a/drivers/http/answer_parser.cpp
+++ b/drivers/http/answer_parser.cpp
@@ -76,14 +76,17 @@
     http_parser* parser, char const* data, std::size_t size)
 {
     auto& self = self_of(parser);
+    bool const begins = self.fields_ == 0 || self.in_value_;
+    self.in_value_ = false;
+    if (begins && self.fields_++ == max_fields)
+        return 1;
+    if (self.has_head_)
+        return 0;
     auto& headers = self.answer_.headers;
-    if (headers.empty() || self.in_value_) {
-        if (headers.size() == max_fields)
-            return 1;
+    if (begins) {
         headers.emplace_back();
         self.head_bytes_ += sizeof(header_field);
     }
-    self.in_value_ = false;
     headers.back().name.append(data, size);
     self.head_bytes_ += size;
     return self.head_bytes_ > max_head_bytes ? 1 : 0;
@@ -94,6 +97,8 @@
 {
     auto& self = self_of(parser);
     self.in_value_ = true;
+    if (self.has_head_)
+        return 0;
     if (!self.answer_.headers.empty())
         self.answer_.headers.back().value.append(data, size);
     self.head_bytes_ += size;
@@ -103,6 +108,7 @@
 int answer_parser::on_headers_complete(http_parser* parser)
 {
     auto& self = self_of(parser);
+    self.has_head_ = true;
     self.answer_.status = static_cast<int>(parser->status_code);
     self.is_interim_ = self.answer_.status < first_final_status;
     constexpr int skip_body = 1;
@@ -140,6 +146,8 @@
     if (self.is_interim_) {
         self.answer_ = {};
         self.head_bytes_ = 0;
+        self.fields_ = 0;
+        self.has_head_ = false;
         self.stated_length_ = 0;
         self.in_value_ = false;
         self.is_interim_ = false;
--- a/drivers/http/answer_parser.hpp
+++ b/drivers/http/answer_parser.hpp
@@ -10,7 +10,7 @@
 namespace pomelohinge {
 
 /// Parses the bytes received on a connection into one answer. Interim answers
-/// (1xx) are skipped.
+/// (1xx) and trailers are skipped.
 class answer_parser
 {
 public:
@@ -61,10 +61,13 @@
     bool is_head_;
     std::size_t max_body_bytes_;
     std::size_t head_bytes_ = 0;
+    /// Number of headers and trailers so far.
+    std::size_t fields_ = 0;
     /// Length of the body that the head states; 0 if it states none.
     std::size_t stated_length_ = 0;
     bool has_input_ = false;
     bool in_value_ = false;
+    bool has_head_ = false;
     bool is_interim_ = false;
     bool complete_ = false;
     bool too_large_ = false;
--- /dev/null
+++ b/tests/drivers/answer_parser_test.cpp
@@ -0,0 +1,130 @@
+#include "drivers/http/answer_parser.hpp"
+
+#include "drivers/http/curl_loop.hpp"
+
+#include <gtest/gtest.h>
+
+namespace pomelohinge {
+namespace {
+
+using progress = answer_parser::progress;
+
+/// Answers of targets that break the protocol or break off.
+class answer_parser_test : public testing::Test
+{
+protected:
+    static constexpr std::size_t max_body_bytes = 1 << 20;
+
+    /// Parses `bytes` in pieces of `piece` bytes, up to the end of the answer.
+    progress parse(std::string_view bytes, std::size_t piece)
+    {
+        parser_ = answer_parser(is_head_, max_body_bytes);
+        consumed_ = 0;
+        auto result = progress::incomplete;
+        while (consumed_ < bytes.size() && result == progress::incomplete) {
+            std::size_t n = 0;
+            result = parser_.parse(bytes.substr(consumed_, piece), n);
+            consumed_ += n;
+        }
+        return result;
+    }
+
+    /// The progress of parsing `bytes`, which must not depend on how they are
+    /// divided.
+    progress parse(std::string_view bytes)
+    {
+        auto const bytewise = parse(bytes, 1);
+        auto const whole = parse(bytes, bytes.size());
+        EXPECT_EQ(bytewise, whole) << bytes;
+        return whole;
+    }
+
+    std::string_view header(std::string_view name)
+    {
+        return find_header(parser_.answer().headers, name);
+    }
+
+    bool is_head_ = false;
+    answer_parser parser_{false, max_body_bytes};
+    std::size_t consumed_ = 0;
+};
+
+TEST_F(answer_parser_test, trailers_are_not_headers_of_the_answer)
+{
+    ASSERT_EQ(parse("HTTP/1.1 503 Service Unavailable\r\n"
+                    "Transfer-Encoding: chunked\r\nX-Request-Id: r1\r\n\r\n"
+                    "2\r\nok\r\n0\r\nX-Mark: 1\r\nX-Request-Id: r2\r\n\r\n"),
+        progress::complete);
+    EXPECT_EQ(header("X-Mark"), "");
+    EXPECT_EQ(header("X-Request-Id"), "r1");
+    EXPECT_EQ(parser_.answer().body, "ok");
+}
+
+TEST_F(answer_parser_test, headers_of_interim_answers_are_dropped)
+{
+    for (std::string const interim : {"100 Continue", "103 Early Hints"}) {
+        ASSERT_EQ(parse("HTTP/1.1 " + interim +
+                      "\r\nX-Mark: 1\r\nX-Request-Id: r1\r\n\r\n"
+                      "HTTP/1.1 503 Service Unavailable\r\n"
+                      "Content-Length: 2\r\n\r\nok"),
+            progress::complete);
+        EXPECT_EQ(parser_.answer().status, 503);
+        EXPECT_EQ(header("X-Mark"), "");
+        EXPECT_EQ(header("X-Request-Id"), "");
+    }
+}
+
+TEST_F(answer_parser_test, contradictory_framing_is_unparsable)
+{
+    for (std::string const framing :
+        {"Content-Length: 0\r\nContent-Length: 2",
+            "Content-Length: 2\r\nTransfer-Encoding: chunked",
+            "Transfer-Encoding: chunked\r\nContent-Length: 2",
+            "Content-Length: 0, 2", "Content-Length: +2", "Content-Length: -1"})
+        EXPECT_EQ(parse("HTTP/1.1 503 Service Unavailable\r\n" + framing +
+                      "\r\n\r\n0\r\n\r\nok"),
+            progress::unparsable)
+            << framing;
+}
+
+TEST_F(answer_parser_test, body_that_is_cut_is_incomplete)
+{
+    for (std::string const rest : {"Content-Length: 9\r\n\r\nok",
+             "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+             "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
+             "Content-Length: 9\r\n", "X-Request-Id: r"}) {
+        ASSERT_EQ(
+            parse("HTTP/1.1 503 Service Unavailable\r\nX-Mark: 1\r\n" + rest),
+            progress::incomplete)
+            << rest;
+        EXPECT_EQ(parser_.end_of_input(), progress::incomplete) << rest;
+    }
+}
+
+TEST_F(answer_parser_test, answer_to_head_ends_with_its_head)
+{
+    is_head_ = true;
+    std::string const head = "HTTP/1.1 503 Service Unavailable\r\n"
+                             "X-Mark: 1\r\nContent-Length: 9\r\n\r\n";
+    ASSERT_EQ(parse(head + "HTTP/1.1 "), progress::complete);
+    EXPECT_EQ(consumed_, head.size());
+    EXPECT_EQ(header("X-Mark"), "1");
+}
+
+TEST_F(answer_parser_test, blank_lines_before_an_answer_are_skipped)
+{
+    EXPECT_EQ(parse("\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"),
+        progress::complete);
+    EXPECT_EQ(parser_.answer().body, "ok");
+}
+
+/// The pattern of a status line alone does not make a value invalid.
+TEST_F(answer_parser_test, value_that_names_a_protocol_is_accepted)
+{
+    EXPECT_EQ(parse("HTTP/1.1 200 OK\r\nVia: HTTP/1.1 edge, 1.1 inner\r\n"
+                    "Upgrade: HTTP/2.0\r\nContent-Length: 2\r\n\r\nok"),
+        progress::complete);
+}
+
+} // namespace
+} // namespace pomelohinge
