Refuse interim answers with a body

An interim answer has no body, but http_parser reads one if the head states it. With "103, Content-Length: N" the next answer was taken for that body, and the one behind it, which may be the copy of a refusal, for the answer to the request. A 101 without an Upgrade header was skipped like an interim answer, although what follows it is no HTTP.

Both are unparsable now, so the attempt ends without a promise.

answer_parser_test.interim_answer_with_a_body_is_unparsable (both framings) and change_of_protocol_is_unparsable failed before: the parser gave the 503 behind.

--- a/drivers/http/answer_parser.cpp
+++ b/drivers/http/answer_parser.cpp
@@ -13,8 +13,10 @@
 constexpr std::size_t max_head_bytes = 64 << 10;
 constexpr std::size_t max_fields = 256;
 
-/// Statuses below this one belong to interim answers.
+/// Statuses below this one belong to interim answers, except for the change to
+/// another protocol, which no request asks for.
 constexpr int first_final_status = 200;
+constexpr int status_switching_protocols = 101;
 
 } // namespace
 
@@ -113,6 +115,10 @@
     self.is_interim_ = self.answer_.status < first_final_status;
     constexpr int skip_body = 1;
     constexpr int error = -1;
+    constexpr unsigned has_body = F_CONTENTLENGTH | F_CHUNKED;
+    if (self.answer_.status == status_switching_protocols ||
+        (self.is_interim_ && (parser->flags & has_body) != 0))
+        return error;
     if (self.is_head_)
         return skip_body;
     bool const has_length = (parser->flags & F_CONTENTLENGTH) != 0;
--- a/tests/drivers/answer_parser_test.cpp
+++ b/tests/drivers/answer_parser_test.cpp
@@ -74,6 +74,28 @@
     }
 }
 
+/// The next answer was read as the body of the interim one.
+TEST_F(answer_parser_test, interim_answer_with_a_body_is_unparsable)
+{
+    for (std::string const framing :
+        {"Content-Length: 38", "Transfer-Encoding: chunked"})
+        EXPECT_EQ(parse("HTTP/1.1 103 Early Hints\r\n" + framing +
+                      "\r\n\r\n"
+                      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                      "HTTP/1.1 503 Service Unavailable\r\nX-Mark: 1\r\n"
+                      "Content-Length: 0\r\n\r\n"),
+            progress::unparsable)
+            << framing;
+}
+
+TEST_F(answer_parser_test, change_of_protocol_is_unparsable)
+{
+    EXPECT_EQ(parse("HTTP/1.1 101 Switching Protocols\r\n\r\n"
+                    "HTTP/1.1 503 Service Unavailable\r\n"
+                    "Content-Length: 0\r\n\r\n"),
+        progress::unparsable);
+}
+
 TEST_F(answer_parser_test, contradictory_framing_is_unparsable)
 {
     for (std::string const framing :
