Refuse malformed heads that http_parser accepts

The library is built without its strict mode: it takes spaces in the name of a header, folded headers, lines that end with LF alone and a NUL in the reason. So "X-Mark : 1" counted as a header of another name, the rest of a head that was cut became a header of the next one, and a value could hide a header.

head_checker checks the bytes of a head before the library gets them. A head that it turns down is unparsable, which promises nothing (RFC 7230, 3.2.4).

--- a/drivers/http/answer_parser.cpp
+++ b/drivers/http/answer_parser.cpp
@@ -47,8 +47,15 @@
     has_input_ |= !bytes.empty();
     consumed = 0;
     while (consumed < bytes.size() && !complete_) {
-        consumed += http_parser_execute(&parser_, &settings_,
-            bytes.data() + consumed, bytes.size() - consumed);
+        auto part = bytes.substr(consumed);
+        if (!head_.is_complete()) {
+            auto const checked = head_.check(part);
+            if (!checked)
+                return progress::unparsable;
+            part = part.substr(0, *checked);
+        }
+        consumed +=
+            http_parser_execute(&parser_, &settings_, part.data(), part.size());
         auto const error = HTTP_PARSER_ERRNO(&parser_);
         if (error == HPE_PAUSED) {
             http_parser_pause(&parser_, 0);
@@ -151,6 +158,7 @@
     auto& self = self_of(parser);
     if (self.is_interim_) {
         self.answer_ = {};
+        self.head_ = {};
         self.head_bytes_ = 0;
         self.fields_ = 0;
         self.has_head_ = false;
--- a/drivers/http/answer_parser.hpp
+++ b/drivers/http/answer_parser.hpp
@@ -1,6 +1,7 @@
 #ifndef POMELOHINGE_DRIVERS_HTTP_ANSWER_PARSER_HPP
 #define POMELOHINGE_DRIVERS_HTTP_ANSWER_PARSER_HPP
 
+#include "drivers/http/head_checker.hpp"
 #include "servers/requests/attempt.hpp"
 
 #include <algorithm>
@@ -57,6 +58,7 @@
 
     http_parser parser_{};
     http_parser_settings settings_{};
+    head_checker head_;
     upstream_answer answer_;
     bool is_head_;
     std::size_t max_body_bytes_;
--- /dev/null
+++ b/drivers/http/head_checker.hpp
@@ -0,0 +1,35 @@
+#ifndef POMELOHINGE_DRIVERS_HTTP_HEAD_CHECKER_HPP
+#define POMELOHINGE_DRIVERS_HTTP_HEAD_CHECKER_HPP
+
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace pomelohinge {
+
+/// Checks the form of an answer's head where http_parser is lenient: lines end
+/// with CR and LF, none is folded, and there is no NUL and no space in the name
+/// of a header.
+class head_checker
+{
+public:
+    /// Checks bytes up to the end of the head and returns their number;
+    /// `nullopt` if the head is malformed.
+    std::optional<std::size_t> check(std::string_view bytes);
+
+    /// Whether the end of the head has been reached.
+    bool is_complete() const { return is_complete_; }
+
+private:
+    bool accept(char it);
+
+    /// The previous character; NUL before the first one.
+    char last_ = '\0';
+    bool in_name_ = false;
+    bool is_line_empty_ = true;
+    bool is_complete_ = false;
+};
+
+} // namespace pomelohinge
+
+#endif
--- a/tests/drivers/answer_parser_test.cpp
+++ b/tests/drivers/answer_parser_test.cpp
@@ -96,6 +96,51 @@
         progress::unparsable);
 }
 
+TEST_F(answer_parser_test, header_name_with_a_space_is_unparsable)
+{
+    for (std::string const line :
+        {"X-Mark : 1", "X Mark: 1", "X-Re X-Mark: 1", "X-Mark\t: 1"})
+        EXPECT_EQ(parse("HTTP/1.1 503 Service Unavailable\r\n" + line +
+                      "\r\nContent-Length: 0\r\n\r\n"),
+            progress::unparsable)
+            << line;
+}
+
+TEST_F(answer_parser_test, folded_header_is_unparsable)
+{
+    for (std::string const line :
+        {"X-Note: a\r\n X-Mark: 1", "X-Request-Id:\r\n\tr1", " X-Mark: 1"})
+        EXPECT_EQ(parse("HTTP/1.1 503 Service Unavailable\r\n" + line +
+                      "\r\nContent-Length: 0\r\n\r\n"),
+            progress::unparsable)
+            << line;
+}
+
+TEST_F(answer_parser_test, line_that_does_not_end_with_cr_and_lf_is_unparsable)
+{
+    for (std::string const head :
+        {"HTTP/1.1 503 Service Unavailable\nX-Mark: 1\r\n",
+            "HTTP/1.1 503 Service Unavailable\r\nX-Mark: 1\n",
+            "HTTP/1.1 503 Service Unavailable\r\nX-Note: a\rX-Mark: 1\r\n",
+            "HTTP/1.1 503 Service\rUnavailable\r\nX-Mark: 1\r\n"})
+        EXPECT_EQ(
+            parse(head + "Content-Length: 0\r\n\r\n"), progress::unparsable)
+            << head;
+    EXPECT_EQ(parse("HTTP/1.1 503 Service Unavailable\r\nX-Mark: 1\r\n\n"),
+        progress::unparsable);
+}
+
+TEST_F(answer_parser_test, nul_in_the_head_is_unparsable)
+{
+    std::string const nul(1, '\0');
+    for (auto const& head : {"HTTP/1.1 503 Service" + nul + "\r\nX-Mark: 1\r\n",
+             "HTTP/1.1 503 Service Unavailable\r\nX-Mark: 1" + nul + "\r\n",
+             "HTTP/1.1 503 Service Unavailable\r\nX-" + nul + "Mark: 1\r\n"})
+        EXPECT_EQ(
+            parse(head + "Content-Length: 0\r\n\r\n"), progress::unparsable)
+            << head;
+}
+
 TEST_F(answer_parser_test, contradictory_framing_is_unparsable)
 {
     for (std::string const framing :
