Take no promise from an answer that contradicts itself

Any answer with the mark "not run" counted as a refusal, whatever its status: a 200, 500 or 504 with it was answered 503, or the order was sent again. The mark is made with 400, 421, 429 and 503 only; a target's own 500, and its 504 at the deadline, count as run. With native targets an answer with "not_run" and another status than 503 was passed on, with the promise.

Such answers are wrong answers now: the outcome is unknown, and they are not passed on.

--- a/drivers/upstream/native_upstream_dialect.cpp
+++ b/drivers/upstream/native_upstream_dialect.cpp
@@ -4,6 +4,7 @@
 #include "servers/requests/refusal.hpp"
 
 #include <absl/strings/numbers.h>
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace pomelohinge {
@@ -38,10 +39,14 @@
 {
     constexpr int service_unavailable = 503;
     constexpr int first_server_error = 500;
-    if (answer.status == service_unavailable &&
-        find_header(answer.headers, header::outcome) ==
-            to_name(outcome::not_run))
-        return attempt_result::shed;
+    for (auto const it : {header::request_id, header::outcome})
+        if (has_conflicting_header(answer, it))
+            return attempt_result::wrong_answer;
+    if (find_header(answer.headers, header::outcome) ==
+        to_name(outcome::not_run))
+        return answer.status == service_unavailable
+            ? attempt_result::shed
+            : attempt_result::wrong_answer;
     return answer.status >= first_server_error ? attempt_result::server_error
                                                : attempt_result::answered;
 }
@@ -52,6 +57,16 @@
     return pomelohinge::read_notice(answer, header::leaving);
 }
 
+bool has_conflicting_header(
+    upstream_answer const& answer, std::string_view name)
+{
+    auto const first = find_header(answer.headers, name);
+    return std::any_of(answer.headers.begin(), answer.headers.end(),
+        [&](header_field const& it) {
+            return is_same_header(it.name, name) && it.value != first;
+        });
+}
+
 target_notice read_notice(
     upstream_answer const& answer, std::string_view leaving_header)
 {
--- a/drivers/upstream/upstream_dialect.hpp
+++ b/drivers/upstream/upstream_dialect.hpp
@@ -43,6 +43,11 @@
 target_notice read_notice(
     upstream_answer const& answer, std::string_view leaving_header);
 
+/// Whether the header occurs more than once in the answer, with different
+/// values, so that none of them can be relied on.
+bool has_conflicting_header(
+    upstream_answer const& answer, std::string_view name);
+
 /// The project's own HTTP interface for upstreams; see docs/UPSTREAMS.md.
 struct native_upstream_dialect
 {
--- a/tests/platform/dialects_test.cpp
+++ b/tests/platform/dialects_test.cpp
@@ -118,6 +118,7 @@
 
     header_field const id_{"X-Request-Id", "r1"};
     header_field const signature_{"X-Response-Signature", "s"};
+    header_field const not_run_{"X-Not-Executed", "1"};
 };
 
 TEST_F(upstream_dialect_test, added_headers_name_target_and_organisation)
@@ -183,8 +184,7 @@
 
 TEST_F(upstream_dialect_test, not_run_status_without_header_is_a_wrong_answer)
 {
-    header_field const not_run{"X-Not-Executed", "1"};
-    EXPECT_EQ(classify(503, {id_, not_run}), attempt_result::shed);
+    EXPECT_EQ(classify(503, {id_, not_run_}), attempt_result::shed);
     EXPECT_EQ(classify(421, {id_}), attempt_result::misdirected);
     for (int const status : {408, 429, 503})
         EXPECT_EQ(
@@ -193,5 +193,36 @@
     EXPECT_EQ(classify(404, {id_, signature_}), attempt_result::answered);
 }
 
+/// A target's own 500, and its 504 at the deadline, count as run.
+TEST_F(
+    upstream_dialect_test, mark_with_a_status_that_contradicts_it_is_no_proof)
+{
+    for (int const status : {400, 429, 503})
+        EXPECT_EQ(classify(status, {id_, not_run_}), attempt_result::shed)
+            << status;
+    EXPECT_EQ(classify(421, {id_, not_run_}), attempt_result::misdirected);
+    for (int const status : {200, 204, 302, 404, 408, 500, 502, 504})
+        EXPECT_EQ(classify(status, {id_, signature_, not_run_}),
+            attempt_result::wrong_answer)
+            << status;
+}
+
+TEST_F(
+    upstream_dialect_test, mark_or_id_that_stands_twice_differently_is_no_proof)
+{
+    header_field const other_id{"x-request-id", "r2"};
+    header_field const other_mark{"x-not-executed", "0"};
+    for (int const status : {200, 400, 421, 429, 503}) {
+        EXPECT_EQ(classify(status, {id_, signature_, not_run_, other_id}),
+            attempt_result::wrong_answer)
+            << status;
+        EXPECT_EQ(classify(status, {id_, signature_, not_run_, other_mark}),
+            attempt_result::wrong_answer)
+            << status;
+    }
+    EXPECT_EQ(
+        classify(503, {id_, id_, not_run_, not_run_}), attempt_result::shed);
+}
+
 } // namespace
 } // namespace pomelohinge::platform
