Read no notice from the answer of another target

A 421 comes from the target that has the address now. The dispatcher of the thread left its notice out, but traffic_thread::send_upstream told all threads of the VM of it: a leaving or a pause of the one target was kept for the other, a leaving for the whole incarnation. The same held for an answer whose id stands twice with different values.

read_notice gives nothing for either.

upstream_dialect_test.answer_that_is_not_the_targets_own_has_no_notice failed before.

--- a/drivers/upstream/upstream_dialect.hpp
+++ b/drivers/upstream/upstream_dialect.hpp
@@ -31,7 +31,8 @@
     {
         Dialect::classify(answer)
         } -> std::same_as<attempt_result>;
-    /// What the target says of itself in the answer.
+    /// What the target says of itself in the answer; nothing if another target
+    /// has given it.
     {
         Dialect::read_notice(answer)
         } -> std::same_as<target_notice>;
--- a/tests/platform/dialects_test.cpp
+++ b/tests/platform/dialects_test.cpp
@@ -173,6 +173,23 @@
     }
 }
 
+/// The notice of another target at the address, or of another answer, was taken
+/// for that of the expected target.
+TEST_F(upstream_dialect_test, answer_that_is_not_the_targets_own_has_no_notice)
+{
+    header_field const leaves{"Server-Leaving", "1"};
+    header_field const other_id{"X-Request-Id", "r2"};
+    for (auto const* it : {"2", "soon"}) {
+        header_field const pause{"Retry-After", it};
+        EXPECT_TRUE(upstream_dialect::read_notice(
+            answer(421, {id_, not_run_, leaves, pause}))
+                        .empty());
+        EXPECT_TRUE(upstream_dialect::read_notice(
+            answer(503, {id_, not_run_, other_id, leaves, pause}))
+                        .empty());
+    }
+}
+
 TEST_F(upstream_dialect_test, success_without_signature_or_id_is_a_wrong_answer)
 {
     EXPECT_EQ(classify(200, {id_, signature_}), attempt_result::answered);
