--- a/drivers/http/answer_parser.cpp
+++ b/drivers/http/answer_parser.cpp
@@ -13,8 +13,10 @@
 constexpr std::size_t max_head_bytes = 64 << 10;
 constexpr std::size_t max_fields = 256;
 
-/// Statuses below this one belong to interim answers.
+/// Statuses below this one belong to interim answers, except for the change to
+/// another protocol, which no request asks for.
 constexpr int first_final_status = 200;
+constexpr int status_switching_protocols = 101;
 
 } // namespace
 
@@ -45,8 +47,15 @@
     has_input_ |= !bytes.empty();
     consumed = 0;
     while (consumed < bytes.size() && !complete_) {
-        consumed += http_parser_execute(&parser_, &settings_,
-            bytes.data() + consumed, bytes.size() - consumed);
+        auto part = bytes.substr(consumed);
+        if (!head_.is_complete()) {
+            auto const checked = head_.check(part);
+            if (!checked)
+                return progress::unparsable;
+            part = part.substr(0, *checked);
+        }
+        consumed +=
+            http_parser_execute(&parser_, &settings_, part.data(), part.size());
         auto const error = HTTP_PARSER_ERRNO(&parser_);
         if (error == HPE_PAUSED) {
             http_parser_pause(&parser_, 0);
@@ -76,14 +85,17 @@
     http_parser* parser, char const* data, std::size_t size)
 {
     auto& self = self_of(parser);
+    bool const begins = self.fields_ == 0 || self.in_value_;
+    self.in_value_ = false;
+    if (begins && self.fields_++ == max_fields)
+        return 1;
+    if (self.has_head_)
+        return 0;
     auto& headers = self.answer_.headers;
-    if (headers.empty() || self.in_value_) {
-        if (headers.size() == max_fields)
-            return 1;
+    if (begins) {
         headers.emplace_back();
         self.head_bytes_ += sizeof(header_field);
     }
-    self.in_value_ = false;
     headers.back().name.append(data, size);
     self.head_bytes_ += size;
     return self.head_bytes_ > max_head_bytes ? 1 : 0;
@@ -94,6 +106,8 @@
 {
     auto& self = self_of(parser);
     self.in_value_ = true;
+    if (self.has_head_)
+        return 0;
     if (!self.answer_.headers.empty())
         self.answer_.headers.back().value.append(data, size);
     self.head_bytes_ += size;
@@ -103,10 +117,15 @@
 int answer_parser::on_headers_complete(http_parser* parser)
 {
     auto& self = self_of(parser);
+    self.has_head_ = true;
     self.answer_.status = static_cast<int>(parser->status_code);
     self.is_interim_ = self.answer_.status < first_final_status;
     constexpr int skip_body = 1;
     constexpr int error = -1;
+    constexpr unsigned has_body = F_CONTENTLENGTH | F_CHUNKED;
+    if (self.answer_.status == status_switching_protocols ||
+        (self.is_interim_ && (parser->flags & has_body) != 0))
+        return error;
     if (self.is_head_)
         return skip_body;
     bool const has_length = (parser->flags & F_CONTENTLENGTH) != 0;
@@ -139,7 +158,10 @@
     auto& self = self_of(parser);
     if (self.is_interim_) {
         self.answer_ = {};
+        self.head_ = {};
         self.head_bytes_ = 0;
+        self.fields_ = 0;
+        self.has_head_ = false;
         self.stated_length_ = 0;
         self.in_value_ = false;
         self.is_interim_ = false;
--- a/drivers/http/answer_parser.hpp
+++ b/drivers/http/answer_parser.hpp
@@ -1,6 +1,7 @@
 #ifndef POMELOHINGE_DRIVERS_HTTP_ANSWER_PARSER_HPP
 #define POMELOHINGE_DRIVERS_HTTP_ANSWER_PARSER_HPP
 
+#include "drivers/http/head_checker.hpp"
 #include "servers/requests/attempt.hpp"
 
 #include <algorithm>
@@ -10,7 +11,7 @@
 namespace pomelohinge {
 
 /// Parses the bytes received on a connection into one answer. Interim answers
-/// (1xx) are skipped.
+/// (1xx) and trailers are skipped.
 class answer_parser
 {
 public:
@@ -57,14 +58,18 @@
 
     http_parser parser_{};
     http_parser_settings settings_{};
+    head_checker head_;
     upstream_answer answer_;
     bool is_head_;
     std::size_t max_body_bytes_;
     std::size_t head_bytes_ = 0;
+    /// Number of headers and trailers so far.
+    std::size_t fields_ = 0;
     /// Length of the body that the head states; 0 if it states none.
     std::size_t stated_length_ = 0;
     bool has_input_ = false;
     bool in_value_ = false;
+    bool has_head_ = false;
     bool is_interim_ = false;
     bool complete_ = false;
     bool too_large_ = false;
--- a/drivers/upstream/upstream_dialect.hpp
+++ b/drivers/upstream/upstream_dialect.hpp
@@ -28,7 +28,8 @@
     {
         Dialect::classify(answer)
         } -> std::same_as<attempt_result>;
-    /// What the target says of itself in the answer.
+    /// What the target says of itself in the answer; nothing if another target
+    /// has given it.
     {
         Dialect::read_notice(answer)
         } -> std::same_as<target_notice>;
@@ -40,6 +41,11 @@
 target_notice read_notice(
     upstream_answer const& answer, std::string_view leaving_header);
 
+/// Whether the header occurs more than once in the answer, with different
+/// values, so that none of them can be relied on.
+bool has_conflicting_header(
+    upstream_answer const& answer, std::string_view name);
+
 /// The project's own HTTP interface for upstreams; see docs/UPSTREAMS.md.
 struct native_upstream_dialect
 {
