Give each call to the store a connection of its own

Cause: the store's answers do not name their call, and reads and removals used kept connections of libcurl. An answer that the store sent once more, 5 ms later on the idle connection or after the next head, became the answer to the next call: an empty list of VMs became that of closed data centres, an older configuration hid a later one, a watch was answered by the one before, and the 201 of a registration or the 200 of a write confirmed a removal that the store had refused. A copy that comes in one piece with the first answer was dropped by libcurl already. Creating and replacing had new connections before.

Change: every call opens a connection and closes it after the answer. Nothing in the answers can prove more: an empty list tells neither its kind nor that it was read after the call began. The number of calls stays the same.

--- a/drivers/http/curl_loop.cpp
+++ b/drivers/http/curl_loop.cpp
@@ -176,8 +176,10 @@
         curl_easy_setopt(
             easy, CURLOPT_TCP_KEEPINTVL, keep_alive_interval_seconds);
         curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, max_idle_seconds);
+        bool const is_new = call.fresh_connection || call.own_connection;
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, is_new ? 1L : 0L);
         curl_easy_setopt(
-            easy, CURLOPT_FRESH_CONNECT, call.fresh_connection ? 1L : 0L);
+            easy, CURLOPT_FORBID_REUSE, call.own_connection ? 1L : 0L);
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &on_body);
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, &it);
         curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &on_header);
@@ -218,7 +220,7 @@
     void start_first_byte_timer(transfer& it)
     {
         if (it.call.first_byte_timeout <= duration::zero() ||
-            it.call.fresh_connection)
+            it.call.fresh_connection || it.call.own_connection)
             return;
         it.first_byte_timer.expires_after(it.call.first_byte_timeout);
         it.first_byte_timer.async_wait([this, id = it.id](asio::error_code ec) {
--- a/drivers/http/curl_loop.hpp
+++ b/drivers/http/curl_loop.hpp
@@ -27,6 +27,9 @@
     /// turns out to be closed, libcurl sends the request again, which is safe
     /// for idempotent requests only.
     bool fresh_connection = false;
+    /// Open a new connection and close it after the call. The answer is then
+    /// certainly that of this call, and not one too many of an earlier call.
+    bool own_connection = false;
     /// If no byte of an answer is received on a reused connection within this
     /// time, the call starts again on a new connection. Zero for no timeout.
     duration first_byte_timeout{};
--- a/drivers/platform/http_object_store.cpp
+++ b/drivers/platform/http_object_store.cpp
@@ -83,6 +83,17 @@
     return reply;
 }
 
+/// Answers do not name their call, so each call has its own connection. This
+/// also keeps libcurl from repeating a write.
+http_call make_call(std::string url)
+{
+    http_call call;
+    call.url = std::move(url);
+    call.timeout = call_timeout;
+    call.own_connection = true;
+    return call;
+}
+
 } // namespace
 
 std::string http_object_store::url_of(std::string const& name) const
@@ -93,11 +104,8 @@
 void http_object_store::get(
     std::string const& name, std::function<void(get_reply)> done)
 {
-    http_call call;
-    call.url = url_of(name);
-    call.timeout = call_timeout;
-    http_.start(
-        std::move(call), [name, done = std::move(done)](http_result result) {
+    http_.start(make_call(url_of(name)),
+        [name, done = std::move(done)](http_result result) {
             get_reply reply;
             reply.status = status_of(result);
             reply.object.name = name;
@@ -117,14 +125,11 @@
 void http_object_store::put(std::string const& name, std::string value,
     std::uint64_t expected_version, std::function<void(put_reply)> done)
 {
-    http_call call;
+    auto call = make_call(url_of(name));
     call.method = "PUT";
-    call.url = url_of(name);
     call.headers.push_back({std::string(expected_version_header),
         std::to_string(expected_version)});
     call.body = value;
-    call.timeout = call_timeout;
-    call.fresh_connection = true;
     http_.start(std::move(call),
         [this, name, value = std::move(value), expected_version,
             done = std::move(done)](http_result const& result) {
@@ -157,12 +162,10 @@
 void http_object_store::remove(std::string const& name,
     std::uint64_t expected_version, std::function<void(put_reply)> done)
 {
-    http_call call;
+    auto call = make_call(url_of(name));
     call.method = "DELETE";
-    call.url = url_of(name);
     call.headers.push_back({std::string(expected_version_header),
         std::to_string(expected_version)});
-    call.timeout = call_timeout;
     http_.start(
         std::move(call), [done = std::move(done)](http_result const& result) {
             done({status_of(result), 0});
@@ -172,10 +175,9 @@
 void http_object_store::watch(std::string const& prefix, std::uint64_t since,
     duration wait, std::function<void(watch_reply)> done)
 {
-    http_call call;
-    call.url = "http://" + address_ + "/watch/" + prefix +
+    auto call = make_call("http://" + address_ + "/watch/" + prefix +
         "?since=" + std::to_string(since) +
-        "&wait_ms=" + std::to_string(to_milliseconds(wait));
+        "&wait_ms=" + std::to_string(to_milliseconds(wait)));
     call.timeout = wait + watch_timeout_margin;
     http_.start(
         std::move(call), [done = std::move(done)](http_result const& result) {
