Try a replaced target again

One 421 took a target out of use on its thread until its address changed. Nothing was logged either.

charts/replacement.jsonc: a replaced target gets one request at a time after 2 s, then 4, 8 and 16, until it answers. A request that is misdirected again has not run. Another address and another incarnation count at once as before; a target that drains, leaves or is not listed gets nothing. target_replaced (605) logs the changes.

Failed before, in target_replacement_test: 6 of 7 (all but target_at_another_address_is_used_at_once). servers_test 451 and simulation_test 21 pass.

--- a/charts/chart_list.cpp
+++ b/charts/chart_list.cpp
@@ -51,11 +51,14 @@
     auto health = load_chart<target_chart>(folder, "target", found);
     auto path = load_chart<path_chart>(folder, "path", found);
     auto pause = load_chart<pause_chart>(folder, "pause", found);
+    auto replacement =
+        load_chart<replacement_chart>(folder, "replacement", found);
     auto request = load_chart<request_chart>(folder, "request", found);
     auto process = load_chart<process_chart>(folder, "process", found);
-    if (!health || !path || !pause || !request || !process)
+    if (!health || !path || !pause || !replacement || !request || !process)
         return std::nullopt;
-    return chart_list{{std::move(*health), std::move(*path), std::move(*pause)},
+    return chart_list{{std::move(*health), std::move(*path), std::move(*pause),
+                          std::move(*replacement)},
         std::move(*request), std::move(*process)};
 }
 
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -67,6 +67,7 @@
     target_leaving,
     target_paused,
     target_notice_unreadable,
+    target_replaced,
 };
 
 template <>
@@ -118,6 +119,7 @@
     {log_event::target_leaving, "target_leaving"},
     {log_event::target_paused, "target_paused"},
     {log_event::target_notice_unreadable, "target_notice_unreadable"},
+    {log_event::target_replaced, "target_replaced"},
 });
 static_assert(is_ordered<log_event>());
 
@@ -178,6 +180,7 @@
     {log_event::target_leaving, 602, log_level::info},
     {log_event::target_paused, 603, log_level::info},
     {log_event::target_notice_unreadable, 604, log_level::warning},
+    {log_event::target_replaced, 605, log_level::warning},
 };
 
 /// Returns the catalogue entry of `event`.
--- a/main/explain/request_timeline.cpp
+++ b/main/explain/request_timeline.cpp
@@ -32,6 +32,7 @@
     {log_event::target_path_changed, "target"},
     {log_event::target_leaving, "target"},
     {log_event::target_paused, "target"},
+    {log_event::target_replaced, "target"},
 };
 
 /// Returns null if `event` does not report state.
--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -250,6 +250,23 @@
     log_path(target, before);
 }
 
+void dispatcher::record_replacement(
+    traffic_target& target, attempt_result result, time_point now)
+{
+    auto& replacement = target.replacement();
+    auto const before = replacement.state();
+    if (result == attempt_result::misdirected)
+        replacement.record_misdirected(now);
+    else if (has_answer(result))
+        replacement.record_answer(now);
+    if (replacement.state() == before)
+        return;
+    log(log_event::target_replaced,
+        {{"target", target.record().id.text()},
+            {"state", to_name(replacement.state())}});
+    update_below_floor(state_of(target.record().service));
+}
+
 void dispatcher::update_below_floor(service_state& service)
 {
     std::size_t available = 0;
@@ -325,12 +342,11 @@
     service.completions.add(now);
     if (auto* const it = find_current(target)) {
         it->request_ended();
-        if (result == attempt_result::misdirected)
-            it->set_replaced();
-        else if (!notice.empty())
+        if (!notice.empty() && result != attempt_result::misdirected)
             record_notice(target, notice, now);
         if (has_answer(result))
             it->pause().record_answer(now);
+        record_replacement(*it, result, now);
         if (is_observation(result))
             record_observation(*it, event_of(result), now);
         record_path(*it, result, now - latency, now);
@@ -395,6 +411,7 @@
         it->health().tick(now);
         it->path().tick(now);
         it->pause().tick(now);
+        it->replacement().tick(now);
         if (it->health().state() != before)
             update_below_floor(state_of(it->record().service));
     }
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -261,6 +261,8 @@
         traffic_target& target, target_event event, time_point now);
     void record_path(traffic_target& target, attempt_result result,
         time_point sent_at, time_point now);
+    void record_replacement(
+        traffic_target& target, attempt_result result, time_point now);
     void update_below_floor(service_state& service);
     void update_failing_share(service_state& service, time_point now);
 
--- a/servers/dispatch/target_selection.cpp
+++ b/servers/dispatch/target_selection.cpp
@@ -73,6 +73,7 @@
     return target.accepts_requests() &&
         target.path().allows(target.in_flight()) &&
         target.pause().allows(target.in_flight()) &&
+        target.replacement().allows(target.in_flight()) &&
         !was_tried(request, target.record().id) && target.has_capacity(now);
 }
 
--- a/servers/dispatch/traffic_target.cpp
+++ b/servers/dispatch/traffic_target.cpp
@@ -20,7 +20,7 @@
 void traffic_target::set_record(target_record record)
 {
     if (record.address != record_.address)
-        replaced_ = false;
+        replacement_.record_move();
     record_ = std::move(record);
 }
 
--- a/servers/dispatch/traffic_target.hpp
+++ b/servers/dispatch/traffic_target.hpp
@@ -5,6 +5,7 @@
 #include "servers/health/target_charts.hpp"
 #include "servers/health/target_health.hpp"
 #include "servers/health/target_pause.hpp"
+#include "servers/health/target_replacement.hpp"
 #include "servers/limits/token_bucket.hpp"
 #include "servers/targets/target_catalogue.hpp"
 
@@ -19,7 +20,8 @@
 public:
     traffic_target(target_record record, target_charts const& charts)
         : record_(std::move(record)), health_(charts.health),
-          path_(charts.path), pause_(charts.pause)
+          path_(charts.path), pause_(charts.pause),
+          replacement_(charts.replacement)
     {
     }
 
@@ -30,6 +32,8 @@
     path_health const& path() const { return path_; }
     target_pause& pause() { return pause_; }
     target_pause const& pause() const { return pause_; }
+    target_replacement& replacement() { return replacement_; }
+    target_replacement const& replacement() const { return replacement_; }
 
     /// Replaces the record by a later one of the same incarnation.
     void set_record(target_record record);
@@ -37,14 +41,11 @@
     /// Whether the target may get new requests.
     bool accepts_requests() const
     {
-        return accepts_requests_ && !replaced_ && !leaving_;
+        return accepts_requests_ && !leaving_ &&
+            replacement_.state() != replacement_state::replaced;
     }
     void set_accepts_requests(bool it) { accepts_requests_ = it; }
 
-    /// Marks the target as replaced, because another target answers at its
-    /// address. The list of targets may show this only later.
-    void set_replaced() { replaced_ = true; }
-
     /// Marks the target as shutting down, as its answers say. This holds for
     /// its incarnation, whatever the list of targets says.
     void set_leaving() { leaving_ = true; }
@@ -115,8 +116,8 @@
     target_health health_;
     path_health path_;
     target_pause pause_;
+    target_replacement replacement_;
     bool accepts_requests_ = true;
-    bool replaced_ = false;
     bool leaving_ = false;
     bool has_unreadable_notice_ = false;
     std::int64_t in_flight_ = 0;
--- a/servers/health/target_charts.hpp
+++ b/servers/health/target_charts.hpp
@@ -4,6 +4,7 @@
 #include "core/chart.hpp"
 #include "servers/health/path_chart.hpp"
 #include "servers/health/pause_chart.hpp"
+#include "servers/health/replacement_chart.hpp"
 #include "servers/health/target_chart.hpp"
 
 namespace pomelohinge {
@@ -14,6 +15,7 @@
     chart<target_chart> health;
     chart<path_chart> path;
     chart<pause_chart> pause;
+    chart<replacement_chart> replacement;
 };
 
 } // namespace pomelohinge
