Test which ends of an attempt count as a crash

Only a connection that is lost while the target has the request does; a refusal, a wrong answer and a kept connection that was closed do not. Held before: a test for what was known by reading only.

--- a/tests/servers/entry_request_test.cpp
+++ b/tests/servers/entry_request_test.cpp
@@ -513,6 +513,21 @@
 // `answered` and `server_error` are passed on instead of refused.
 static_assert(std::size(attempt_ends) + 2 == enum_count<attempt_result>);
 
+/// A refusal or a lost copy of one must not hold a sound request back.
+TEST_F(entry_request_test, only_a_lost_connection_counts_as_a_crash)
+{
+    for (auto const& row : name_table<attempt_result>) {
+        environment_.set_targets({});
+        environment_.set_targets({"t1"});
+        environment_.state().poison = poison_guard();
+        begin("POST", "/pay/1");
+        environment_.end_attempt(row.value, 500);
+        EXPECT_EQ(environment_.state().poison.empty(),
+            row.value != attempt_result::connection_lost)
+            << row.name;
+    }
+}
+
 TEST_F(entry_request_test, refusal_says_not_run_only_if_the_attempt_proves_it)
 {
     environment_.set_targets({"t1"});
