End answers with 204 and 304 with their heads

http_parser reads a body for them if the head states a length, which a 304 may. The attempt then waited for bytes that never come, or took the next answer on the connection for the body.

answer_parser_test.answer_without_content_ends_with_its_head failed before.

--- a/drivers/http/answer_parser.cpp
+++ b/drivers/http/answer_parser.cpp
@@ -18,6 +18,10 @@
 constexpr int first_final_status = 200;
 constexpr int status_switching_protocols = 101;
 
+/// Answers with these statuses have no body, whatever length they state.
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+
 } // namespace
 
 answer_parser::answer_parser(bool is_head, std::size_t max_body_bytes)
@@ -126,7 +130,8 @@
     if (self.answer_.status == status_switching_protocols ||
         (self.is_interim_ && (parser->flags & has_body) != 0))
         return error;
-    if (self.is_head_)
+    if (self.is_head_ || self.answer_.status == status_no_content ||
+        self.answer_.status == status_not_modified)
         return skip_body;
     bool const has_length = (parser->flags & F_CONTENTLENGTH) != 0;
     if (!has_length)
--- a/tests/drivers/answer_parser_test.cpp
+++ b/tests/drivers/answer_parser_test.cpp
@@ -200,6 +200,21 @@
     EXPECT_EQ(header("X-Mark"), "1");
 }
 
+/// The answer behind it was read as its body.
+TEST_F(answer_parser_test, answer_without_content_ends_with_its_head)
+{
+    for (std::string const status : {"204 No Content", "304 Not Modified"})
+        for (std::string const framing :
+            {"Content-Length: 38", "Transfer-Encoding: chunked"}) {
+            auto const head =
+                "HTTP/1.1 " + status + "\r\n" + framing + "\r\n\r\n";
+            ASSERT_EQ(parse(head + "HTTP/1.1 200 OK\r\n"), progress::complete)
+                << head;
+            EXPECT_EQ(consumed_, head.size()) << head;
+            EXPECT_EQ(parser_.answer().body, "") << head;
+        }
+}
+
 TEST_F(answer_parser_test, blank_lines_before_an_answer_are_skipped)
 {
     EXPECT_EQ(parse("\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"),
