Test which ends of an attempt give back a grant

After a failed attempt without another target the grant is given back only if the result proves that nothing has run. The test fails for the six other results if refund_charge does not ask whether the request may have run, and the one for crashes for nine results if every failed attempt counts as one.

--- a/tests/servers/entry_request_test.cpp
+++ b/tests/servers/entry_request_test.cpp
@@ -30,7 +30,14 @@
                 "pay": {"service": "shop", "host": "shop.example",
                     "path_prefix": "/pay/", "access": "open",
                     "methods": ["POST"], "attempts": 3, "deadline_ms": 2000,
-                    "repeat": "non_idempotent"}}})",
+                    "repeat": "non_idempotent"},
+                "own": {"service": "shop", "host": "shop.example",
+                    "path_prefix": "/own/", "methods": ["GET"],
+                    "attempts": 3, "deadline_ms": 2000}},
+            "organisations": {"pub": {}},
+            "rates": {"pub": {"requests_per_second": 100, "burst": 100}},
+            "keys": {"k": {"organisation": "pub", "sha256":
+"0000000000000000000000000000000000000000000000000000000000000000"}}})",
             found);
         EXPECT_TRUE(source) << found.to_text();
         auto next = std::make_shared<policy>();
@@ -143,6 +150,7 @@
         message.head.target = std::move(target);
         message.head.host = "shop.example";
         message.head.request_id = "r1";
+        message.head.key = key_hash{};
         result_.reset();
         requests_.push_back(std::make_shared<entry_request<fake_environment>>(
             charts_.request, environment_, std::move(message),
@@ -513,6 +521,25 @@
 // `answered` and `server_error` are passed on instead of refused.
 static_assert(std::size(attempt_ends) + 2 == enum_count<attempt_result>);
 
+TEST_F(entry_request_test, grant_is_given_back_only_if_nothing_may_have_run)
+{
+    auto const granted = [this] {
+        auto const report =
+            environment_.state().limits.make_report(environment_.now());
+        auto const it = report.find("pub");
+        return it == report.end() ? 0 : it->second.granted;
+    };
+    for (auto const& row : attempt_ends) {
+        environment_.set_targets({});
+        environment_.set_targets({"t1"});
+        environment_.state().limits = organisation_limits();
+        begin("GET", "/own/1");
+        environment_.end_attempt(row.end);
+        EXPECT_TRUE(refused_outcome()) << to_name(row.end);
+        EXPECT_EQ(granted() == 0, row.proves_not_run) << to_name(row.end);
+    }
+}
+
 /// A refusal or a lost copy of one must not hold a sound request back.
 TEST_F(entry_request_test, only_a_lost_connection_counts_as_a_crash)
 {
