Refuse a keyed request without a readable record as unknown

Cause: a repeat whose record could not be created because the store did not answer was refused as not run, while the first request with its key ran at another VM, or at this one. The same happened if the record existed but could not be decoded: it counted as no answer.

Change: both are refused with the outcome unknown. The caller may repeat with its key, which never runs twice. A first request that meets an absent store is now told unknown as well, since the VM cannot tell it from a repeat.

--- a/drivers/platform/native_store.cpp
+++ b/drivers/platform/native_store.cpp
@@ -206,16 +206,15 @@
     std::function<void(record_outcome, idempotency_record)> done)
 {
     store_.get(name, [done = std::move(done)](get_reply reply) {
+        if (reply.status != store_status::done || reply.object.version == 0)
+            return done(record_outcome::unavailable, {});
         findings found(reply.object.name);
-        auto record =
-            reply.status == store_status::done && reply.object.version > 0
-            ? decode_record(reply.object.value, found)
-            : std::nullopt;
+        auto record = decode_record(reply.object.value, found);
         if (!found.empty())
             log(log_event::object_unreadable,
                 {{"object", reply.object.name}, {"findings", found.to_text()}});
         if (!record)
-            return done(record_outcome::unavailable, {});
+            return done(record_outcome::unknown, {});
         done(record_outcome::running, std::move(*record));
     });
 }
--- a/servers/idempotency/record.hpp
+++ b/servers/idempotency/record.hpp
@@ -60,11 +60,13 @@
     running,
     /// The answer of the first request is stored.
     done,
-    /// The first request may have run; its answer is not available.
+    /// The first request may have run; its answer is not available, or its
+    /// record cannot be read.
     unknown,
     /// The key was used for a different request.
     differs,
-    /// The store does not answer.
+    /// The store does not answer, so the first request with the key may have
+    /// run.
     unavailable,
 };
 
--- a/servers/requests/idempotency_guard.hpp
+++ b/servers/requests/idempotency_guard.hpp
@@ -34,7 +34,8 @@
         return {refusal_kind::repeat_differs,
             "the key was used for another request", false, {}};
     default:
-        return {refusal_kind::not_ready, "the store does not answer", false,
+        // An earlier request may have a record that could not be read.
+        return {refusal_kind::not_ready, "the store does not answer", true,
             retry_after};
     }
 }
@@ -114,7 +115,7 @@
                     environment.remove_record(record);
                 return result;
             }
-            if (result == record_outcome::unavailable)
+            if (result != record_outcome::running)
                 return result;
             recorded = found.answer;
             return evaluate_record(
