Name the writer of an idempotency record in its value

Cause: a write whose answer is lost is read back, and counts as done if the object has the written value. PLATFORM.md says that a value names its writer, but the value of a record did not: two requests with one key that reached two VMs in the same millisecond wrote equal records. The VM whose write the store had turned down took the other's record for its own, and the order ran twice.

Change: each request writes a random number into its record. Records without it are still read. A VM of an earlier version on the product's own store cannot read a record with it and refuses the repeat, also while a fleet is upgraded.

--- a/drivers/platform/object_encoding.cpp
+++ b/drivers/platform/object_encoding.cpp
@@ -143,6 +143,7 @@
 {
     return nlohmann::ordered_json{
         {"print", to_hexadecimal(record.request_fingerprint)},
+        {"writer", to_hexadecimal(record.writer)},
         {"state", to_name(record.state)}, {"ends_at_ms", record.ends_at_ms},
         {"status", record.answer.status},
         {"content_type", latin1_to_utf8(record.answer.content_type)},
@@ -159,6 +160,7 @@
         return std::nullopt;
     idempotency_record record;
     std::string fingerprint_text;
+    std::string writer_text;
     std::string content_type;
     std::string body;
     std::int64_t status = 0;
@@ -166,6 +168,8 @@
     constexpr std::int64_t max_status = 999;
     object_reader reader(*document, "", found);
     reader.text("print", fingerprint_text);
+    // Absent in records of earlier versions.
+    reader.text("writer", writer_text, presence::optional);
     reader.name("state", record.state);
     reader.integer("ends_at_ms", record.ends_at_ms, 0, max_ends_at_ms);
     reader.integer("status", status, 0, max_status);
@@ -173,6 +177,7 @@
     reader.text("body", body);
     reader.finish();
     record.request_fingerprint = from_hexadecimal(fingerprint_text);
+    record.writer = from_hexadecimal(writer_text);
     record.answer.status = static_cast<int>(status);
     if (auto type = utf8_to_latin1(content_type))
         record.answer.content_type = std::move(*type);
--- a/servers/idempotency/record.hpp
+++ b/servers/idempotency/record.hpp
@@ -43,6 +43,9 @@
     std::string organisation;
     std::string idempotency_key;
     fingerprint request_fingerprint = 0;
+    /// Random number of the request that created the record, which tells a
+    /// record that is read back from one that an equal request has created.
+    std::uint64_t writer = 0;
     record_state state = record_state::started;
     recorded_answer answer;
     /// Unix time in milliseconds from which on a started record counts as
--- a/servers/requests/idempotency_guard.hpp
+++ b/servers/requests/idempotency_guard.hpp
@@ -59,6 +59,7 @@
         record.organisation = admitted.organisation.text();
         record.idempotency_key = head.idempotency_key;
         record.request_fingerprint = request_fingerprint;
+        record.writer = environment.state().random();
         record.ends_at_ms = environment.unix_now_ms() +
             to_milliseconds(admitted.time_limit + clock_margin);
         environment.create_record(record,
--- a/tests/drivers/scripted_target.hpp
+++ b/tests/drivers/scripted_target.hpp
@@ -3,6 +3,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
 #include <atomic>
@@ -38,6 +39,24 @@
         return head;
     }
 
+    /// Reads a request with the body that its length states.
+    std::string read_call()
+    {
+        constexpr std::string_view field = "Content-Length: ";
+        auto call = read_head();
+        auto const at = call.find(field);
+        if (at == std::string::npos)
+            return call;
+        auto const n = std::stoul(call.substr(at + field.size()));
+        asio::error_code ec;
+        if (input_.size() < n)
+            asio::read(socket_, asio::dynamic_buffer(input_),
+                asio::transfer_exactly(n - input_.size()), ec);
+        call += input_.substr(0, n);
+        input_.erase(0, n);
+        return call;
+    }
+
     /// Returns whether the caller has taken the bytes.
     bool write(std::string const& bytes)
     {
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -170,6 +170,7 @@
 {
     idempotency_record record;
     record.request_fingerprint = 0xfedcba9876543210u;
+    record.writer = 0xfedcba9876543211u;
     record.state = record_state::done;
     record.ends_at_ms = 17;
     record.answer = {201, "text/plain", std::string("a\0b", 3)};
@@ -178,6 +179,7 @@
     auto const it = decode_record(object, found_);
     ASSERT_TRUE(it) << found_.to_text();
     EXPECT_EQ(it->request_fingerprint, record.request_fingerprint);
+    EXPECT_EQ(it->writer, record.writer);
     EXPECT_EQ(it->state, record.state);
     EXPECT_EQ(it->answer.body, record.answer.body);
     EXPECT_EQ(it->version, 9u);
--- a/tests/servers/idempotency_guard_test.cpp
+++ b/tests/servers/idempotency_guard_test.cpp
@@ -12,6 +12,8 @@
     // Interface for the guard; see `EntryEnvironment`.
 
     std::int64_t unix_now_ms() const { return now_ms_; }
+    idempotency_guard_test& state() { return *this; }
+    std::uint64_t random() { return ++last_random_; }
     void create_record(idempotency_record const& record,
         std::function<void(record_outcome, idempotency_record)> done)
     {
@@ -41,6 +43,7 @@
     }
 
     std::int64_t now_ms_ = 1'000'000;
+    std::uint64_t last_random_ = 0;
     idempotency_record created_;
     std::function<void(record_outcome, idempotency_record)> answer_;
     std::vector<idempotency_record> written_;
@@ -68,6 +71,14 @@
     EXPECT_TRUE(refusal_for(outcome_).may_have_run);
 }
 
+TEST_F(idempotency_guard_test, equal_requests_have_records_that_differ)
+{
+    begin();
+    auto const first = created_;
+    begin();
+    EXPECT_NE(created_.writer, first.writer);
+}
+
 TEST_F(idempotency_guard_test, record_created_after_the_request_is_removed)
 {
     begin();
