Read back an idempotency record whose creation is not answered

Cause: on the users' platform a creation without an answer counted as none. The order was refused, but its record could be in the store already, or come later, and refused each repeat as one that may have run, for good. If the request had ended before the answer was due, nothing removed the record.

Change: a creation that may have taken effect is read once. A record with the writer's number is its own: the request runs, or the record is removed if the request has ended. A refusal by the store (4xx, 503) is not read back. A created record without a revision is read as well, since the revision guards its removal. A record that the store creates after the read stays; see DESIGN.md.

--- a/tests/platform/records_test.cpp
+++ b/tests/platform/records_test.cpp
@@ -25,7 +25,9 @@
             object_ =
                 nlohmann::json::parse(call.substr(call.find("\r\n\r\n") + 4));
             object_["metadata"]["rev"] = ++revision_;
-            return is_losing_ ? "" : copying_store::encode(201, object_.dump());
+            return is_losing_
+                ? ""
+                : copying_store::encode(201, is_brief_ ? "{}" : object_.dump());
         }
         if (line.starts_with("POST"))
             return is_refusing_ ? copying_store::encode(503, "{}")
@@ -84,6 +86,8 @@
     std::uint64_t revision_ = 40;
     bool is_losing_ = false;
     bool is_refusing_ = false;
+    /// Leaves the object out of the answer to its creation.
+    bool is_brief_ = false;
     std::vector<std::string> calls_;
     scripted_target server_{[this](target_connection& it) {
         it.write(answer(it.read_call()));
@@ -110,6 +114,33 @@
     EXPECT_EQ(create(third), record_outcome::running);
 }
 
+/// The record stayed in the store and refused each repeat of an order that
+/// had not run.
+TEST_F(records_test, record_whose_creation_is_not_answered_is_read_back)
+{
+    is_losing_ = true;
+    auto record = make_record(1);
+    EXPECT_EQ(create(record), record_outcome::accepted);
+    EXPECT_EQ(record.version, revision_);
+}
+
+TEST_F(records_test, record_of_another_request_is_not_read_back_as_its_own)
+{
+    auto first = make_record(1);
+    ASSERT_EQ(create(first), record_outcome::accepted);
+    is_losing_ = true;
+    auto repeat = make_record(2);
+    EXPECT_EQ(create(repeat), record_outcome::running);
+}
+
+TEST_F(records_test, record_created_without_revision_is_read_back)
+{
+    is_brief_ = true;
+    auto record = make_record(1);
+    EXPECT_EQ(create(record), record_outcome::accepted);
+    EXPECT_EQ(record.version, revision_);
+}
+
 TEST_F(records_test, refused_creation_is_not_read_back)
 {
     is_refusing_ = true;
