Start no order on a connection that the VM has closed

RESTinio closes a connection with unanswered requests, for instance behind a request that it cannot parse, or when writing an answer fails. The requests that waited in the pipeline of the connection were still started one after the other as those before them ended: an order ran after its connection had been closed, without anybody to get its answer. Closing the socket now stops the pipeline.

order_behind_closed_connection_does_not_start failed before: the order behind the one that ran was started.

--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -383,9 +383,12 @@
         base::shutdown(shutdown_send, ec);
     }
 
+    /// RESTinio also closes connections with unanswered requests, for instance
+    /// behind one that it cannot parse.
     void close()
     {
         asio::error_code ec;
+        state_->pipeline().stop();
         if (!is_open() || state_->is_closed())
             return static_cast<void>(base::close(ec));
         base::cancel(ec);
--- a/tests/drivers/pipelining_test.cpp
+++ b/tests/drivers/pipelining_test.cpp
@@ -269,5 +269,15 @@
     EXPECT_EQ(read_answer(), "");
 }
 
+/// An order that the caller had to take for lost ran later.
+TEST_F(pipelining_test, order_behind_closed_connection_does_not_start)
+{
+    send(post("/1") + post("/2") + "no request at all\r\n\r\n");
+    EXPECT_EQ(await_started(1), (paths{"/1"}));
+    EXPECT_EQ(read_answer(), "");
+    answer("/1");
+    EXPECT_EQ(started_in_the_end(), (paths{"/1"}));
+}
+
 } // namespace
 } // namespace pomelohinge
