Test refusals and cut requests among the orders of one connection

A refusal by the front or by the handler keeps its place among orders, a request that cannot be parsed gets no answer that could be taken for that of the order before it, orders that wait behind another one do not run once the caller has shut down its side, nor does one whose body is cut. No fault was found.

--- a/tests/drivers/pipelining_test.cpp
+++ b/tests/drivers/pipelining_test.cpp
@@ -113,6 +113,26 @@
         });
     }
 
+    /// Refuses a request as not run, with its path as the detail.
+    void refuse(std::string const& path)
+    {
+        std::function<void(entry_result)> done;
+        {
+            std::lock_guard const lock(mutex_);
+            done = std::move(pending_.at(path));
+        }
+        asio::post(context_, [done, path] {
+            done(refusal{refusal_kind::overloaded, outcome::not_run, path, {}});
+        });
+    }
+
+    /// Whether the caller receives anything within some time.
+    bool receives_anything()
+    {
+        pollfd input{caller_.native_handle(), POLLIN, 0};
+        return ::poll(&input, 1, 100) > 0;
+    }
+
     void stop()
     {
         asio::post(
@@ -279,5 +299,67 @@
     EXPECT_EQ(started_in_the_end(), (paths{"/1"}));
 }
 
+TEST_F(pipelining_test, request_that_is_malformed_gets_no_answer_of_an_order)
+{
+    send(post("/1"));
+    await_started(1);
+    send("no request at all\r\n\r\n");
+    EXPECT_EQ(read_answer(), "");
+    EXPECT_TRUE(input_.empty()) << input_;
+}
+
+TEST_F(pipelining_test, refusal_among_orders_keeps_its_place)
+{
+    send(post("/1") + post("/2") + "PURGE /3 HTTP/1.1\r\nHost: x\r\n\r\n" +
+        post("/4"));
+    await_started(1);
+    EXPECT_FALSE(receives_anything());
+    answer("/1");
+    EXPECT_EQ(read_answer(), "/1");
+    EXPECT_EQ(await_started(2), (paths{"/1", "/2"}));
+    EXPECT_FALSE(receives_anything());
+    refuse("/2");
+    EXPECT_NE(read_answer().find("\"/2\""), std::string::npos);
+    EXPECT_NE(read_answer().find("method_not_allowed"), std::string::npos);
+    EXPECT_EQ(await_started(3), (paths{"/1", "/2", "/4"}));
+    answer("/4");
+    EXPECT_EQ(read_answer(), "/4");
+}
+
+TEST_F(pipelining_test, order_behind_another_of_caller_that_shuts_down_is_lost)
+{
+    send(post("/1") + post("/2") + post("/3"));
+    await_started(1);
+    caller_.shutdown(asio::ip::tcp::socket::shutdown_send);
+    std::this_thread::sleep_for(50ms);
+    refuse("/1");
+    EXPECT_NE(read_answer().find("\"/1\""), std::string::npos);
+    EXPECT_EQ(read_answer(), "");
+    EXPECT_EQ(started_in_the_end(), (paths{"/1"}));
+}
+
+TEST_F(pipelining_test, order_whose_body_is_cut_does_not_start)
+{
+    send(post("/1") +
+        "POST /2 HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\ncut");
+    await_started(1);
+    caller_.shutdown(asio::ip::tcp::socket::shutdown_send);
+    std::this_thread::sleep_for(50ms);
+    answer("/1");
+    EXPECT_EQ(read_answer(), "/1*");
+    EXPECT_EQ(read_answer(), "");
+    EXPECT_EQ(started_in_the_end(), (paths{"/1"}));
+}
+
+TEST_F(pipelining_test, order_whose_chunked_body_is_cut_does_not_start)
+{
+    send("POST /1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "3\r\nabc\r\n");
+    EXPECT_FALSE(receives_anything());
+    caller_.shutdown(asio::ip::tcp::socket::shutdown_send);
+    EXPECT_NE(read_answer().find("\"status\":400"), std::string::npos);
+    EXPECT_EQ(started_in_the_end(), (paths{}));
+}
+
 } // namespace
 } // namespace pomelohinge
