Test that a request refused for memory never runs

The rest of a body, with a length or in chunks, and the body of a caller that waited for "100 Continue" arrive after the refusal and when there is room again: none is handled, and nothing is answered behind the refusal. Behind an order the refusal waits for the order's answer. No fault was found. The tests failed with the skipping of the input after the refusal taken out, and the last one with the wait for earlier answers.

--- a/tests/drivers/front_buffers_test.cpp
+++ b/tests/drivers/front_buffers_test.cpp
@@ -50,7 +50,7 @@
     };
 
     /// A caller that writes its bytes, reads until the connection ends and then
-    /// closes it.
+    /// closes it unless it stays open.
     struct caller
     {
         explicit caller(asio::io_context& context) : socket(context) {}
@@ -59,6 +59,7 @@
         std::string bytes;
         std::string answer;
         bool ended = false;
+        bool stays_open = false;
     };
     using caller_pointer = std::shared_ptr<caller>;
 
@@ -72,7 +73,8 @@
         asio::async_read(it->socket, asio::dynamic_buffer(it->answer),
             [it](asio::error_code, std::size_t) {
                 it->ended = true;
-                it->socket.close();
+                if (!it->stays_open)
+                    it->socket.close();
             });
         return it;
     }
@@ -143,6 +145,30 @@
             }));
     }
 
+    /// Sends `part` of a request while there is no room for it, and `rest` with
+    /// a further request once it has been refused and there is room.
+    void expect_refused_for_good(
+        std::string const& part, std::string const& rest)
+    {
+        auto const holders = send_many(request(900'000), 6);
+        context_.run_for(100ms);
+        auto const it = send(part);
+        it->stays_open = true;
+        context_.run_for(1300ms);
+        auto const at = it->answer.find("HTTP/1.1 503");
+        EXPECT_NE(at, std::string::npos) << it->answer;
+        answer_open();
+        run_until_ended(holders, true);
+        EXPECT_EQ(used_bytes(), 0u);
+        auto const bytes = rest + "GET /b HTTP/1.1\r\nHost: x\r\n\r\n";
+        asio::async_write(it->socket, asio::buffer(bytes),
+            [](asio::error_code, std::size_t) {});
+        context_.run_for(300ms);
+        EXPECT_TRUE(open_.empty()) << "it runs";
+        EXPECT_EQ(it->answer.find("HTTP/1.1", at + 1), std::string::npos)
+            << it->answer;
+    }
+
     std::size_t used_bytes() const
     {
         return front_.buffers().large().used_bytes +
@@ -265,6 +291,49 @@
     context_.run_for(50ms);
 }
 
+TEST_F(front_buffers_test, refused_request_whose_body_comes_does_not_run)
+{
+    expect_refused_for_good(
+        request(900'000).substr(0, 100'000), std::string(800'000, 'x'));
+}
+
+TEST_F(front_buffers_test, refused_request_that_expected_continue_does_not_run)
+{
+    expect_refused_for_good(
+        head("Expect: 100-continue\r\nContent-Length: 900000"),
+        std::string(900'000, 'x'));
+}
+
+TEST_F(front_buffers_test, refused_request_whose_chunks_come_does_not_run)
+{
+    auto const whole = chunked(90, 10'000);
+    auto const part = whole.size() - 100'000;
+    expect_refused_for_good(whole.substr(0, part), whole.substr(part));
+}
+
+TEST_F(front_buffers_test, refusal_behind_an_order_comes_after_its_answer)
+{
+    auto const holders = send_many(request(900'000), 6);
+    context_.run_for(100ms);
+    auto const caller =
+        send("POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n" +
+            request(900'000));
+    context_.run_for(2500ms);
+    EXPECT_EQ(caller->answer.find("HTTP/1.1"), std::string::npos);
+    ASSERT_EQ(open_.back().message.head.target, "/order");
+    auto const order = std::move(open_.back());
+    open_.pop_back();
+    order.done(upstream_answer{200, {}, "ordered", {}});
+    context_.run_for(1500ms);
+    EXPECT_TRUE(caller->answer.starts_with("HTTP/1.1 200")) << caller->answer;
+    auto const refused = caller->answer.find("HTTP/1.1 503");
+    EXPECT_NE(refused, std::string::npos) << caller->answer;
+    EXPECT_LT(caller->answer.find("ordered"), refused);
+    EXPECT_EQ(caller->answer.find("HTTP/1.1", refused + 1), std::string::npos);
+    answer_open();
+    run_until_ended(holders, true);
+}
+
 TEST_F(front_buffers_test, refusal_does_not_enter_an_answer_that_is_written)
 {
     constexpr std::size_t answer_bytes = 24 << 20;
