Let upstreams of the soak send answers again

In the new mode, repeating, a stand-in refuses half of the requests as not run and sends half of its answers again, under the id of their request, while the next request on the connection runs. Callers send a payment again to the same VM after such a refusal, half of the times under the same request id, and the check counts runs against the attempts that were not refused, also in the ledgers of upstreams that were killed. Refusals of the stand-in name their request now; VMs skipped those without an id, because the services state that they echo it.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -68,23 +68,40 @@
                 f"{vm.name} uses more than {MAX_RESIDENT_MB} MB")
 
 
+def _sum_runs(ledgers: list[dict[str, int]]) -> collections.Counter[str]:
+    runs: collections.Counter[str] = collections.Counter()
+    for ledger in ledgers:
+        runs.update(ledger)
+    return runs
+
+
+def _count_untrue_refusals(open_attempts: dict[str, int],
+                           runs: collections.Counter[str]) -> int:
+    """Counts the payments that ran more often than their refusals permit.
+
+    `open_attempts` has, for each payment that was refused as not run, the
+    number of its attempts that may have run.
+    """
+    return sum(runs[payment] > n for payment, n in open_attempts.items())
+
+
 def check_outcomes(report: dict[str, Any], ledgers: list[dict[str, int]]
                    ) -> list[str]:
-    """Checks that no payment ran twice, that no request refused as not run
+    """Checks that no payment ran twice, that no attempt refused as not run
     had run, and that every answer carries the id of its request.
 
     `ledgers` has the number of runs of each payment at each upstream.
     """
     findings = []
-    runs: collections.Counter[str] = collections.Counter()
-    for ledger in ledgers:
-        runs.update(ledger)
+    runs = _sum_runs(ledgers)
     doubled = sum(n > 1 for n in runs.values())
     if doubled:
         findings.append(f"{doubled} payments ran more than once")
-    if report["not_run_untrue"]:
-        findings.append(f"{report['not_run_untrue']} requests were refused "
-                        "as not run although they had run")
+    untrue = max(report["not_run_untrue"],
+                 _count_untrue_refusals(report["refused_payments"], runs))
+    if untrue:
+        findings.append(f"{untrue} requests were refused as not run although "
+                        "they had run")
     if report["all"]["wrong"]:
         findings.append(f"{report['all']['wrong']} answers did not carry "
                         "the id of their request")
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -272,11 +272,19 @@
                           lambda: self._restore_upstream(upstream))
 
     def _upstream_misbehaves(self, event: Event) -> None:
-        upstream = self._upstream(event)
+        self._set_mode(self._upstream(event), event, event.mode)
+
+    def _upstream_repeats(self, event: Event) -> None:
+        # A caller is refused only if all targets that its VM tries refuse.
+        for it in self._upstreams:
+            self._set_mode(it, event, "repeating")
+
+    def _set_mode(self, upstream: fleets.Upstream, event: Event,
+                  mode: str) -> None:
         if self._active.get(f"upstream {upstream.name}", 0) > 0:
             return
         self._start_fault(f"mode {upstream.name}", event,
-                          lambda: upstream.set_mode(event.mode),
+                          lambda: upstream.set_mode(mode),
                           lambda: upstream.set_mode("healthy"))
 
     def _upstream_link(self, event: Event) -> None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -22,6 +22,8 @@
     UPSTREAM_KILLED = "upstream_killed"
     UPSTREAM_PAUSED = "upstream_paused"
     UPSTREAM_MISBEHAVES = "upstream_misbehaves"
+    #: All upstreams refuse requests and send answers again.
+    UPSTREAM_REPEATS = "upstream_repeats"
     UPSTREAM_LINK = "upstream_link"
     STORE_MISBEHAVES = "store_misbehaves"
     STORE_LINK = "store_link"
@@ -106,6 +108,16 @@
             for _ in range(rng.randint(0, 3))]
 
 
+def _draw_repeats(seed: int, end_s: float) -> list[Event]:
+    """Returns events of upstreams that repeat answers. They have draws of
+    their own for the same reason."""
+    rng = random.Random(f"{seed} repeats")
+    return [Event(rng.uniform(FAULT_FREE_START_S, end_s - 1),
+                  Fault.UPSTREAM_REPEATS, rng.randrange(1000),
+                  rng.uniform(1, 6))
+            for _ in range(rng.randint(0, 3))]
+
+
 def make_plan(seed: int, duration_s: float = 30,
               vms_per_data_centre: int = 0) -> Plan:
     """Returns the plan of a seed.
@@ -119,7 +131,8 @@
     vms_per_data_centre = vms_per_data_centre or rng.randint(2, 4)
     upstreams_per_data_centre = rng.randint(1, 3)
     end_s = duration_s - FAULT_FREE_END_S
-    drawn = [it for it in Fault if it is not Fault.VM_SIGNALLED]
+    drawn = [it for it in Fault
+             if it not in (Fault.VM_SIGNALLED, Fault.UPSTREAM_REPEATS)]
     kinds = rng.sample(drawn, rng.randint(2, 6))
     events = []
     for fault in kinds:
@@ -132,6 +145,7 @@
             if start_s >= end_s - 1:
                 break
     events += _draw_signals(seed, end_s)
+    events += _draw_repeats(seed, end_s)
     events.sort(key=lambda it: it.start_s)
     return Plan(seed, vms_per_data_centre, upstreams_per_data_centre,
                 duration_s, rng.choice((40.0, 90.0, 150.0)), tuple(events))
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -33,9 +33,10 @@
 
 
 def make_scenario(fleet: fleets.Fleet, plan: Plan) -> dict[str, object]:
-    """Returns the scenario of the callers: reads, payments, payments that are
-    repeated with their idempotency key, and an organisation that exceeds its
-    rate."""
+    """Returns the scenario of the callers: reads, payments that are sent again
+    after a refusal as not run, payments that are also sent again with their
+    idempotency key after an unknown outcome, and an organisation that exceeds
+    its rate."""
     def tenant(organisation: str, rate: float, **more: object
                ) -> dict[str, object]:
         return {"organisation": organisation, "service": "booking",
@@ -50,9 +51,10 @@
         "ledgers": [it.listen_address for it in fleet.upstreams.values()],
         "tenants": [
             tenant("bathers", rate * 0.5),
-            tenant("doors", rate * 0.2, **payments, path="/sales"),
+            tenant("doors", rate * 0.2, **payments, path="/sales",
+                   retries_refused=True),
             tenant("doors", rate * 0.1, **payments, path="/refunds",
-                   repeats=True),
+                   repeats=True, retries_refused=True),
             tenant("flood", 30),
         ],
     }
--- a/stand_ins/caller.cpp
+++ b/stand_ins/caller.cpp
@@ -13,6 +13,7 @@
 #include <iostream>
 #include <random>
 #include <sstream>
+#include <utility>
 
 /// Stand-in for callers: an open-loop load generator. It looks up the entry
 /// addresses to use, caches them until they expire, and sends requests at the
@@ -35,6 +36,10 @@
 constexpr int max_retries = 5;
 constexpr duration retry_delay = std::chrono::milliseconds(300);
 
+/// Retries of a request that was refused as not run.
+constexpr int max_refused_retries = 3;
+constexpr duration refused_retry_delay = std::chrono::milliseconds(20);
+
 constexpr std::size_t max_ledger_bytes = 256 << 20;
 
 double to_ms(duration value)
@@ -54,6 +59,11 @@
     /// Connections that failed during the current attempt.
     std::size_t failed_connects = 0;
     int retries = 0;
+    int refused_retries = 0;
+    /// Address that the latest attempt was sent to.
+    std::string address;
+    /// Whether the next attempt goes to the same address.
+    bool keeps_address = false;
 };
 
 /// The entry addresses cached for the callers of one organisation.
@@ -141,12 +151,14 @@
         auto it = std::make_shared<pending_request>();
         it->group = &group;
         it->scheduled_at = scheduled_at;
-        it->request_id = fmt::format("{:016x}", random_());
+        it->request_id = new_request_id();
         if (group.payments)
             it->payment_id = "p-" + it->request_id;
         refresh_entries(group, [this, it] { send(it); });
     }
 
+    std::string new_request_id() { return fmt::format("{:016x}", random_()); }
+
     /// Starts a lookup of the entry addresses if none are cached or the cached
     /// ones have expired, unless one is running. Calls `next` at once, or after
     /// the lookup if it was started because none are cached.
@@ -221,10 +233,11 @@
     void send(std::shared_ptr<pending_request> it)
     {
         auto const& group = *it->group;
+        if (!std::exchange(it->keeps_address, false))
+            it->address = address_for(*it);
         http_call call;
         call.method = group.method;
-        call.url =
-            "http://" + address_for(*it) + "/" + group.service + group.path;
+        call.url = "http://" + it->address + "/" + group.service + group.path;
         if (!group.key.empty())
             call.headers.push_back({"Authorization", "Bearer " + group.key});
         call.headers.push_back(
@@ -256,24 +269,38 @@
             return send(it);
         }
         auto const sample = classify(*it, result);
+        if (!it->payment_id.empty())
+            report_.add_payment(it->payment_id, sample.outcome);
+        if (it->group->retries_refused &&
+            it->refused_retries < max_refused_retries &&
+            sample.outcome == caller_outcome::refused_not_run)
+            return retry_refused(it);
         bool const retry = it->group->idempotent_payments &&
             it->retries < max_retries &&
             (sample.outcome == caller_outcome::refused_unknown ||
                 sample.outcome == caller_outcome::cut);
-        if (retry)
-            return send_retry(it);
-        if (!it->payment_id.empty())
-            report_.add_payment(it->payment_id, sample.outcome);
+        if (retry) {
+            ++it->retries;
+            return send_again(it, retry_delay);
+        }
         if (to_seconds(it->scheduled_at - started_) >= scenario_.warm_up_s)
             report_.add(it->group->organisation, sample);
     }
 
-    void send_retry(std::shared_ptr<pending_request> it)
+    void retry_refused(std::shared_ptr<pending_request> it)
+    {
+        ++it->refused_retries;
+        it->keeps_address = true;
+        if ((random_() & 1) != 0)
+            it->request_id = new_request_id();
+        send_again(it, refused_retry_delay);
+    }
+
+    void send_again(std::shared_ptr<pending_request> it, duration delay)
     {
-        ++it->retries;
         it->failed_connects = 0;
         auto const timer =
-            std::make_shared<asio::steady_timer>(context_, retry_delay);
+            std::make_shared<asio::steady_timer>(context_, delay);
         timer->async_wait([this, timer, it](asio::error_code) { send(it); });
     }
 
--- a/stand_ins/caller_report.cpp
+++ b/stand_ins/caller_report.cpp
@@ -81,8 +81,8 @@
         payment_runs_ += n;
         payments_doubled_ += n > 1 ? 1 : 0;
         auto const it = payments_.find(id);
-        bool const untrue = it != payments_.end() &&
-            it->second == caller_outcome::refused_not_run && n > 0;
+        bool const untrue =
+            it != payments_.end() && it->second.is_refusal_untrue(n);
         not_run_untrue_ += untrue ? 1 : 0;
     }
 }
@@ -119,10 +119,17 @@
         seconds.push_back({{"second", second}, {"requests", it.requests()},
             {"answered", it.outcomes[index_of(caller_outcome::answered)]},
             {"success", it.success()}});
+    auto refused = nlohmann::ordered_json::object();
+    for (auto const& [id, it] : payments_)
+        if (it.refused_attempts > 0)
+            refused[id] = it.outcome == caller_outcome::refused_not_run
+                ? 0
+                : it.open_attempts;
     return {{"all", all_.to_json()}, {"worst_success", worst},
         {"payments", payments_.size()}, {"payment_runs", payment_runs_},
         {"payments_doubled", payments_doubled_},
         {"not_run_untrue", not_run_untrue_},
+        {"refused_payments", std::move(refused)},
         {"organisations", std::move(organisations)},
         {"seconds", std::move(seconds)}};
 }
--- a/stand_ins/caller_report.hpp
+++ b/stand_ins/caller_report.hpp
@@ -74,10 +74,15 @@
 public:
     void add(std::string const& organisation, caller_sample const& sample);
 
-    /// Records how a payment ended for its caller.
+    /// Records how an attempt of a payment ended for its caller.
     void add_payment(std::string const& id, caller_outcome outcome)
     {
-        payments_[id] = outcome;
+        auto& it = payments_[id];
+        it.outcome = outcome;
+        if (outcome == caller_outcome::refused_not_run)
+            ++it.refused_attempts;
+        else if (outcome != caller_outcome::not_reached)
+            ++it.open_attempts;
     }
 
     /// Checks the recorded payments against `runs`, the number of times that
@@ -96,6 +101,24 @@
     std::string progress(std::size_t second) const;
 
 private:
+    /// The attempts of a payment as its caller saw them.
+    struct payment
+    {
+        /// Outcome of the latest attempt.
+        caller_outcome outcome = caller_outcome::answered;
+        std::uint64_t refused_attempts = 0;
+        /// Attempts after which the payment may have run.
+        std::uint64_t open_attempts = 0;
+
+        /// Whether `runs` contradict a refusal as `not_run`.
+        bool is_refusal_untrue(std::uint64_t runs) const
+        {
+            return refused_attempts > 0 &&
+                (runs > open_attempts ||
+                    (outcome == caller_outcome::refused_not_run && runs > 0));
+        }
+    };
+
     /// Counts and latencies of a set of requests.
     struct tally
     {
@@ -115,7 +138,7 @@
     tally all_;
     std::map<std::string, tally> organisations_;
     std::map<std::size_t, tally> seconds_;
-    std::map<std::string, caller_outcome> payments_;
+    std::map<std::string, payment> payments_;
     std::uint64_t payments_doubled_ = 0;
     std::uint64_t not_run_untrue_ = 0;
     std::uint64_t payment_runs_ = 0;
--- a/stand_ins/scenario.cpp
+++ b/stand_ins/scenario.cpp
@@ -27,6 +27,7 @@
         max_requests_per_second);
     reader.flag("payments", it.payments, presence::optional);
     reader.flag("repeats", it.idempotent_payments, presence::optional);
+    reader.flag("retries_refused", it.retries_refused, presence::optional);
     reader.flag("ignores_entries", it.ignores_entries, presence::optional);
     reader.integer(
         "deadline_ms", it.deadline_ms, 1, max_deadline_ms, presence::optional);
--- a/stand_ins/scenario.hpp
+++ b/stand_ins/scenario.hpp
@@ -27,6 +27,9 @@
     /// Field `repeats`: payments carry an `Idempotency-Key` and are sent again
     /// after an unknown outcome.
     bool idempotent_payments = false;
+    /// Requests that were refused as not run are sent again to the same entry
+    /// VM, half of them with the same request id.
+    bool retries_refused = false;
     /// No lookup of entry addresses: each request goes to a random entry VM of
     /// the scenario.
     bool ignores_entries = false;
--- a/stand_ins/upstream.cpp
+++ b/stand_ins/upstream.cpp
@@ -1,3 +1,4 @@
+#include "stand_ins/answer_copies.hpp"
 #include "stand_ins/upstream_state.hpp"
 
 #include <asio/signal_set.hpp>
@@ -14,10 +15,25 @@
 
 using server_traits = restinio::default_single_thread_traits_t;
 using request_handle = restinio::request_handle_t;
+using open_response =
+    restinio::response_builder_t<restinio::user_controlled_output_t>;
 
 /// A request that hangs keeps its connection open for up to this time.
 constexpr auto handler_timeout = std::chrono::minutes(10);
 
+/// A request and what of its response has been sent.
+struct exchange
+{
+    explicit exchange(request_handle it) : request(std::move(it)) {}
+
+    request_handle request;
+    /// Whether the request runs no more.
+    bool ended = false;
+    /// The response that has begun with a copy of another answer. RESTinio
+    /// sends what follows the copy as a part of the same response.
+    std::optional<open_response> response;
+};
+
 /// Serves one upstream on its address.
 class upstream_server
 {
@@ -64,6 +80,7 @@
         if (!mode)
             return answer(request, 400, "unknown mode");
         state_.set_mode(*mode);
+        copies_.clear();
         return answer(request, 200, "ok");
     }
 
@@ -92,36 +109,96 @@
             ? header.get_field_or("X-Payment-Id", "")
             : std::string();
         auto const decision = state_.begin_request(payment);
-        if (decision.shed)
-            return answer(*request, 503, "shed", "not_run");
+        auto const it = std::make_shared<exchange>(request);
+        if (auto copy = copies_.take(request->connection_id()))
+            schedule_copy(it, std::move(*copy));
+        if (decision.shed) {
+            send(*it,
+                {503,
+                    {{"X-Request-Id", id_of(*request)},
+                        {"Pomelohinge-Outcome", "not_run"}},
+                    "shed"});
+            return restinio::request_accepted();
+        }
         auto const timer = std::make_shared<asio::steady_timer>(
             context_, decision.service_time);
-        timer->async_wait([this, timer, request, decision](asio::error_code) {
+        timer->async_wait([this, timer, it, decision](asio::error_code) {
             state_.end_request();
             if (!decision.hang)
-                finish(*request, decision.service_time);
+                finish(*it, decision.service_time);
         });
         return restinio::request_accepted();
     }
 
-    void finish(restinio::request_t& request, duration service_time)
+    static std::string id_of(restinio::request_t const& request)
+    {
+        return request.header().get_field_or("X-Request-Id", "");
+    }
+
+    /// Sends the copy of an earlier answer after a delay, unless the request
+    /// has been answered by then.
+    void schedule_copy(std::shared_ptr<exchange> it, upstream_answer copy)
+    {
+        auto const delay = state_.draw_copy_delay();
+        if (delay == duration::zero())
+            return send_copy(*it, copy);
+        auto const timer =
+            std::make_shared<asio::steady_timer>(context_, delay);
+        timer->async_wait([this, timer, it, copy](asio::error_code) {
+            if (!it->ended)
+                send_copy(*it, copy);
+        });
+    }
+
+    void send_copy(exchange& it, upstream_answer const& copy)
+    {
+        it.response.emplace(
+            it.request->create_response<restinio::user_controlled_output_t>(
+                status_line(copy.status)));
+        for (auto const& [name, value] : copy.headers)
+            it.response->append_header(name, value);
+        it.response->set_content_length(copy.body.size());
+        it.response->set_body(copy.body);
+        it.response->flush();
+    }
+
+    void finish(exchange& it, duration service_time)
     {
         auto const mode = state_.mode();
         int const status = mode == upstream_mode::wrong_status ? 500 : 200;
-        auto id = request.header().get_field_or("X-Request-Id", "");
+        auto id = id_of(*it.request);
         if (mode == upstream_mode::crossed)
             id = "another-request";
-        if (mode == upstream_mode::truncated)
-            return finish_truncated(request, id);
-        auto response = make_response(request, status);
-        response.append_header("X-Request-Id", id);
-        response.append_header("X-Service-Us",
-            std::to_string(
-                std::chrono::duration_cast<std::chrono::microseconds>(
-                    service_time)
-                    .count()));
-        response.set_body(answer_body_);
-        response.done();
+        if (mode == upstream_mode::truncated && !it.response) {
+            it.ended = true;
+            return finish_truncated(*it.request, id);
+        }
+        auto const service_us =
+            std::chrono::duration_cast<std::chrono::microseconds>(service_time)
+                .count();
+        send(it,
+            {status,
+                {{"X-Request-Id", id},
+                    {"X-Service-Us", std::to_string(service_us)}},
+                answer_body_});
+    }
+
+    /// Sends the answer to a request, and keeps it if it is to be sent again.
+    void send(exchange& it, upstream_answer answer)
+    {
+        it.ended = true;
+        if (it.response) {
+            it.response->append_body(answer.to_text());
+            it.response->done();
+        } else {
+            auto response = make_response(*it.request, answer.status);
+            for (auto const& [name, value] : answer.headers)
+                response.append_header(name, value);
+            response.set_body(answer.body);
+            response.done();
+        }
+        if (state_.repeats_answer())
+            copies_.add(it.request->connection_id(), std::move(answer));
     }
 
     /// Sends fewer bytes than the `Content-Length` states and closes the
@@ -141,23 +218,26 @@
     restinio::response_builder_t<restinio::restinio_controlled_output_t>
     make_response(restinio::request_t& request, int status)
     {
-        return request.create_response(restinio::http_status_line_t(
+        return request.create_response(status_line(status));
+    }
+
+    static restinio::http_status_line_t status_line(int status)
+    {
+        return {
             restinio::http_status_code_t(static_cast<std::uint16_t>(status)),
-            "Status"));
+            "Status"};
     }
 
-    restinio::request_handling_status_t answer(restinio::request_t& request,
-        int status, std::string body, std::string const& outcome = {})
+    restinio::request_handling_status_t answer(
+        restinio::request_t& request, int status, std::string body)
     {
-        auto response = make_response(request, status);
-        if (!outcome.empty())
-            response.append_header("Pomelohinge-Outcome", outcome);
-        return response.set_body(std::move(body)).done();
+        return make_response(request, status).set_body(std::move(body)).done();
     }
 
     asio::io_context& context_;
     upstream_state state_;
     std::string answer_body_;
+    answer_copies copies_;
     /// Requests with an `Authorization` header.
     std::uint64_t requests_with_key_ = 0;
     std::unique_ptr<restinio::http_server_t<server_traits>> server_;
--- a/stand_ins/upstream_state.hpp
+++ b/stand_ins/upstream_state.hpp
@@ -27,6 +27,10 @@
     crossed,
     /// Every request is refused with status 503 and the outcome `not_run`.
     shedding,
+    /// Half of the requests, chosen at random, are refused as in `shedding`.
+    /// Half of all answers are sent once more on their connection, during the
+    /// next request.
+    repeating,
 };
 
 } // namespace pomelohinge::stand_ins
@@ -43,6 +47,7 @@
         {stand_ins::upstream_mode::truncated, "truncated"},
         {stand_ins::upstream_mode::crossed, "crossed"},
         {stand_ins::upstream_mode::shedding, "shedding"},
+        {stand_ins::upstream_mode::repeating, "repeating"},
     });
 static_assert(is_ordered<stand_ins::upstream_mode>());
 
@@ -80,7 +85,7 @@
     upstream_decision begin_request(std::string const& payment)
     {
         auto const limit = capacity();
-        if (mode_ == upstream_mode::shedding || running_ >= limit) {
+        if (refuses() || running_ >= limit) {
             ++shed_;
             return {true, false, {}};
         }
@@ -89,11 +94,23 @@
         if (!payment.empty())
             ++payments_[payment];
         ++runs_;
-        return {false,
-            mode_ == upstream_mode::half_hanging && (random_() & 1) != 0,
+        return {false, mode_ == upstream_mode::half_hanging && draw_half(),
             draw_service_time()};
     }
 
+    /// Returns whether an answer is to be sent once more.
+    bool repeats_answer()
+    {
+        return mode_ == upstream_mode::repeating && draw_half();
+    }
+
+    /// Returns the time from the arrival of a request to a copy of an earlier
+    /// answer.
+    duration draw_copy_delay()
+    {
+        return draw_half() ? duration::zero() : median_ / 2;
+    }
+
     /// Frees the slot of a finished request.
     void end_request()
     {
@@ -131,6 +148,16 @@
                 static_cast<double>(slots_) * warm_up_progress_ + 0.5));
     }
 
+    /// Returns true for half of the calls, chosen at random.
+    bool draw_half() { return (random_() & 1) != 0; }
+
+    /// Returns whether the mode refuses a request.
+    bool refuses()
+    {
+        return mode_ == upstream_mode::shedding ||
+            (mode_ == upstream_mode::repeating && draw_half());
+    }
+
     duration draw_service_time()
     {
         std::lognormal_distribution<double> draw(0, service_time_sigma);
--- a/tests/soak/soak_test.py
+++ b/tests/soak/soak_test.py
@@ -38,6 +38,7 @@
     def setUp(self):
         self.report = {
             "all": {"wrong": 0, "cut": 0}, "not_run_untrue": 0,
+            "refused_payments": {},
             "organisations": {"flood": {"answered": 100}},
             "seconds": [{"second": n, "requests": 10, "answered": 10}
                         for n in range(30)]}
@@ -57,6 +58,21 @@
         self.report["all"]["wrong"] = 1
         self.assertEqual(len(checks.check_outcomes(self.report, [])), 2)
 
+    def test_run_of_refused_payment_is_reported(self):
+        self.report["refused_payments"] = {"a": 0}
+        self.assertFalse(checks.check_outcomes(self.report, [{"b": 1}]))
+        self.assertEqual(
+            len(checks.check_outcomes(self.report, [{"b": 1}, {"a": 1}])), 1)
+
+    def test_run_of_refused_and_repeated_payment_is_not_reported(self):
+        self.report["refused_payments"] = {"a": 1}
+        self.assertFalse(checks.check_outcomes(self.report, [{"a": 1}]))
+
+    def test_run_of_refused_and_of_repeated_attempt_are_both_reported(self):
+        self.report["refused_payments"] = {"a": 1}
+        self.assertEqual(
+            len(checks.check_outcomes(self.report, [{"a": 1}, {"a": 1}])), 2)
+
     def test_cut_connection_is_reported_unless_a_vm_was_killed(self):
         self.report["all"]["cut"] = 1
         self.assertTrue(checks.check_connections(self.report, self.plan))
