--- a/drivers/http/curl_loop.hpp
+++ b/drivers/http/curl_loop.hpp
@@ -27,6 +27,9 @@
     /// turns out to be closed, libcurl sends the request again, which is safe
     /// for idempotent requests only.
     bool fresh_connection = false;
+    /// Open a new connection and close it after the call. The answer is then
+    /// certainly that of this call, and not one too many of an earlier call.
+    bool own_connection = false;
     /// If no byte of an answer is received on a reused connection within this
     /// time, the call starts again on a new connection. Zero for no timeout.
     duration first_byte_timeout{};
@@ -71,6 +74,11 @@
 std::string_view find_header(
     std::vector<header_field> const& headers, std::string_view name);
 
+/// The values of all headers with this name, ignoring case, joined by commas;
+/// empty if there is none.
+std::string combined_header(
+    std::vector<header_field> const& headers, std::string_view name);
+
 /// Runs HTTP calls with libcurl on an Asio context. It may only be used on the
 /// context's single thread, which also runs the callbacks.
 class curl_loop
