Count the times of the soak's faults from their real start

The injector runs its actions one after the other, so an action that takes long delays those behind it. The new test fails on the code before.

--- a/soak/injector.py
+++ b/soak/injector.py
@@ -67,7 +67,9 @@
         while self._queue:
             at_s, _, action = heapq.heappop(self._queue)
             time.sleep(max(0.0, start + at_s - time.monotonic()))
-            self._now_s = at_s
+            # An action that takes long delays those that follow it. Durations
+            # and limits count from the time at which a fault really starts.
+            self._now_s = max(at_s, time.monotonic() - start)
             try:
                 action()
             except (OSError, subprocess.SubprocessError) as error:
--- a/tests/soak/soak_test.py
+++ b/tests/soak/soak_test.py
@@ -4,12 +4,15 @@
 import socket
 import sys
 import threading
+import time
+import types
 import unittest
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path[:0] = [str(ROOT / "tools"), str(ROOT / "soak")]
 
 import checks  # noqa: E402
+from injector import Injector  # noqa: E402
 from link_proxy import Link, LinkFault, LinkProxy  # noqa: E402
 from plan import (  # noqa: E402
     FAULT_FREE_END_S, FAULT_FREE_START_S, Event, Fault, Plan, make_plan)
@@ -34,6 +37,29 @@
         self.assertEqual(faults, set(Fault))
 
 
+class InjectorTest(unittest.TestCase):
+    def setUp(self):
+        self.store_faults = []
+        self.fleet = types.SimpleNamespace(
+            vms={}, upstreams={}, set_platform_fault=lambda fault:
+            self.store_faults.append((time.monotonic(), fault)))
+
+    def inject(self, *events, reconfigure):
+        plan = Plan(1, 2, 1, 30.0, 40.0, events)
+        Injector(self.fleet, plan, None, [], [], reconfigure).run(
+            time.monotonic())
+
+    def test_fault_that_starts_late_lasts_its_whole_duration(self):
+        self.inject(
+            Event(0.0, Fault.CONFIGURATION_CHANGED, 0, 0.0),
+            Event(0.1, Fault.STORE_MISBEHAVES, 0, 0.2, "slow"),
+            reconfigure=lambda _: time.sleep(0.4))
+        (begin, begun), (end, ended) = self.store_faults
+        self.assertEqual((begun, ended), ("slow", "none"))
+        # The duration counts from just before the call that begins the fault.
+        self.assertGreater(end - begin, 0.19)
+
+
 class ChecksTest(unittest.TestCase):
     def setUp(self):
         self.report = {
