--- a/drivers/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -472,7 +472,7 @@
     // The most recently used connection is the least likely to be closed by
     // the upstream.
     for (auto n = connections.size(); n > 0; --n) {
-        auto const it = connections[n - 1];
+        auto it = connections[n - 1];
         if (now >= it->expires_at() || now - it->idle_since() > max_idle)
             return nullptr;
         if (!it->can_carry(call.request_id))
