Send an order twice to one VM at once

Two callers with one id were played only at two VMs. At one VM the copy of a refusal may meet the order's other sending, on a connection that has carried the id.

--- a/tests/process/queued_orders_test.py
+++ b/tests/process/queued_orders_test.py
@@ -69,23 +69,29 @@
         self.assert_promises_kept()
         self.assert_served(0.7)
 
-    async def test_orders_sent_to_two_vms_at_once_get_true_answers(self):
-        async def order_at_both(connection: deployment.Connection) -> bool:
+    async def check_orders_sent_twice(self, *, to_same_vm: bool) -> None:
+        async def order_twice(connection: deployment.Connection) -> bool:
             other = await self.connect(next(
-                it for it in self.play.machines if it.ip != connection.ip))
+                it for it in self.play.machines
+                if (it.ip == connection.ip) == to_same_vm))
             order = self.new_order()
-            ways = [connection, other]
             outcomes = await asyncio.gather(*(
                 self.receive(it, self.send(it, order, number), number)
-                for number, it in enumerate(ways)))
+                for number, it in enumerate((connection, other))))
             other.close()
             return not outcomes[0].broken
 
         await self.start(SheddingTarget)
-        await self.send_orders(order_at_both, orders_each=2)
+        await self.send_orders(order_twice, orders_each=2)
         self.assert_promises_kept()
         self.assert_served(0.7)
 
+    async def test_orders_sent_to_two_vms_at_once_get_true_answers(self):
+        await self.check_orders_sent_twice(to_same_vm=False)
+
+    async def test_orders_sent_twice_to_a_vm_at_once_get_true_answers(self):
+        await self.check_orders_sent_twice(to_same_vm=True)
+
 
 class FullTargetsTest(RefusedOrdersTest):
     """Targets with less room than they state, or slow ones, and callers that
