--- a/servers/requests/idempotency_guard.hpp
+++ b/servers/requests/idempotency_guard.hpp
@@ -34,7 +34,8 @@
         return {refusal_kind::repeat_differs,
             "the key was used for another request", false, {}};
     default:
-        return {refusal_kind::not_ready, "the store does not answer", false,
+        // An earlier request may have a record that could not be read.
+        return {refusal_kind::not_ready, "the store does not answer", true,
             retry_after};
     }
 }
@@ -58,6 +59,7 @@
         record.organisation = admitted.organisation.text();
         record.idempotency_key = head.idempotency_key;
         record.request_fingerprint = request_fingerprint;
+        record.writer = environment.state().random();
         record.ends_at_ms = environment.unix_now_ms() +
             to_milliseconds(admitted.time_limit + clock_margin);
         environment.create_record(record,
@@ -114,7 +116,7 @@
                     environment.remove_record(record);
                 return result;
             }
-            if (result == record_outcome::unavailable)
+            if (result != record_outcome::running)
                 return result;
             recorded = found.answer;
             return evaluate_record(
