Never use a version of an object again in the native store

Cause: versions of an object began at 1 again when it had been removed and created anew. A removal that is carried out late, or sent by the VM whose record had gone, matched the record of a repeat with the same key; the next repeat then ran as well.

The client takes the version from the answer to the write instead of counting, and reads the object back if the answer has none. The stand-in uses its revision. The scripted store of object_store_copies_test now answers writes with a version, as the contract says.

--- a/drivers/platform/http_object_store.cpp
+++ b/drivers/platform/http_object_store.cpp
@@ -136,9 +136,13 @@
             auto const status = status_of(result);
             if (result.end == http_end::not_sent)
                 return done({store_status::unavailable, 0});
-            if (status == store_status::unavailable)
+            auto const version =
+                parse_number(find_header(result.headers, version_header));
+            bool const is_uncertain = status == store_status::unavailable ||
+                (status == store_status::done && version == 0);
+            if (is_uncertain)
                 return read_back(name, value, expected_version, done);
-            done({status, expected_version + 1});
+            done({status, version});
         });
 }
 
--- a/drivers/platform/object_store.hpp
+++ b/drivers/platform/object_store.hpp
@@ -10,8 +10,9 @@
 
 namespace pomelohinge {
 
-/// An object of the platform's object service. The versions of an object count
-/// from 1; version 0 stands for an object that does not exist.
+/// An object of the platform's object service. The versions of a name increase
+/// and are not used again after a removal; version 0 stands for an object that
+/// does not exist.
 struct stored_object
 {
     std::string name;
--- a/stand_ins/platform_state.hpp
+++ b/stand_ins/platform_state.hpp
@@ -50,9 +50,8 @@
 public:
     struct object
     {
-        std::uint64_t version = 0;
         /// Revision of the last write.
-        std::uint64_t modified_revision = 0;
+        std::uint64_t version = 0;
         std::string value;
     };
 
@@ -65,8 +64,8 @@
         auto const current = it == objects_.end() ? 0 : it->second.version;
         if (current != expected)
             return std::nullopt;
-        objects_[name] = {current + 1, ++revision_, std::move(value)};
-        return current + 1;
+        objects_[name] = {++revision_, std::move(value)};
+        return revision_;
     }
 
     /// Removes the object if its version is `expected`. Returns whether it was
@@ -96,7 +95,7 @@
         std::vector<std::string> names;
         for (auto it = objects_.lower_bound(prefix);
              it != objects_.end() && it->first.starts_with(prefix); ++it)
-            if (it->second.modified_revision > since)
+            if (it->second.version > since)
                 names.push_back(it->first);
         return names;
     }
--- a/tests/drivers/native_records_test.cpp
+++ b/tests/drivers/native_records_test.cpp
@@ -23,7 +23,12 @@
     void create_record(idempotency_record const& record,
         std::function<void(record_outcome, idempotency_record)> done)
     {
-        records_.create(record, std::move(done));
+        records_.create(record,
+            [this, done = std::move(done)](
+                record_outcome it, idempotency_record found) {
+                version_ = found.version;
+                done(it, std::move(found));
+            });
     }
     void write_record(idempotency_record const& record)
     {
@@ -49,12 +54,25 @@
         return outcome;
     }
 
+    /// Ends the request, which has not run.
+    void end_without_run()
+    {
+        guard_.finish(*this, record_state::started, {});
+        constexpr auto timeout = std::chrono::seconds(10);
+        context_.restart();
+        context_.run_for(timeout);
+    }
+
+    /// The version of the record that was created.
+    std::uint64_t version() const { return version_; }
+
     std::mt19937_64 random;
 
 private:
     asio::io_context context_;
     curl_loop http_;
     native_records records_;
+    std::uint64_t version_ = 0;
     idempotency_guard<record_vm> guard_;
 };
 
@@ -105,6 +123,35 @@
     EXPECT_EQ(create({}), record_outcome::unavailable);
 }
 
+TEST_F(native_records_test, removal_names_the_version_that_the_store_gave)
+{
+    std::atomic<bool> is_removed = false;
+    answer_ = [&](std::string const& call) {
+        if (call.starts_with("DELETE"))
+            is_removed = call.find("Object-Expected-Version: 41\r\n") !=
+                std::string::npos;
+        return copying_store::encode(200, "ok", "Object-Version: 41\r\n");
+    };
+    record_vm vm(server_.address(), 1);
+    EXPECT_EQ(vm.begin(), record_outcome::accepted);
+    vm.end_without_run();
+    EXPECT_TRUE(is_removed);
+}
+
+TEST_F(native_records_test, record_created_without_version_is_read_back)
+{
+    std::string stored;
+    answer_ = [&](std::string const& call) {
+        if (call.starts_with("GET"))
+            return copying_store::encode(200, stored, "Object-Version: 41\r\n");
+        stored = call.substr(call.find("\r\n\r\n") + 4);
+        return copying_store::encode(200, "ok");
+    };
+    record_vm vm(server_.address(), 1);
+    EXPECT_EQ(vm.begin(), record_outcome::accepted);
+    EXPECT_EQ(vm.version(), 41u);
+}
+
 /// Both VMs took the record of one of them for their own, and the order ran
 /// twice.
 TEST_F(native_records_test, equal_requests_at_two_vms_create_one_record)
--- a/tests/drivers/object_store_copies_test.cpp
+++ b/tests/drivers/object_store_copies_test.cpp
@@ -25,7 +25,7 @@
         if (is("DELETE ") || is("PUT /objects/second"))
             return copying_store::encode(409, "conflict");
         if (is("PUT "))
-            return copying_store::encode(200, "ok");
+            return copying_store::encode(200, "ok", "Object-Version: 1\r\n");
         if (is("GET /objects/first"))
             return copying_store::encode(200, "first", "Object-Version: 1\r\n");
         if (is("GET /objects/second"))
--- a/tests/process/stand_in_platform_test.py
+++ b/tests/process/stand_in_platform_test.py
@@ -23,6 +23,17 @@
         connection.request(method, path, body)
         return connection.getresponse().read().decode("utf-8")
 
+    @staticmethod
+    def write(connection: http.client.HTTPConnection, method: str,
+              version: str) -> tuple[int, str]:
+        """Writes or removes an object of this version. Returns the status and
+        the new version."""
+        connection.request(method, "/objects/records/a", "value", {
+            "Object-Expected-Version": version})
+        answer = connection.getresponse()
+        answer.read()
+        return answer.status, answer.headers["Object-Version"]
+
     def watch(self, end: float) -> None:
         connection = self.connect()
         while time.monotonic() < end:
@@ -45,6 +56,16 @@
             it.join()
         self.assertEqual(self.call(connection, "POST", "/fault", "none"), "ok")
 
+    def test_late_removal_leaves_an_object_that_was_created_again(self):
+        self.fleet.start_platform()
+        connection = self.connect()
+        _, first = self.write(connection, "PUT", "0")
+        self.assertEqual(self.write(connection, "DELETE", first)[0], 200)
+        status, second = self.write(connection, "PUT", "0")
+        self.assertEqual(status, 200)
+        self.assertEqual(self.write(connection, "DELETE", first)[0], 409)
+        self.assertEqual(self.write(connection, "DELETE", second)[0], 200)
+
 
 if __name__ == "__main__":
     unittest.main()
