Skip interim answers that state an empty body

A 100 with Content-Length: 0 ended the attempt as a wrong answer since interim answers with a body are refused; only a body that there is makes one ambiguous. answer_parser_test.interim_answer_that_states_an_empty_body_is_skipped failed before.

--- a/drivers/http/answer_parser.cpp
+++ b/drivers/http/answer_parser.cpp
@@ -126,14 +126,15 @@
     self.is_interim_ = self.answer_.status < first_final_status;
     constexpr int skip_body = 1;
     constexpr int error = -1;
-    constexpr unsigned has_body = F_CONTENTLENGTH | F_CHUNKED;
+    bool const has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+    bool const has_body = (parser->flags & F_CHUNKED) != 0 ||
+        (has_length && parser->content_length > 0);
     if (self.answer_.status == status_switching_protocols ||
-        (self.is_interim_ && (parser->flags & has_body) != 0))
+        (self.is_interim_ && has_body))
         return error;
     if (self.is_head_ || self.answer_.status == status_no_content ||
         self.answer_.status == status_not_modified)
         return skip_body;
-    bool const has_length = (parser->flags & F_CONTENTLENGTH) != 0;
     if (!has_length)
         return 0;
     self.too_large_ = parser->content_length > self.max_body_bytes_;
--- a/tests/drivers/answer_parser_test.cpp
+++ b/tests/drivers/answer_parser_test.cpp
@@ -230,5 +230,13 @@
         progress::complete);
 }
 
+TEST_F(answer_parser_test, interim_answer_that_states_an_empty_body_is_skipped)
+{
+    EXPECT_EQ(parse("HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n"
+                    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"),
+        progress::complete);
+    EXPECT_EQ(parser_.answer().status, 200);
+}
+
 } // namespace
 } // namespace pomelohinge
