Tell sound answers of targets that name requests in their own way

- An answer that bears its id twice with the same value named neither request, so the order timed out.
Only values that differ are joined now.
- Blanks behind an id, of the target or of the caller, made it another one: 504 for each such request, counted against the target.
Ids are compared without them.
- A foreign answer to the first request of a connection was skipped until the time limit; nothing can come before the first answer, so it ends the attempt.
- A copy of an answer with a body, before the answer to HEAD: the body was read as that answer, and may hold a promise.
HEAD gets a connection of its own.
- A target that names only some requests got 502 for each unnamed answer on a kept connection.
After the first one the connections of its address are not reused.

--- a/drivers/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -7,6 +7,7 @@
 #include "servers/selection/connection_reuse.hpp"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/strings/numbers.h>
 #include <algorithm>
 #include <array>
@@ -30,6 +31,9 @@
 /// Limit on idle connections per address.
 constexpr std::size_t max_idle_per_address = 8;
 
+/// Limit on the remembered addresses of targets whose answers lack a name.
+constexpr std::size_t max_unnamed_addresses = 10'000;
+
 /// Idle timeout of connections to upstreams that state none.
 constexpr duration default_idle_timeout = std::chrono::seconds(4);
 
@@ -93,6 +97,13 @@
     void keep_idle(connection_pointer it);
     void remove_idle(connection_pointer const& it);
 
+    void record_unnamed(std::string const& address)
+    {
+        if (unnamed_.size() >= max_unnamed_addresses)
+            unnamed_.clear();
+        unnamed_.insert(address);
+    }
+
     asio::io_context& context_;
     buffer_budget& buffers_;
     std::uint64_t last_id_ = 0;
@@ -100,6 +111,9 @@
     absl::flat_hash_map<std::uint64_t, connection_pointer> exchanges_;
     absl::flat_hash_map<std::string, std::vector<connection_pointer>> idle_;
     connection_reuse reuse_;
+    /// Addresses of targets that do not name the request in each answer; their
+    /// connections are not reused. Cleared when it is full.
+    absl::flat_hash_set<std::string> unnamed_;
 };
 
 /// One connection. The pool and the pending operations on the socket share
@@ -301,6 +315,8 @@
                     {"connection", number_},
                     {"status", parser_->answer().status},
                     {"owner", to_name(owner)}});
+        if (owner == answer_owner::unnamed)
+            pool_->record_unnamed(address_);
         if (verdict == answer_verdict::rejected)
             return fail(exchange_end::unparsable);
         if (verdict == answer_verdict::skipped)
@@ -464,7 +480,9 @@
     exchange_call const& call)
 {
     auto const list = idle_.find(call.address);
-    if (list == idle_.end())
+    // The body of a copy of an earlier answer would be read as the answer to
+    // HEAD.
+    if (list == idle_.end() || call.is_head || unnamed_.contains(call.address))
         return nullptr;
     auto& connections = list->second;
     auto const now = boottime_clock::now();
--- a/drivers/http/curl_loop.cpp
+++ b/drivers/http/curl_loop.cpp
@@ -43,6 +43,8 @@
     (void)done;
 }
 
+} // namespace
+
 std::string_view trimmed(std::string_view text)
 {
     auto const first = text.find_first_not_of(" \t\r\n");
@@ -51,8 +53,6 @@
     return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
 }
 
-} // namespace
-
 std::string_view find_header(
     std::vector<header_field> const& headers, std::string_view name)
 {
@@ -66,10 +66,11 @@
 std::string combined_header(
     std::vector<header_field> const& headers, std::string_view name)
 {
-    std::string values;
+    auto const first = trimmed(find_header(headers, name));
+    std::string values(first);
     for (auto const& it : headers)
-        if (is_same_header(it.name, name))
-            values += (values.empty() ? "" : ", ") + it.value;
+        if (is_same_header(it.name, name) && trimmed(it.value) != first)
+            values += ", " + it.value;
     return values;
 }
 
--- a/drivers/http/curl_loop.hpp
+++ b/drivers/http/curl_loop.hpp
@@ -69,13 +69,16 @@
     std::string body;
 };
 
+/// Returns `text` without the blanks at its ends.
+std::string_view trimmed(std::string_view text);
+
 /// The value of the first header with this name, ignoring case; empty if there
 /// is none.
 std::string_view find_header(
     std::vector<header_field> const& headers, std::string_view name);
 
-/// The values of all headers with this name, ignoring case, joined by commas;
-/// empty if there is none.
+/// The value of the headers with this name, ignoring case; empty if there is
+/// none. Values that differ are joined by commas.
 std::string combined_header(
     std::vector<header_field> const& headers, std::string_view name);
 
--- a/drivers/upstream/upstream_client.hpp
+++ b/drivers/upstream/upstream_client.hpp
@@ -2,6 +2,7 @@
 #define POMELOHINGE_DRIVERS_UPSTREAM_UPSTREAM_CLIENT_HPP
 
 #include "drivers/http/connection_pool.hpp"
+#include "drivers/http/curl_loop.hpp"
 #include "drivers/upstream/upstream_dialect.hpp"
 
 #include <memory>
@@ -47,7 +48,7 @@
         call.timeout = sent->time_limit;
         if (!sent->idempotent)
             call.max_idle = max_idle_non_idempotent;
-        call.request_id = sent->request_id;
+        call.request_id = trimmed(sent->request_id);
         call.names_required = sent->echoes_request_id;
         call.named_request = &Dialect::named_request;
         call.max_answer_bytes = max_answer_bytes_;
--- a/servers/requests/connection_history.cpp
+++ b/servers/requests/connection_history.cpp
@@ -51,8 +51,10 @@
     case answer_owner::current:
         return answer_verdict::accepted;
     case answer_owner::earlier:
-    case answer_owner::foreign:
         return answer_verdict::skipped;
+    case answer_owner::foreign:
+        return earlier_.empty() ? answer_verdict::rejected
+                                : answer_verdict::skipped;
     case answer_owner::unnamed:
         break;
     }
--- a/tests/drivers/answer_owner_test.cpp
+++ b/tests/drivers/answer_owner_test.cpp
@@ -189,5 +189,73 @@
     EXPECT_GT(target.accepted(), 1);
 }
 
+TEST_F(answer_owner_test, answer_that_names_its_request_twice_is_received)
+{
+    scripted_target const target([](target_connection& it) {
+        auto const id = id_in(it.read_head());
+        it.write(answer(200, id, "X-Request-Id: " + id + "\r\n"));
+        it.await_close();
+    });
+    EXPECT_EQ(run(target, "a").result, attempt_result::answered);
+}
+
+TEST_F(answer_owner_test, blanks_around_an_id_do_not_make_it_another)
+{
+    scripted_target const target([](target_connection& it) {
+        it.read_head();
+        it.write(answer(200, "a "));
+        it.read_head();
+        it.write(answer(200, "b"));
+        it.await_close();
+    });
+    EXPECT_EQ(run(target, "a").result, attempt_result::answered);
+    EXPECT_EQ(run(target, "b ").result, attempt_result::answered);
+}
+
+TEST_F(answer_owner_test, foreign_answer_to_the_first_request_ends_it_at_once)
+{
+    scripted_target const target([](target_connection& it) {
+        it.read_head();
+        it.write(refusal_of("other"));
+        it.await_close();
+    });
+    EXPECT_EQ(run(target, "a").result, attempt_result::wrong_answer);
+}
+
+/// The body of a copy was read as the answer to a HEAD request.
+TEST_F(answer_owner_test, body_of_a_copy_is_no_answer_to_head)
+{
+    scripted_target const target([](target_connection& it) {
+        auto head = it.read_head();
+        if (head.starts_with("HEAD")) {
+            it.write("HTTP/1.1 200 x\r\nX-Request-Id: b\r\n\r\n");
+            return it.await_close();
+        }
+        auto const body = refusal_of("b");
+        auto const copy = "HTTP/1.1 200 x\r\nX-Request-Id: a\r\n"
+                          "Content-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body;
+        it.write(copy);
+        if (!it.read_head().empty())
+            it.write(copy);
+        it.await_close();
+    });
+    EXPECT_EQ(run(target, "a").result, attempt_result::answered);
+    EXPECT_EQ(run(target, "b", "HEAD").result, attempt_result::answered);
+}
+
+TEST_F(answer_owner_test, target_that_names_only_some_answers_is_served)
+{
+    scripted_target const target([](target_connection& it) {
+        for (auto head = it.read_head(); !head.empty(); head = it.read_head())
+            it.write(answer(200, id_in(head) == "c" ? "" : id_in(head)));
+    });
+    EXPECT_EQ(run(target, "a").result, attempt_result::answered);
+    EXPECT_EQ(run(target, "b").result, attempt_result::answered);
+    EXPECT_EQ(run(target, "c").result, attempt_result::wrong_answer);
+    EXPECT_EQ(run(target, "a").result, attempt_result::answered);
+    EXPECT_EQ(run(target, "c").result, attempt_result::answered);
+}
+
 } // namespace
 } // namespace pomelohinge
--- a/tests/servers/connection_history_test.cpp
+++ b/tests/servers/connection_history_test.cpp
@@ -54,6 +54,7 @@
 TEST_F(connection_history_test, answer_that_names_another_request_is_skipped)
 {
     history_.begin_request("a");
+    history_.begin_request("b");
     EXPECT_EQ(
         history_.judge(answer_owner::current, true), answer_verdict::accepted);
     EXPECT_EQ(
@@ -62,6 +63,13 @@
         history_.judge(answer_owner::foreign, false), answer_verdict::skipped);
 }
 
+TEST_F(connection_history_test, foreign_answer_to_the_first_request_is_rejected)
+{
+    history_.begin_request("a");
+    EXPECT_EQ(
+        history_.judge(answer_owner::foreign, false), answer_verdict::rejected);
+}
+
 TEST_F(connection_history_test, answer_without_name_counts_on_the_first_request)
 {
     history_.begin_request("a");
