--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -261,6 +261,8 @@
 
     void create_record()
     {
+        // An earlier request with the key may run, until the record tells.
+        progress_.may_have_run = true;
         idempotency_.begin(environment_, message_.head, admitted_, fingerprint_,
             if_alive(
                 [this](record_outcome result) { on_record_reply(result); }));
@@ -268,6 +270,7 @@
 
     void on_record_reply(record_outcome result)
     {
+        progress_.may_have_run = result != record_outcome::accepted;
         if (result == record_outcome::accepted)
             return fire(request_event::record_created);
         if (result == record_outcome::done)
--- a/tests/process/repeated_orders_test.py
+++ b/tests/process/repeated_orders_test.py
@@ -59,13 +59,15 @@
             self.fleet.start_vm(vm)
         self.fleet.wait_ready()
 
-    def order(self, vm: int) -> tuple[int, str, bytes]:
+    def order(self, vm: int, deadline_ms: int = 10000
+              ) -> tuple[int, str, bytes]:
         """Sends the order and returns status, outcome and body."""
         connection = http.client.HTTPConnection(
             *self.vms[vm].callers.split(":"), timeout=20)
         try:
             connection.request("POST", "/booking/orders", b"order", {
                 "Authorization": "Bearer bathers-secret",
+                "Pomelohinge-Deadline-Ms": str(deadline_ms),
                 "Idempotency-Key": "order"})
             answer = connection.getresponse()
             outcome = answer.headers.get("Pomelohinge-Outcome", "")
@@ -113,6 +115,15 @@
         self.end_first()
         self.assertEqual(len(Target.runs), 1)
 
+    def test_repeat_that_waits_for_the_store_too_long_is_not_told_not_run(
+            self):
+        self.begin_first()
+        self.fleet.set_platform_fault("slow")
+        for vm in range(2):
+            self.assertEqual(self.order(vm, deadline_ms=600)[1], "unknown")
+        self.end_first()
+        self.assertEqual(len(Target.runs), 1)
+
     def test_repeat_after_kill_of_the_first_vm_is_not_told_not_run(self):
         self.begin_first()
         first = self.vms[0]
