--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -408,11 +408,13 @@
 {
     for (auto& [id, it] : targets_) {
         auto const before = it->health().state();
+        bool const accepted = it->accepts_requests();
         it->health().tick(now);
         it->path().tick(now);
         it->pause().tick(now);
         it->replacement().tick(now);
-        if (it->health().state() != before)
+        if (it->health().state() != before ||
+            it->accepts_requests() != accepted)
             update_below_floor(state_of(it->record().service));
     }
     forget_leaving(now);
