Reuse connections of a target again after its last answer without a name

One answer without an id, perhaps of a proxy in between, kept the connections to its address from being reused for as long as the process ran. It is forgotten after five minutes now.

--- a/drivers/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -7,7 +7,6 @@
 #include "servers/selection/connection_reuse.hpp"
 
 #include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
 #include <absl/strings/numbers.h>
 #include <algorithm>
 #include <array>
@@ -34,6 +33,9 @@
 /// Limit on the remembered addresses of targets whose answers lack a name.
 constexpr std::size_t max_unnamed_addresses = 10'000;
 
+/// How long connections to such a target are not reused.
+constexpr duration unnamed_retention = std::chrono::minutes(5);
+
 /// Idle timeout of connections to upstreams that state none.
 constexpr duration default_idle_timeout = std::chrono::seconds(4);
 
@@ -101,7 +103,15 @@
     {
         if (unnamed_.size() >= max_unnamed_addresses)
             unnamed_.clear();
-        unnamed_.insert(address);
+        unnamed_[address] = boottime_clock::now();
+    }
+
+    /// Whether the target does not name the request in each of its answers.
+    bool leaves_unnamed(std::string const& address) const
+    {
+        auto const it = unnamed_.find(address);
+        return it != unnamed_.end() &&
+            boottime_clock::now() - it->second < unnamed_retention;
     }
 
     asio::io_context& context_;
@@ -111,9 +121,9 @@
     absl::flat_hash_map<std::uint64_t, connection_pointer> exchanges_;
     absl::flat_hash_map<std::string, std::vector<connection_pointer>> idle_;
     connection_reuse reuse_;
-    /// Addresses of targets that do not name the request in each answer; their
-    /// connections are not reused. Cleared when it is full.
-    absl::flat_hash_set<std::string> unnamed_;
+    /// Addresses of targets that have left an answer without a name, and when
+    /// last. Their connections are not reused. Cleared when it is full.
+    absl::flat_hash_map<std::string, time_point> unnamed_;
 };
 
 /// One connection. The pool and the pending operations on the socket share
@@ -482,7 +492,7 @@
     auto const list = idle_.find(call.address);
     // The body of a copy of an earlier answer would be read as the answer to
     // HEAD.
-    if (list == idle_.end() || call.is_head || unnamed_.contains(call.address))
+    if (list == idle_.end() || call.is_head || leaves_unnamed(call.address))
         return nullptr;
     auto& connections = list->second;
     auto const now = boottime_clock::now();
