--- a/drivers/http/curl_loop.cpp
+++ b/drivers/http/curl_loop.cpp
@@ -45,6 +45,15 @@
 
 } // namespace
 
+http_call make_own_call(std::string url, duration timeout)
+{
+    http_call call;
+    call.url = std::move(url);
+    call.timeout = timeout;
+    call.own_connection = true;
+    return call;
+}
+
 std::string_view trimmed(std::string_view text)
 {
     auto const first = text.find_first_not_of(" \t\r\n");
--- a/drivers/http/curl_loop.hpp
+++ b/drivers/http/curl_loop.hpp
@@ -37,6 +37,11 @@
     std::size_t max_answer_bytes = 16 << 20;
 };
 
+/// A call on a connection of its own. Answers of stores do not name their call,
+/// so no other call may share its connection. This also keeps libcurl from
+/// repeating a write.
+http_call make_own_call(std::string url, duration timeout);
+
 /// How a call ended.
 enum class http_end {
     /// A complete answer was received.
--- a/drivers/platform/http_object_store.cpp
+++ b/drivers/platform/http_object_store.cpp
@@ -83,17 +83,6 @@
     return reply;
 }
 
-/// Answers do not name their call, so each call has its own connection. This
-/// also keeps libcurl from repeating a write.
-http_call make_call(std::string url)
-{
-    http_call call;
-    call.url = std::move(url);
-    call.timeout = call_timeout;
-    call.own_connection = true;
-    return call;
-}
-
 } // namespace
 
 std::string http_object_store::url_of(std::string const& name) const
@@ -104,7 +93,7 @@
 void http_object_store::get(
     std::string const& name, std::function<void(get_reply)> done)
 {
-    http_.start(make_call(url_of(name)),
+    http_.start(make_own_call(url_of(name), call_timeout),
         [name, done = std::move(done)](http_result result) {
             get_reply reply;
             reply.status = status_of(result);
@@ -125,7 +114,7 @@
 void http_object_store::put(std::string const& name, std::string value,
     std::uint64_t expected_version, std::function<void(put_reply)> done)
 {
-    auto call = make_call(url_of(name));
+    auto call = make_own_call(url_of(name), call_timeout);
     call.method = "PUT";
     call.headers.push_back({std::string(expected_version_header),
         std::to_string(expected_version)});
@@ -166,7 +155,7 @@
 void http_object_store::remove(std::string const& name,
     std::uint64_t expected_version, std::function<void(put_reply)> done)
 {
-    auto call = make_call(url_of(name));
+    auto call = make_own_call(url_of(name), call_timeout);
     call.method = "DELETE";
     call.headers.push_back({std::string(expected_version_header),
         std::to_string(expected_version)});
@@ -179,10 +168,10 @@
 void http_object_store::watch(std::string const& prefix, std::uint64_t since,
     duration wait, std::function<void(watch_reply)> done)
 {
-    auto call = make_call("http://" + address_ + "/watch/" + prefix +
-        "?since=" + std::to_string(since) +
-        "&wait_ms=" + std::to_string(to_milliseconds(wait)));
-    call.timeout = wait + watch_timeout_margin;
+    auto call = make_own_call("http://" + address_ + "/watch/" + prefix +
+            "?since=" + std::to_string(since) +
+            "&wait_ms=" + std::to_string(to_milliseconds(wait)),
+        wait + watch_timeout_margin);
     http_.start(
         std::move(call), [done = std::move(done)](http_result const& result) {
             done(parse_watch(result));
