Give no port twice to the VMs of the refused orders' fixture

A VM whose readiness address equals another one leaves it out, as it should (event 108), and the fixture waited in vain.

A fleet that does not start now fails with the first lines of its logs.

--- a/tests/process/refused_orders_fixture.py
+++ b/tests/process/refused_orders_fixture.py
@@ -187,6 +187,26 @@
         await writer.drain()
 
 
+class DistinctPorts:
+    """Gives out no port twice. A port that `draw` has closed again may be
+    drawn once more, and a VM leaves out a listener without an address of its
+    own."""
+
+    def __init__(self, draw: Callable[[str], int]) -> None:
+        self._draw = draw
+        self._given: set[tuple[str, int]] = set()
+
+    def __call__(self, ip: str) -> int:
+        while True:
+            port = self._draw(ip)
+            if (ip, port) not in self._given:
+                self._given.add((ip, port))
+                return port
+
+
+deployment.free_port = DistinctPorts(deployment.free_port)
+
+
 class LocalDeployment(deployment.Deployment):
     """A deployment on the addresses of POMELOHINGE_FLEET_NETWORK."""
 
@@ -234,12 +254,22 @@
         kind.counts = self.counts
         route = deployment.route("r-orders", "/orders/", "non_idempotent",
                                  SERVICE, 3.0, self.attempts)
-        await self.play.start(
-            deployment.configuration([route], [SERVICE]), [ZONE], 2,
-            [(kind, SERVICE, ZONE, self.slots)] * self.targets_count)
+        try:
+            await self.play.start(
+                deployment.configuration([route], [SERVICE]), [ZONE], 2,
+                [(kind, SERVICE, ZONE, self.slots)] * self.targets_count)
+        except deployment.CouldNotRun as error:
+            self.fail(f"{error}\n{self.logs()}")
         self.targets = [it for it in self.play.servers
                         if isinstance(it, Target)]
 
+    def logs(self) -> str:
+        """The first lines of each VM's log."""
+        paths = sorted(pathlib.Path(self.play.folder).glob("*.log"))
+        return "\n".join(
+            f"{it.name}:\n{it.read_text(errors='replace')[:4000]}"
+            for it in paths)
+
     def keep_doing(self, period_s: float, action: Callable[[], Awaitable[Any]]
                    ) -> None:
         """Does `action` again and again until the end of the test."""
