Let connections to other VMs take longer than 100 ms

What was seen: peers_test failed once beside a load of 30. In a fleet, two VMs whose round trips for connecting take over 100 ms never reach each other, and one that is short of processor time loses its peers.

Cause: gRPC takes the smallest pause between attempts, 100 ms here, also for the timeout of an attempt, up to the other side's first frame. A failed call drops the channel, so that each attempt begins anew with 100 ms. On the same path a call that timed out on a new channel dropped it as well; with 600 ms for connecting, question and reply no question of 500 ms was ever answered.

An attempt may take 2 s now, while the pauses stay as they were, and a call that times out leaves a channel alone that is younger than that.

distant_peers_test, with 200 ms each way, failed before in both tests and passes now.

--- a/drivers/peers/peer_client.cpp
+++ b/drivers/peers/peer_client.cpp
@@ -19,15 +19,25 @@
 /// Channels that were not used for this time are closed.
 constexpr duration idle_timeout = std::chrono::seconds(20);
 
+/// Pause after a connection attempt that failed.
+constexpr int min_pause_ms = 100;
+constexpr int max_pause_ms = 1000;
+
+/// Time that a connection attempt may take, up to the other VM's first frame.
+/// It covers several round trips between regions and a VM that is short of
+/// processor time.
+constexpr int connect_timeout_ms = 2000;
+
 grpc::ChannelArguments channel_arguments()
 {
     grpc::ChannelArguments arguments;
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, keep_alive_time_ms);
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keep_alive_timeout_ms);
     arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
-    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
-    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 100);
-    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1000);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, min_pause_ms);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, max_pause_ms);
+    // gRPC takes this for the timeout of an attempt, too.
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, connect_timeout_ms);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
     arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
     // With the global pool, a new channel would reuse the connection of an
@@ -120,13 +130,26 @@
 wire::Peer::Stub& peer_client::stub(std::string const& address)
 {
     auto& it = peers_[address];
-    if (it.stub == nullptr)
+    auto const now = boottime_clock::now();
+    if (it.stub == nullptr) {
         it.stub = wire::Peer::NewStub(grpc::CreateCustomChannel(
             address, grpc::InsecureChannelCredentials(), channel_arguments()));
-    it.used_at = boottime_clock::now();
+        it.created_at = now;
+    }
+    it.used_at = now;
     return *it.stub;
 }
 
+void peer_client::drop_channel(std::string const& address, bool timed_out)
+{
+    auto const it = peers_.find(address);
+    if (it == peers_.end())
+        return;
+    auto const age = boottime_clock::now() - it->second.created_at;
+    if (!timed_out || age >= std::chrono::milliseconds(connect_timeout_ms))
+        peers_.erase(it);
+}
+
 void peer_client::close_idle(time_point now)
 {
     absl::erase_if(peers_,
@@ -147,12 +170,13 @@
     stub(address).async()->Sync(&it->context, &it->question, &it->reply,
         [this, calls = calls_, it, address, done = std::move(done)](
             grpc::Status const& status) {
-            calls->end(
-                it, [this, address, ok = status.ok(), done](call& ended) {
-                    if (ok)
+            calls->end(it,
+                [this, address, code = status.error_code(), done](call& ended) {
+                    if (code == grpc::StatusCode::OK)
                         return done(from_wire(
                             std::move(ended.reply), boottime_clock::now()));
-                    peers_.erase(address);
+                    drop_channel(
+                        address, code == grpc::StatusCode::DEADLINE_EXCEEDED);
                     done(sync_reply{});
                 });
         });
--- a/drivers/peers/peer_client.hpp
+++ b/drivers/peers/peer_client.hpp
@@ -38,6 +38,7 @@
     struct peer
     {
         std::unique_ptr<wire::Peer::Stub> stub;
+        time_point created_at;
         time_point used_at;
     };
 
@@ -46,6 +47,11 @@
 
     wire::Peer::Stub& stub(std::string const& address);
 
+    /// Drops the channel to a VM after a failed call, since its connection may
+    /// be broken. One that may still be connecting outlives a call that has
+    /// timed out, or calls with a short timeout would begin anew each time.
+    void drop_channel(std::string const& address, bool timed_out);
+
     asio::io_context& context_;
     /// Shared with the callbacks, which may outlive this object.
     std::shared_ptr<open_calls> calls_;
--- a/tests/drivers/peers_test.cpp
+++ b/tests/drivers/peers_test.cpp
@@ -1,11 +1,12 @@
 #include "drivers/peers/peer_client.hpp"
 #include "drivers/peers/peer_server.hpp"
+#include "tests/drivers/delayed_relay.hpp"
 #include "tests/drivers/loopback_address.hpp"
 
 #include <asio/executor_work_guard.hpp>
 #include <future>
 #include <gtest/gtest.h>
-#include <mutex>
+#include <optional>
 
 namespace pomelohinge {
 namespace {
@@ -112,5 +113,63 @@
     EXPECT_EQ(replies_, 0);
 }
 
+/// A client whose bytes to the server, and back, take `delay`.
+class distant_peers_test : public testing::Test
+{
+protected:
+    static constexpr std::chrono::milliseconds delay{200};
+
+    void SetUp() override
+    {
+        ASSERT_TRUE(server_.listen(host_ + ":18097").ok());
+    }
+
+    void TearDown() override
+    {
+        client_.stop(grace);
+        server_.stop(grace);
+    }
+
+    /// Whether the reply to a question comes within the timeout that `sync`
+    /// gives to a question with this long poll timeout.
+    bool reaches(duration long_poll_timeout)
+    {
+        sync_question question;
+        question.long_poll_timeout = long_poll_timeout;
+        std::optional<bool> reached;
+        client_.sync(host_ + ":18096", question,
+            [&](sync_reply const& it) { reached = it.reached; });
+        while (!reached)
+            context_.run_one();
+        return *reached;
+    }
+
+    std::string const host_ = loopback_address();
+    asio::io_context context_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_{
+        context_.get_executor()};
+    peer_server server_{
+        [](sync_question const&, std::function<void(sync_reply)> reply) {
+            sync_reply answer;
+            answer.reached = true;
+            reply(answer);
+        }};
+    delayed_relay relay_{{asio::ip::make_address(host_), 18096},
+        {asio::ip::make_address(host_), 18097}, delay};
+    peer_client client_{context_};
+};
+
+TEST_F(distant_peers_test, question_to_a_distant_vm_is_answered)
+{
+    EXPECT_TRUE(reaches(std::chrono::seconds(10)));
+}
+
+TEST_F(distant_peers_test,
+    question_after_one_that_timed_out_on_a_new_channel_is_answered)
+{
+    reaches(duration::zero());
+    EXPECT_TRUE(reaches(duration::zero()));
+}
+
 } // namespace
 } // namespace pomelohinge
