Let a hub ask whether the hub before it serves again

From 24 to 29 s two of three data centres had two hubs, each with the reports of a part of the VMs, so that the fleet believed in 186 grants of 237.

Cause: a hub that was restarted as planned is first in the order again and its own hub. Its successor has it down as leaving, hears nothing of it and never asks it. It lasted until the successor removed it after a minute. Each planned restart of the first VM of a data centre split it so.

A hub now asks a VM that has left and comes before it, every 1.5 s, until it answers or is removed.

--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -6,6 +6,7 @@
 #include "servers/control/control_status.hpp"
 #include "servers/control/hub_selector.hpp"
 #include "servers/control/registration.hpp"
+#include "servers/control/returned_hub.hpp"
 #include "servers/control/store_reader.hpp"
 #include "servers/control/sync_server.hpp"
 
@@ -28,7 +29,8 @@
           members_(self_), sync_server_(self_, fleet_state_, members_),
           reader_(
               environment, timers, fleet_state_, [this] { state_changed(); }),
-          registration_(environment, timers, self_, members_, std::move(seeds))
+          registration_(environment, timers, self_, members_, std::move(seeds)),
+          returned_hub_(environment, hub_selector_)
     {
         // The environment may hold this object and is complete only here.
         static_assert(ControlEnvironment<Environment>);
@@ -204,6 +206,11 @@
         if (!sync_in_flight_ && !sync_scheduled_)
             sync_now();
         exchange_with_hubs();
+        if (is_hub())
+            returned_hub_.ask(members, self_,
+                make_question(sync_relation::member), [this, now](auto reply) {
+                    apply_reply(std::move(reply), now);
+                });
     }
 
     /// Whether this VM has to read the store: for the whole fleet if it is the
@@ -555,6 +562,7 @@
     store_reader<Environment> reader_;
     registration<Environment> registration_;
     hub_selector hub_selector_;
+    returned_hub<Environment> returned_hub_;
 
     /// The hub that this VM sends its questions to; empty if it is the hub.
     vm_id hub_;
--- a/servers/control/hub_selector.cpp
+++ b/servers/control/hub_selector.cpp
@@ -1,6 +1,7 @@
 #include "servers/control/hub_selector.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace pomelohinge {
 namespace {
@@ -42,6 +43,26 @@
     return selected->record;
 }
 
+std::optional<vm_record> hub_selector::find_returned(fleet_members members,
+    data_centre_id const& data_centre, vm_id const& self, time_point now) const
+{
+    std::set<vm_id> gone;
+    for (auto& it : members) {
+        if (it.alive || it.record.standing != vm_standing::leaving)
+            continue;
+        gone.insert(it.record.vm);
+        it.record.standing = vm_standing::serving;
+    }
+    for (auto const* it : hub_order(members, data_centre)) {
+        auto const& vm = it->record.vm;
+        if (vm == self)
+            break;
+        if (gone.contains(vm) && now >= state_of(vm).unreachable_until)
+            return it->record;
+    }
+    return std::nullopt;
+}
+
 void hub_selector::note_failure(vm_id const& vm, time_point now)
 {
     candidates_[vm].unreachable_until = now + unreachable_backoff;
--- a/servers/control/hub_selector.hpp
+++ b/servers/control/hub_selector.hpp
@@ -20,6 +20,13 @@
         data_centre_id const& data_centre, vm_id const& self,
         time_point now) const;
 
+    /// A VM that has left and would come before `self` in the order if it had
+    /// not. It may have started again, as the hub of its own part of the data
+    /// centre, since VMs that follow another hub hear nothing of it.
+    std::optional<vm_record> find_returned(fleet_members members,
+        data_centre_id const& data_centre, vm_id const& self,
+        time_point now) const;
+
     /// Records that a candidate did not answer.
     void note_failure(vm_id const& vm, time_point now);
 
