Load few shared libraries before signals are blocked

What callers saw: SIGHUP or SIGTERM in the first moments of a process ended it by its default action (status -1 or -15): a reload ended a VM that had just been started, and a stop counted as a failure.

Cause: signals are blocked in .preinit_array, before any initialiser, but the dynamic loader first loads and relocates 87 shared libraries. Its time goes to relocation (74 to 86%) and to loading (12 to 22%), by LD_DEBUG=statistics.

Considered: a tiny first program that blocks the signals and executes the daemon. It would be open to signals for 0.25 to 0.5 ms, but needs a second file, and the deploy file names one program, which may be copied by itself.

--- a/drivers/http/curl_loop.cpp
+++ b/drivers/http/curl_loop.cpp
@@ -1,6 +1,7 @@
 #include "drivers/http/curl_loop.hpp"
 
 #include "core/log.hpp"
+#include "drivers/http/curl_library.hpp"
 #include "drivers/http/header_names.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -8,7 +9,6 @@
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
-#include <curl/curl.h>
 #include <map>
 
 namespace pomelohinge {
@@ -27,19 +27,19 @@
 
 struct easy_deleter
 {
-    void operator()(CURL* it) const { curl_easy_cleanup(it); }
+    void operator()(CURL* it) const { curl().easy_cleanup(it); }
 };
 using easy_handle = std::unique_ptr<CURL, easy_deleter>;
 
 struct list_deleter
 {
-    void operator()(curl_slist* it) const { curl_slist_free_all(it); }
+    void operator()(curl_slist* it) const { curl().slist_free_all(it); }
 };
 using header_list = std::unique_ptr<curl_slist, list_deleter>;
 
 void initialise_curl()
 {
-    static bool const done = curl_global_init(CURL_GLOBAL_ALL) == CURLE_OK;
+    static bool const done = curl().global_init(CURL_GLOBAL_ALL) == CURLE_OK;
     (void)done;
 }
 
@@ -87,22 +87,22 @@
 {
 public:
     explicit detail(asio::io_context& context)
-        : context_(context), timer_(context), multi_(curl_multi_init())
+        : context_(context), timer_(context), multi_(curl().multi_init())
     {
         initialise_curl();
-        curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &on_socket);
-        curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
-        curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &on_timer);
-        curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
-        curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, max_idle_connections);
+        curl().multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &on_socket);
+        curl().multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+        curl().multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &on_timer);
+        curl().multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+        curl().multi_setopt(multi_, CURLMOPT_MAXCONNECTS, max_idle_connections);
     }
 
     ~detail()
     {
         for (auto& [id, it] : transfers_)
-            curl_multi_remove_handle(multi_, it->easy.get());
+            curl().multi_remove_handle(multi_, it->easy.get());
         transfers_.clear();
-        curl_multi_cleanup(multi_);
+        curl().multi_cleanup(multi_);
     }
 
     std::uint64_t start(http_call call, callback on_end)
@@ -123,7 +123,7 @@
         auto const it = transfers_.find(id);
         if (it == transfers_.end())
             return;
-        curl_multi_remove_handle(multi_, it->second->easy.get());
+        curl().multi_remove_handle(multi_, it->second->easy.get());
         finish(id, http_end::cancelled);
     }
 
@@ -164,11 +164,11 @@
 
     void begin(transfer& it)
     {
-        it.easy.reset(curl_easy_init());
+        it.easy.reset(curl().easy_init());
         it.result = {};
         set_options(it);
         set_body(it);
-        curl_multi_add_handle(multi_, it.easy.get());
+        curl().multi_add_handle(multi_, it.easy.get());
         start_first_byte_timer(it);
     }
 
@@ -177,33 +177,33 @@
         auto* const easy = it.easy.get();
         auto const& call = it.call;
         auto const left = it.deadline - boottime_clock::now();
-        curl_easy_setopt(easy, CURLOPT_PRIVATE, &it);
-        curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
-        curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
-        curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
-        curl_easy_setopt(easy, CURLOPT_PROXY, "");
-        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-        curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+        curl().easy_setopt(easy, CURLOPT_PRIVATE, &it);
+        curl().easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+        curl().easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+        curl().easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+        curl().easy_setopt(easy, CURLOPT_PROXY, "");
+        curl().easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl().easy_setopt(easy, CURLOPT_HTTP_VERSION,
             static_cast<long>(CURL_HTTP_VERSION_1_1));
-        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+        curl().easy_setopt(easy, CURLOPT_TIMEOUT_MS,
             std::max<long>(1, static_cast<long>(to_milliseconds(left))));
-        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+        curl().easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
             std::max<long>(
                 1, static_cast<long>(to_milliseconds(call.connect_timeout))));
-        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-        curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
-        curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, keep_alive_idle_seconds);
-        curl_easy_setopt(
+        curl().easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl().easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+        curl().easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, keep_alive_idle_seconds);
+        curl().easy_setopt(
             easy, CURLOPT_TCP_KEEPINTVL, keep_alive_interval_seconds);
-        curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, max_idle_seconds);
+        curl().easy_setopt(easy, CURLOPT_MAXAGE_CONN, max_idle_seconds);
         bool const is_new = call.fresh_connection || call.own_connection;
-        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, is_new ? 1L : 0L);
-        curl_easy_setopt(
+        curl().easy_setopt(easy, CURLOPT_FRESH_CONNECT, is_new ? 1L : 0L);
+        curl().easy_setopt(
             easy, CURLOPT_FORBID_REUSE, call.own_connection ? 1L : 0L);
-        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &on_body);
-        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &it);
-        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &on_header);
-        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &it);
+        curl().easy_setopt(easy, CURLOPT_WRITEFUNCTION, &on_body);
+        curl().easy_setopt(easy, CURLOPT_WRITEDATA, &it);
+        curl().easy_setopt(easy, CURLOPT_HEADERFUNCTION, &on_header);
+        curl().easy_setopt(easy, CURLOPT_HEADERDATA, &it);
     }
 
     void set_body(transfer& it)
@@ -212,27 +212,28 @@
         auto const& call = it.call;
         curl_slist* list = nullptr;
         for (auto const& field : call.headers)
-            list = curl_slist_append(
+            list = curl().slist_append(
                 list, (field.name + ": " + field.value).c_str());
         // An empty value prevents libcurl from adding this header itself.
-        list = curl_slist_append(list, "Expect:");
+        list = curl().slist_append(list, "Expect:");
         bool const has_type =
             !find_header(call.headers, "Content-Type").empty();
         if (!has_type)
-            list = curl_slist_append(list, "Content-Type:");
+            list = curl().slist_append(list, "Content-Type:");
         it.headers.reset(list);
-        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
+        curl().easy_setopt(easy, CURLOPT_HTTPHEADER, list);
         bool const has_body = !call.body.empty() || call.method == "POST" ||
             call.method == "PUT" || call.method == "PATCH";
         if (has_body) {
-            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
-            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+            curl().easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+            curl().easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                 static_cast<curl_off_t>(call.body.size()));
         }
         if (call.method == "HEAD")
-            curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+            curl().easy_setopt(easy, CURLOPT_NOBODY, 1L);
         else
-            curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+            curl().easy_setopt(
+                easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
     }
 
     /// Restarts the call on a new connection if no byte of an answer arrives
@@ -249,12 +250,12 @@
                 return;
             auto& waiting = *found->second;
             long connects = 0;
-            curl_easy_getinfo(
+            curl().easy_getinfo(
                 waiting.easy.get(), CURLINFO_NUM_CONNECTS, &connects);
             bool const unanswered = connects == 0 && waiting.result.status == 0;
             if (!unanswered)
                 return;
-            curl_multi_remove_handle(multi_, waiting.easy.get());
+            curl().multi_remove_handle(multi_, waiting.easy.get());
             waiting.call.fresh_connection = true;
             begin(waiting);
         });
@@ -280,7 +281,7 @@
         if (it.too_large)
             return http_end::too_large;
         long sent = 0;
-        curl_easy_getinfo(it.easy.get(), CURLINFO_REQUEST_SIZE, &sent);
+        curl().easy_getinfo(it.easy.get(), CURLINFO_REQUEST_SIZE, &sent);
         if (sent == 0)
             return http_end::not_sent;
         return code == CURLE_OPERATION_TIMEDOUT ? http_end::timed_out
@@ -303,15 +304,15 @@
     void finish_ended()
     {
         int left = 0;
-        while (auto* const message = curl_multi_info_read(multi_, &left)) {
+        while (auto* const message = curl().multi_info_read(multi_, &left)) {
             if (message->msg != CURLMSG_DONE)
                 continue;
             auto* const easy = message->easy_handle;
             auto const code = message->data.result;
             transfer* it = nullptr;
-            curl_easy_getinfo(easy, CURLINFO_PRIVATE, &it);
+            curl().easy_getinfo(easy, CURLINFO_PRIVATE, &it);
             auto const end = end_of(*it, code);
-            curl_multi_remove_handle(multi_, easy);
+            curl().multi_remove_handle(multi_, easy);
             finish(it->id, end);
         }
     }
@@ -319,7 +320,7 @@
     void process_events(curl_socket_t fd, int events)
     {
         int running = 0;
-        curl_multi_socket_action(multi_, fd, events, &running);
+        curl().multi_socket_action(multi_, fd, events, &running);
         finish_ended();
     }
 
