Wait for an address that the machine does not have yet

What callers saw: a VM whose network interface came up after the process never served; the process had ended with status 1.

Cause: EADDRNOTAVAIL counted as an error that no later attempt can mend. It is awaited now like an address in use (event 105), on every listening address.

That a failed start ends the process stays tested in process_lifecycle_test.

--- a/drivers/http/endpoint.hpp
+++ b/drivers/http/endpoint.hpp
@@ -44,7 +44,8 @@
     std::string const& address, std::error_code ec)
 {
     auto const message = "cannot listen on " + address + ": " + ec.message();
-    constexpr int passing[] = {EADDRINUSE, EMFILE, ENFILE, ENOBUFS, ENOMEM};
+    constexpr int passing[] = {
+        EADDRINUSE, EADDRNOTAVAIL, EMFILE, ENFILE, ENOBUFS, ENOMEM};
     bool const may_pass = std::find(std::begin(passing), std::end(passing),
                               ec.value()) != std::end(passing);
     return may_pass ? absl::UnavailableError(message)
