End a call whose socket cannot be watched, not the process

What callers saw: when the kernel refuses to watch one more descriptor (a user may watch a limited number, ENOSPC), the VM ended with SIGABRT at its next call to the store.

Cause: the constructor of the socket's descriptor threw in libcurl's callback, through libcurl's C code.

--- a/drivers/http/curl_loop.cpp
+++ b/drivers/http/curl_loop.cpp
@@ -151,8 +151,7 @@
     /// One of libcurl's sockets and the events that libcurl waits for on it.
     struct socket_waits
     {
-        socket_waits(asio::io_context& context, curl_socket_t fd)
-            : descriptor(context, fd)
+        explicit socket_waits(asio::io_context& context) : descriptor(context)
         {
         }
 
@@ -363,16 +362,42 @@
         return found != sockets_.end() && found->second == it;
     }
 
-    void watch(curl_socket_t fd, int what)
+    void watch(CURL* easy, curl_socket_t fd, int what)
     {
         auto& it = sockets_[fd];
-        if (it == nullptr)
-            it = std::make_shared<socket_waits>(context_, fd);
+        if (it == nullptr) {
+            auto created = std::make_shared<socket_waits>(context_);
+            asio::error_code ec;
+            created->descriptor.assign(fd, ec);
+            if (ec) {
+                sockets_.erase(fd);
+                return fail_unwatched(easy, ec);
+            }
+            it = std::move(created);
+        }
         it->events = what;
         wait_readable(fd, it);
         wait_writable(fd, it);
     }
 
+    /// Ends a call whose socket cannot be watched. libcurl must not be called
+    /// from its own callback, so the call ends later.
+    void fail_unwatched(CURL* easy, asio::error_code ec)
+    {
+        transfer* it = nullptr;
+        curl().easy_getinfo(easy, CURLINFO_PRIVATE, &it);
+        log(log_event::http_socket_refused,
+            {{"url", it->call.url}, {"detail", ec.message()}});
+        asio::post(context_, [this, id = it->id] {
+            auto const found = transfers_.find(id);
+            if (found == transfers_.end())
+                return;
+            auto const end = end_of(*found->second, CURLE_COULDNT_CONNECT);
+            curl().multi_remove_handle(multi_, found->second->easy.get());
+            finish(id, end);
+        });
+    }
+
     void unwatch(curl_socket_t fd)
     {
         auto const it = sockets_.find(fd);
@@ -383,12 +408,13 @@
         sockets_.erase(it);
     }
 
-    static int on_socket(CURL*, curl_socket_t fd, int what, void* self, void*)
+    static int on_socket(
+        CURL* easy, curl_socket_t fd, int what, void* self, void*)
     {
         if (what == CURL_POLL_REMOVE)
             static_cast<detail*>(self)->unwatch(fd);
         else
-            static_cast<detail*>(self)->watch(fd, what);
+            static_cast<detail*>(self)->watch(easy, fd, what);
         return 0;
     }
 
