Refuse a start without descriptors plainly

What callers saw: with fewer than 17 descriptors a daemon ended by SIGABRT instead of saying what it lacked.

Cause: the constructors of the threads' contexts, of the signal set and of the probe for the peers' address throw, and nothing caught that. A stop created a further context and could throw as well.

What the daemon's parts need is claimed when it is constructed, also what a stop needs. A failure there is event 112 and exit status 1, also when libcurl cannot be loaded. A peers' address that cannot be tried for want of descriptors is awaited, as those of callers are.

descriptors_test runs a daemon with limits of 5 to 20 descriptors, loading_test one with an unreadable libcurl.

--- a/drivers/peers/peer_server.cpp
+++ b/drivers/peers/peer_server.cpp
@@ -23,15 +23,13 @@
     if (!endpoint)
         return absl::InvalidArgumentError(
             "\"" + address + "\" is not an IP:PORT");
-    asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(context);
-    asio::error_code ec;
-    acceptor.open(endpoint->protocol(), ec);
-    if (!ec)
-        acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), ec);
-    if (!ec)
-        acceptor.bind(*endpoint, ec);
-    return ec ? listen_status(address, ec) : absl::OkStatus();
+    try {
+        asio::io_context context;
+        asio::ip::tcp::acceptor const acceptor(context, *endpoint, true);
+        return absl::OkStatus();
+    } catch (std::system_error const& error) {
+        return listen_status(address, error);
+    }
 }
 
 } // namespace
--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -30,6 +30,7 @@
           signals_(control_.context(), SIGTERM, SIGINT, SIGHUP),
           settings_watch_(control_.context(), std::move(file))
     {
+        keep_signal_handlers();
         for (std::int64_t it = 0; it < settings_.traffic_threads; ++it)
             traffic_.push_back(std::make_unique<traffic_thread<Platform>>(
                 settings_, charts_,
@@ -57,7 +58,6 @@
                 [](absl::Status const&) {});
         claim_next(daemon_address::peers);
         control_.context().run();
-        keep_signal_handlers();
         log(log_event::stopped,
             {{"vm", settings_.vm.text()},
                 {"open", lifecycle_.open_requests()}});
@@ -265,7 +265,8 @@
     }
 
     /// Asio restores the default action with its last signal set. This one is
-    /// never destroyed, since other threads still take signals.
+    /// never destroyed, since other threads still take signals. It is created
+    /// at the start, since a stop may find no descriptor left.
     static void keep_signal_handlers()
     {
         static auto* const context = new asio::io_context(1);
--- a/main/daemon_main.hpp
+++ b/main/daemon_main.hpp
@@ -51,6 +51,18 @@
         std::cerr << "the allocator keeps large buffers after they are freed\n";
 }
 
+/// Ends the start of a daemon for which the machine lacks something, such as
+/// descriptors or a library.
+inline daemon_exit report_failed_start(std::exception const& error)
+{
+    log(log_event::start_failed, {{"detail", error.what()}});
+    bool const written = shutdown_log(log_write_timeout);
+    std::cerr << "the daemon cannot start: " << error.what() << "\n";
+    if (!written)
+        std::_Exit(static_cast<int>(daemon_exit::failed));
+    return daemon_exit::failed;
+}
+
 /// Reads settings and charts, then runs the daemon until it stops.
 template <FleetPlatform Platform>
 daemon_exit run_daemon(
@@ -83,8 +95,13 @@
     configure_log(source->parsed.logs);
     for (auto const& it : source->parsed.adjustments)
         log(log_event::settings_adjusted, {{"detail", it}});
-    auto process = std::make_unique<daemon<Platform>>(
-        std::move(source->parsed), std::move(source->file), std::move(*charts));
+    std::unique_ptr<daemon<Platform>> process;
+    try {
+        process = std::make_unique<daemon<Platform>>(std::move(source->parsed),
+            std::move(source->file), std::move(*charts));
+    } catch (std::exception const& error) {
+        return report_failed_start(error);
+    }
     auto const status = process->run();
     bool const abandoned = process->is_abandoned();
     if (abandoned)
--- a/tests/process/descriptors_test.py
+++ b/tests/process/descriptors_test.py
@@ -2,14 +2,18 @@
 
 import resource
 import socket
+import subprocess
 import time
 import unittest
 
-from process_fixture import ProcessTest, fleets
+from process_fixture import BUILD, ProcessTest, fleets
 
 LIMIT = 160
 CALLERS = 300
 FLOOD_S = 3
+STOP_S = 15
+#: With one descriptor fewer a daemon cannot read its settings.
+FEWEST = 5
 
 
 class DescriptorsTest(ProcessTest):
@@ -44,6 +48,42 @@
         except OSError:
             return b""
 
+    def run_limited(self, limit: int) -> int:
+        """Runs a VM that may open fewer than `limit` descriptors, and stops it
+        after a second if it has not ended. Returns its exit status."""
+        vm = self.vms[0]
+        with open(self.fleet.run_dir / f"{vm.name}.log", "wb") as log:
+            vm.process = subprocess.Popen(
+                [f"{BUILD}/pomelohinged", "--settings",
+                 str(self.fleet.run_dir / f"{vm.name}.jsonc")],
+                stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                preexec_fn=lambda: resource.setrlimit(
+                    resource.RLIMIT_NOFILE, (limit, limit)))
+        self.addCleanup(self.fleet.kill, vm.process)
+        try:
+            return vm.process.wait(1)
+        except subprocess.TimeoutExpired:
+            vm.process.terminate()
+            return vm.process.wait(STOP_S)
+
+    def test_start_with_too_few_descriptors_fails_plainly_or_waits(self):
+        vm = self.vms[0]
+        # Writes the settings.
+        self.fleet.start_vm(vm)
+        self.fleet.kill(vm.process)
+        for limit in range(FEWEST, 21):
+            with self.subTest(limit=limit):
+                status = self.run_limited(limit)
+                events = self.fleet.events(vm, "start_failed") or (
+                    self.fleet.events(vm, "address_awaited"))
+                self.assertTrue(events, self.log_of(vm))
+                failed = events[0]["event"] == "start_failed"
+                self.assertEqual(status, int(failed), self.log_of(vm))
+                self.assertEqual(
+                    self.fleet.events(vm, "exception_uncaught"), [])
+                if limit == FEWEST:
+                    self.assertTrue(failed)
+
     def test_flood_of_connections_leaves_targets_and_later_callers_served(
             self):
         self.start_with_limit()
--- a/tests/process/loading_test.py
+++ b/tests/process/loading_test.py
@@ -6,9 +6,11 @@
 more; bench/early_signals_bench.py measures it.
 """
 
+import json
 import os
 import pathlib
 import subprocess
+import tempfile
 import unittest
 
 from process_fixture import BUILD
@@ -34,6 +36,25 @@
                 self.assertIn("libc.so.6", libraries)
                 self.assertLessEqual(len(libraries), MAX_LIBRARIES, libraries)
 
+    def test_start_with_unreadable_libcurl_fails_with_status_1_and_event(self):
+        with tempfile.TemporaryDirectory(prefix="pomelohinge-test-") as name:
+            folder = pathlib.Path(name)
+            (folder / "libcurl.so.4").write_text("", encoding="ascii")
+            settings = folder / "vm.jsonc"
+            settings.write_text(json.dumps({
+                "vm": "vm", "data_centre": "bouskoura",
+                "callers_address": "127.0.0.1:1",
+                "peers_address": "127.0.0.1:2",
+                "platform_address": "127.0.0.1:3",
+                "log": {"format": "json"}}), encoding="ascii")
+            ended = subprocess.run(
+                [f"{BUILD}/pomelohinged", "--settings", str(settings)],
+                env={**os.environ, "LD_LIBRARY_PATH": name},
+                capture_output=True, text=True, check=False, timeout=10)
+        self.assertEqual(ended.returncode, 1, ended.stderr)
+        self.assertIn("libcurl cannot be loaded", ended.stderr)
+        self.assertIn('"event":"start_failed"', ended.stdout)
+
 
 if __name__ == "__main__":
     unittest.main()
