End the process in order by an exception that nothing catches

What callers saw: an exception on any thread ended the VM by SIGABRT, and its last log lines, up to 200 ms of them, were lost, so that nothing told why.

Cause: no thread had a last line of defence. The handler that the C++ runtime calls for an uncaught exception now logs event 111 with the thread's role and the text, writes the log out within 0.5 s and ends the process with status 4. Nothing else runs: the state cannot be relied on. If the failed thread holds the log's lock, SIGALRM ends the process after 2 s.

Considered: a catch in each thread's function. It would not see exceptions of gRPC's threads, which run callbacks of ours, nor those of noexcept functions.

--- a/core/log.cpp
+++ b/core/log.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.hpp"
 #include "core/line_ring.hpp"
+#include "core/thread_role.hpp"
 
 #include <algorithm>
 #include <array>
@@ -147,21 +148,26 @@
         // If the reader of standard output is closed, lines are lost, but the
         // process must not be terminated by SIGPIPE.
         std::signal(SIGPIPE, SIG_IGN);
-        thread_ = std::thread([this] { run(); });
+        thread_ = std::thread([this] {
+            set_thread_role(thread_role::log);
+            run();
+        });
     }
 
     /// Writes all pending lines and ends the thread. Returns false if it is
     /// still blocked in a write after `limit`.
     bool stop(std::chrono::milliseconds limit)
     {
+        if (!thread_.joinable())
+            return true;
+        if (thread_.get_id() == std::this_thread::get_id())
+            return false;
         std::unique_lock lock(mutex_);
         stopping_ = true;
         wake_.notify_one();
         bool const ended =
             ended_.wait_for(lock, limit, [this] { return has_ended_; });
         lock.unlock();
-        if (!thread_.joinable())
-            return true;
         if (ended)
             thread_.join();
         else
--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -1,6 +1,7 @@
 #ifndef POMELOHINGE_MAIN_DAEMON_HPP
 #define POMELOHINGE_MAIN_DAEMON_HPP
 
+#include "core/thread_role.hpp"
 #include "drivers/peers/peer_server.hpp"
 #include "main/address_claim.hpp"
 #include "main/control_thread.hpp"
@@ -48,6 +49,7 @@
     /// never be listened on.
     absl::Status run()
     {
+        set_thread_role(thread_role::control);
         await_signal();
         unblock_signals();
         settings_watch_.start();
@@ -372,6 +374,7 @@
         step_ = std::make_shared<std::thread>();
         *step_ = std::thread([this, step = std::move(step),
                                  closed = std::move(closed), running = step_] {
+            set_thread_role(thread_role::stop_step);
             step();
             control_.post([closed, running] {
                 if (running->joinable())
--- a/main/daemon_main.hpp
+++ b/main/daemon_main.hpp
@@ -6,6 +6,7 @@
 #include "main/daemon.hpp"
 #include "main/process_signals.hpp"
 #include "main/settings_source.hpp"
+#include "main/uncaught_exceptions.hpp"
 
 #include <cstdlib>
 #include <cxxopts.hpp>
@@ -20,6 +21,7 @@
     failed = 1,
     invalid_input = 2,
     invariant_violated = 3,
+    uncaught_exception = uncaught_exception_status,
 };
 
 /// How long a stop waits for the reader of standard output.
@@ -125,6 +127,7 @@
     int argc, char** argv, program_description const& program)
 {
     block_signals();
+    end_on_uncaught_exceptions();
     cxxopts::Options options(program.name, "Daemon of an entry VM");
     options.add_options()("settings", "Settings file",
         cxxopts::value<std::string>(), "FILE")("charts",
--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -2,6 +2,7 @@
 #define POMELOHINGE_MAIN_TRAFFIC_THREAD_HPP
 
 #include "charts/chart_list.hpp"
+#include "core/thread_role.hpp"
 #include "drivers/front/front_server.hpp"
 #include "drivers/pages/page_server.hpp"
 #include "drivers/upstream/upstream_client.hpp"
@@ -66,7 +67,10 @@
     void start()
     {
         tick();
-        thread_ = std::thread([this] { context_.run(); });
+        thread_ = std::thread([this] {
+            set_thread_role(thread_role::traffic);
+            context_.run();
+        });
     }
 
     /// Stops the thread and joins it.
