--- a/tests/process/standard_streams_test.py
+++ b/tests/process/standard_streams_test.py
@@ -69,6 +69,34 @@
         os.close(writer)
         self.assert_serves_and_stops()
 
+    def test_vm_whose_reader_ends_while_it_runs_serves_and_stops(self):
+        reader, writer = os.pipe()
+        self.start_vm(stdout=writer, stderr=writer)
+        os.close(writer)
+        self.wait_serving()
+        os.close(reader)
+        self.assert_serves_and_stops()
+
+    def test_vm_with_slow_reader_stops_with_its_last_line_written(self):
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
+        self.start_vm(stdout=writer, stderr=subprocess.DEVNULL)
+        os.close(writer)
+        text = b""
+        process = self.vm.process
+        end = time.monotonic() + START_S + STOP_S
+        sent = False
+        while part := os.read(reader, 64):
+            text += part
+            time.sleep(0.005)
+            self.assertLess(time.monotonic(), end, text[-500:])
+            if not sent and b'"started"' in text:
+                process.send_signal(signal.SIGTERM)
+                sent = True
+        self.assertEqual(process.wait(STOP_S), 0)
+        self.assertIn(b'"event":"stopped"', text.splitlines()[-1])
+
     def test_vm_with_closed_streams_sends_no_log_lines_on_sockets(self):
         self.start_vm(preexec_fn=lambda: [os.close(it) for it in (0, 1, 2)])
         self.wait_serving()
