--- a/tests/process/early_signals_test.py
+++ b/tests/process/early_signals_test.py
@@ -12,6 +12,9 @@
 #: Delays between the end of the program's loading and the signal.
 DELAYS_S = [0, 0.005, 0.02, 0.05, 0.1, 0.3]
 
+#: Without the mask, nearly each of so many starts ends by the signal.
+STARTS = 8
+
 
 class EarlySignalsTest(ProcessTest):
     def start_until_loaded(self) -> None:
@@ -47,6 +50,18 @@
                 self.assert_running(self.vms[0])
                 self.fleet.kill(self.vms[0].process)
 
+    def test_sigterm_at_once_from_starter_that_blocked_it_is_planned_stop(
+            self):
+        self.fleet.start_platform()
+        blocked = {signal.SIGTERM, signal.SIGHUP, signal.SIGINT}
+        for _ in range(STARTS):
+            before = signal.pthread_sigmask(signal.SIG_BLOCK, blocked)
+            try:
+                self.fleet.start_vm(self.vms[0])
+            finally:
+                signal.pthread_sigmask(signal.SIG_SETMASK, before)
+            self.assert_stops(self.vms[0], STOP_S)
+
 
 if __name__ == "__main__":
     unittest.main()
