--- a/main/uncaught_exceptions.cpp
+++ b/main/uncaught_exceptions.cpp
@@ -42,7 +42,7 @@
         ::pause();
     ::alarm(end_limit_s);
     auto const detail = describe_exception();
-    auto const* const thread = to_name(current_thread_role()).data();
+    auto const thread = to_name(current_thread_role());
     log(log_event::exception_uncaught,
         {{"thread", thread}, {"detail", detail}});
     shutdown_log(log_limit);
