--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -1,6 +1,7 @@
 #ifndef POMELOHINGE_MAIN_DAEMON_HPP
 #define POMELOHINGE_MAIN_DAEMON_HPP
 
+#include "core/thread_role.hpp"
 #include "drivers/peers/peer_server.hpp"
 #include "main/address_claim.hpp"
 #include "main/control_thread.hpp"
@@ -30,6 +31,7 @@
           signals_(control_.context(), SIGTERM, SIGINT, SIGHUP),
           settings_watch_(control_.context(), std::move(file))
     {
+        keep_signal_handlers();
         for (std::int64_t it = 0; it < settings_.traffic_threads; ++it)
             traffic_.push_back(std::make_unique<traffic_thread<Platform>>(
                 settings_, charts_,
@@ -47,6 +49,7 @@
     /// never be listened on.
     absl::Status run()
     {
+        set_thread_role(thread_role::control);
         await_signal();
         unblock_signals();
         settings_watch_.start();
@@ -57,7 +60,6 @@
                 [](absl::Status const&) {});
         claim_next(daemon_address::peers);
         control_.context().run();
-        keep_signal_handlers();
         log(log_event::stopped,
             {{"vm", settings_.vm.text()},
                 {"open", lifecycle_.open_requests()}});
@@ -265,7 +267,8 @@
     }
 
     /// Asio restores the default action with its last signal set. This one is
-    /// never destroyed, since other threads still take signals.
+    /// never destroyed, since other threads still take signals. It is created
+    /// at the start, since a stop may find no descriptor left.
     static void keep_signal_handlers()
     {
         static auto* const context = new asio::io_context(1);
@@ -371,6 +374,7 @@
         step_ = std::make_shared<std::thread>();
         *step_ = std::thread([this, step = std::move(step),
                                  closed = std::move(closed), running = step_] {
+            set_thread_role(thread_role::stop_step);
             step();
             control_.post([closed, running] {
                 if (running->joinable())
--- a/main/daemon_main.hpp
+++ b/main/daemon_main.hpp
@@ -6,6 +6,7 @@
 #include "main/daemon.hpp"
 #include "main/process_signals.hpp"
 #include "main/settings_source.hpp"
+#include "main/uncaught_exceptions.hpp"
 
 #include <cstdlib>
 #include <cxxopts.hpp>
@@ -20,6 +21,7 @@
     failed = 1,
     invalid_input = 2,
     invariant_violated = 3,
+    uncaught_exception = uncaught_exception_status,
 };
 
 /// How long a stop waits for the reader of standard output.
@@ -51,6 +53,18 @@
         std::cerr << "the allocator keeps large buffers after they are freed\n";
 }
 
+/// Ends the start of a daemon for which the machine lacks something, such as
+/// descriptors or a library.
+inline daemon_exit report_failed_start(std::exception const& error)
+{
+    log(log_event::start_failed, {{"detail", error.what()}});
+    bool const written = shutdown_log(log_write_timeout);
+    std::cerr << "the daemon cannot start: " << error.what() << "\n";
+    if (!written)
+        std::_Exit(static_cast<int>(daemon_exit::failed));
+    return daemon_exit::failed;
+}
+
 /// Reads settings and charts, then runs the daemon until it stops.
 template <FleetPlatform Platform>
 daemon_exit run_daemon(
@@ -83,8 +97,13 @@
     configure_log(source->parsed.logs);
     for (auto const& it : source->parsed.adjustments)
         log(log_event::settings_adjusted, {{"detail", it}});
-    auto process = std::make_unique<daemon<Platform>>(
-        std::move(source->parsed), std::move(source->file), std::move(*charts));
+    std::unique_ptr<daemon<Platform>> process;
+    try {
+        process = std::make_unique<daemon<Platform>>(std::move(source->parsed),
+            std::move(source->file), std::move(*charts));
+    } catch (std::exception const& error) {
+        return report_failed_start(error);
+    }
     auto const status = process->run();
     bool const abandoned = process->is_abandoned();
     if (abandoned)
@@ -108,6 +127,7 @@
     int argc, char** argv, program_description const& program)
 {
     block_signals();
+    end_on_uncaught_exceptions();
     cxxopts::Options options(program.name, "Daemon of an entry VM");
     options.add_options()("settings", "Settings file",
         cxxopts::value<std::string>(), "FILE")("charts",
