--- /dev/null
+++ b/drivers/front/connection_state.hpp
@@ -0,0 +1,193 @@
+#ifndef POMELOHINGE_DRIVERS_FRONT_CONNECTION_STATE_HPP
+#define POMELOHINGE_DRIVERS_FRONT_CONNECTION_STATE_HPP
+
+#include "drivers/front/expect_continue.hpp"
+#include "drivers/front/request_buffers.hpp"
+#include "servers/requests/request_pipeline.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string_view>
+#include <utility>
+
+namespace pomelohinge {
+
+/// The state of one caller's connection. RESTinio neither notifies request
+/// handlers when a caller closes its connection nor lets them answer a request
+/// that it cannot parse; this class detects both. It is used on the
+/// connection's traffic thread only, and shared by the socket and the requests
+/// received on it.
+class connection_state
+{
+public:
+    explicit connection_state(request_buffers* buffers = nullptr)
+        : intake_(buffers)
+    {
+    }
+    ~connection_state() { receiving().erase(this); }
+    connection_state(connection_state const&) = delete;
+    connection_state& operator=(connection_state const&) = delete;
+
+    /// The number of connections of this thread on which a part of a request
+    /// has been received, the latest bytes since `since`.
+    static std::size_t count_receiving(time_point since)
+    {
+        return static_cast<std::size_t>(
+            std::count_if(receiving().begin(), receiving().end(),
+                [&](auto const& it) { return it.second >= since; }));
+    }
+
+    /// The memory of the request that is being received.
+    request_intake& intake() { return intake_; }
+
+    /// Marks the bytes received so far as those of a complete request.
+    void mark_received()
+    {
+        unhandled_bytes_ = 0;
+        receiving().erase(this);
+        expect_continue_.request_received();
+    }
+
+    /// Registers a request that runs and returns its id. `on_disconnected` is
+    /// called if the caller shuts down its sending side or closes the
+    /// connection before `end_request`; twice if it does one after the other.
+    std::uint64_t begin_request(std::function<void()> on_disconnected)
+    {
+        auto const id = ++last_id_;
+        if (!closed_)
+            on_disconnected_.emplace(id, std::move(on_disconnected));
+        return id;
+    }
+
+    /// Unregisters a request, so that its callback is no longer called.
+    void end_request(std::uint64_t id) { on_disconnected_.erase(id); }
+
+    /// When the requests received on the connection start.
+    request_pipeline& pipeline() { return pipeline_; }
+
+    /// Keeps `answer` open until the caller has received all that was written.
+    void set_last_answer(std::shared_ptr<void> answer)
+    {
+        receiving().erase(this);
+        has_last_answer_ = true;
+        last_answer_ = std::move(answer);
+    }
+
+    /// Records that the caller has received all that was written.
+    void mark_delivered() { last_answer_ = nullptr; }
+
+    /// Whether the caller has closed the connection.
+    bool is_closed() const { return closed_; }
+
+    /// Counts received bytes until a request handler has taken them.
+    void add_received(std::string_view bytes)
+    {
+        unhandled_bytes_ += bytes.size();
+        if (!bytes.empty())
+            receiving()[this] = boottime_clock::now();
+        expect_continue_.add(bytes);
+    }
+
+    /// Whether the caller waits for a "100 Continue", which belongs behind the
+    /// answers to its earlier requests.
+    bool is_continue_due() const
+    {
+        return expect_continue_.is_due() && is_answered();
+    }
+
+    void mark_continue_sent() { expect_continue_.mark_sent(); }
+
+    /// The number of answers that are being written.
+    std::shared_ptr<std::size_t> const& unsent_answers() const
+    {
+        return unsent_answers_;
+    }
+
+    /// Whether every request that was received has been answered.
+    bool is_answered() const
+    {
+        return pipeline_.empty() && *unsent_answers_ == 0;
+    }
+
+    /// Whether all requests are answered that ever will be, while no answer has
+    /// closed the connection, since the last one was given before an earlier
+    /// one.
+    bool is_close_due() const
+    {
+        return pipeline_.is_stopped() && is_answered() && !has_last_answer_ &&
+            !closed_;
+    }
+
+    /// Whether the caller has shut down its sending side.
+    bool has_input_ended() const { return input_ended_; }
+
+    /// Records that the caller has shut down its sending side. This may be the
+    /// start of a close, so requests that can be cancelled end.
+    void mark_input_ended()
+    {
+        input_ended_ = true;
+        pipeline_.stop();
+        for (auto const& [id, callback] : std::map(on_disconnected_))
+            if (on_disconnected_.contains(id))
+                callback();
+    }
+
+    /// Marks the connection as closed by the caller and calls the callback of
+    /// every registered request, unless it is unregistered by another one's.
+    void mark_closed_by_caller()
+    {
+        closed_ = true;
+        receiving().erase(this);
+        intake_.abandon();
+        pipeline_.stop();
+        while (!on_disconnected_.empty())
+            on_disconnected_.extract(on_disconnected_.begin()).mapped()();
+    }
+
+    /// Whether the caller has not closed the connection, no request is
+    /// unanswered and bytes were received that no request handler has taken.
+    /// If the server closes the connection in this state, it has rejected a
+    /// request without an answer.
+    bool needs_refusal() const
+    {
+        return !closed_ && is_answered() && unhandled_bytes_ > 0 &&
+            !has_last_answer_;
+    }
+
+    /// The connection whose socket handler is running on this thread; null
+    /// outside of socket handlers.
+    static std::shared_ptr<connection_state>& current()
+    {
+        thread_local std::shared_ptr<connection_state> state;
+        return state;
+    }
+
+private:
+    /// Connections of this thread with a part of a request, and when its latest
+    /// bytes came.
+    static std::map<connection_state const*, time_point>& receiving()
+    {
+        thread_local std::map<connection_state const*, time_point> connections;
+        return connections;
+    }
+
+    std::uint64_t last_id_ = 0;
+    std::size_t unhandled_bytes_ = 0;
+    bool closed_ = false;
+    bool input_ended_ = false;
+    std::map<std::uint64_t, std::function<void()>> on_disconnected_;
+    request_pipeline pipeline_;
+    bool has_last_answer_ = false;
+    std::shared_ptr<void> last_answer_;
+    std::shared_ptr<std::size_t> unsent_answers_ =
+        std::make_shared<std::size_t>(0);
+    expect_continue expect_continue_;
+    request_intake intake_;
+};
+
+} // namespace pomelohinge
+
+#endif
--- a/tests/drivers/connection_state_test.cpp
+++ b/tests/drivers/connection_state_test.cpp
@@ -1,4 +1,4 @@
-#include "drivers/front/front_socket.hpp"
+#include "drivers/front/connection_state.hpp"
 
 #include <gtest/gtest.h>
 
