Answer the requests before one that cannot be parsed

What callers saw: bytes that cannot be parsed behind a request closed its connection at once. Orders that ran already got no answer, those that waited never ran, and the caller could not tell which.

Cause: RESTinio closes a connection as soon as its parser fails, also with requests under way.

Change: the scanner that follows each connection (request_scanner) uses the same parser and now also RESTinio's limits on heads and bodies, which stand in one place. RESTinio gets the bytes before the malformed request only. What comes behind is skipped until all before is answered; then the 400 with not_run is sent, and the connection closes. A caller that leaves meanwhile still cancels its look-ups.

Evidence: five tests of pipelining_test failed before and pass now (orders_before_malformed_bytes_are_answered_in_order, malformed_bytes_that_come_later_are_refused_last, request_that_breaks_off_in_its_head_is_refused_last, head_that_exceeds_a_limit_is_refused_last, malformed_bytes_of_caller_that_leaves_cancel_its_lookup). Two tests expected the connection to end without an answer, which was the fault. request_that_is_malformed_gets_no_answer_of_an_order guarded against a refusal taken for an order's answer; malformed_bytes_that_come_later_are_refused_last checks this and the order's own answer. order_behind_closed_connection_does_not_start closes the connection from the caller's side now. 65 tests of the front pass.

--- a/drivers/front/connection_state.hpp
+++ b/drivers/front/connection_state.hpp
@@ -153,8 +153,23 @@
     /// request without an answer.
     bool needs_refusal() const
     {
-        return !closed_ && is_answered() && unhandled_bytes_ > 0 &&
-            !has_last_answer_;
+        return !closed_ && is_answered() && !has_last_answer_ &&
+            (unhandled_bytes_ > 0 || intake_.is_malformed());
+    }
+
+    /// Whether all requests before a malformed one are answered.
+    bool is_malformed_next() const
+    {
+        return intake_.is_malformed() && needs_refusal();
+    }
+
+    /// Records that the request that is being received gets a refusal, which
+    /// closes the connection.
+    void mark_refused()
+    {
+        mark_received();
+        intake_.abandon();
+        set_last_answer(nullptr);
     }
 
     /// The connection whose socket handler is running on this thread; null
--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -143,18 +143,8 @@
     }
 
 private:
-    /// Limits on the head of a request. RESTinio closes the connection of a
-    /// request that exceeds them; `front_socket` sends a refusal before that.
-    static constexpr std::size_t max_url_bytes = 8 << 10;
-    static constexpr std::size_t max_field_name_bytes = 256;
-    static constexpr std::size_t max_field_value_bytes = 16 << 10;
-    static constexpr std::size_t max_fields = 128;
     static constexpr std::size_t max_head_bytes = 128 << 10;
 
-    /// Bodies above `front_limits::max_body_bytes` are read and then refused;
-    /// bodies above this limit are not read.
-    static constexpr std::uint64_t max_body_bytes_read = 32 << 20;
-
     /// RESTinio detects that a caller has closed its connection only while it
     /// reads from the connection, so it reads one request more than a caller
     /// may send ahead.
@@ -202,11 +192,11 @@
             .write_http_response_timelimit(write_timeout)
             .incoming_http_msg_limits(
                 restinio::incoming_http_msg_limits_t{}
-                    .max_url_size(max_url_bytes)
-                    .max_field_name_size(max_field_name_bytes)
-                    .max_field_value_size(max_field_value_bytes)
-                    .max_field_count(max_fields)
-                    .max_body_size(max_body_bytes_read))
+                    .max_url_size(request_limits::url_bytes)
+                    .max_field_name_size(request_limits::field_name_bytes)
+                    .max_field_value_size(request_limits::field_value_bytes)
+                    .max_field_count(request_limits::fields)
+                    .max_body_size(request_limits::body_bytes))
             .acceptor_options_setter([](auto& options) {
                 options.set_option(
                     asio::ip::tcp::acceptor::reuse_address(true));
--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -53,25 +53,15 @@
             asio::get_associated_executor(handler, get_executor());
         asio::mutable_buffer const input =
             *asio::buffer_sequence_begin(buffers);
-        read_with_room(input,
-            asio::bind_executor(executor,
-                [this, state = state_, input,
-                    handler = std::forward<Handler>(handler)](
-                    asio::error_code const& ec, std::size_t bytes) mutable {
-                    std::string_view const received(
-                        static_cast<char const*>(input.data()), bytes);
-                    state->add_received(received);
-                    state->intake().receive(received);
-                    if (ec == asio::error::eof && !state->is_answered())
-                        return await_answers(state, std::move(handler));
-                    {
-                        current_connection_scope const scope(state);
-                        handler(ec, bytes);
-                        send_continue_if_due();
-                    }
-                    if (ec && ec != asio::error::operation_aborted)
-                        state->mark_closed_by_caller();
-                }));
+        auto after = asio::bind_executor(executor,
+            [this, state = state_, input,
+                handler = std::forward<Handler>(handler)](
+                asio::error_code const& ec, std::size_t bytes) mutable {
+                after_read(state, input, ec, bytes, std::move(handler));
+            });
+        if (state_->intake().is_malformed())
+            return refuse_malformed(state_, input, std::move(after));
+        read_with_room(input, std::move(after));
     }
 
     /// When a write ends, RESTinio may pass a pipelined request that it has
@@ -91,7 +81,8 @@
                     send_continue_if_due();
                     // Ends the wait for the answers.
                     asio::error_code ignored;
-                    if (state->has_input_ended() && state->is_answered())
+                    if ((state->has_input_ended() && state->is_answered()) ||
+                        state->is_malformed_next())
                         base::cancel(ignored);
                     else if (is_open() && state->is_close_due())
                         base::shutdown(shutdown_receive, ignored);
@@ -137,6 +128,51 @@
         std::shared_ptr<connection_state> previous_;
     };
 
+    /// Passes what has been read on to RESTinio, which closes the connection at
+    /// once when it cannot parse a request. So bytes of a malformed one are
+    /// held back until those before it are answered.
+    template <class Handler>
+    void after_read(std::shared_ptr<connection_state> const& state,
+        asio::mutable_buffer const& input, asio::error_code const& ec,
+        std::size_t bytes, Handler handler)
+    {
+        std::string_view const received(
+            static_cast<char const*>(input.data()), bytes);
+        state->add_received(received);
+        auto const handled = state->intake().receive(received);
+        if (ec == asio::error::eof && !state->is_answered())
+            return await_answers(state, std::move(handler));
+        if (!ec && handled == 0)
+            return async_read_some(input, std::move(handler));
+        {
+            current_connection_scope const scope(state);
+            handler(ec, handled);
+            send_continue_if_due();
+        }
+        if (ec && ec != asio::error::operation_aborted)
+            state->mark_closed_by_caller();
+    }
+
+    /// Skips what the caller sends until the requests before the malformed one
+    /// are answered, and then refuses that one.
+    template <class Handler>
+    void refuse_malformed(std::shared_ptr<connection_state> state,
+        asio::mutable_buffer const& input, Handler handler)
+    {
+        if (state->is_malformed_next())
+            return refuse_request(
+                unparsable_refusal(), input, std::move(handler));
+        base::async_read_some(input,
+            [this, state, input, handler = std::move(handler)](
+                asio::error_code const& ec, std::size_t) mutable {
+                bool const is_woken = ec == asio::error::operation_aborted &&
+                    state->is_malformed_next();
+                if (!ec || is_woken)
+                    return refuse_malformed(state, input, std::move(handler));
+                handler(ec, 0);
+            });
+    }
+
     /// Holds back the end of the input, at which RESTinio closes the
     /// connection, until all requests are answered or the connection has
     /// failed.
@@ -228,20 +264,21 @@
                 if (wait->ended || !base::is_open())
                     return base::async_read_some(input, std::move(handler));
                 if (state_->is_answered())
-                    return refuse_request(input, std::move(handler));
+                    return refuse_request(
+                        state_->intake().refuse(), input, std::move(handler));
                 // A refusal would overtake the answers to earlier requests.
                 wait->timer.expires_after(request_buffers::max_wait);
                 await_room(wait, input, std::move(handler));
             });
     }
 
-    /// Refuses a request whose body has not been read.
+    /// Refuses a request that has not been read completely.
     template <class Handler>
-    void refuse_request(asio::mutable_buffer const& input, Handler handler)
+    void refuse_request(
+        std::string refusal, asio::mutable_buffer const& input, Handler handler)
     {
-        state_->mark_received();
-        auto const text =
-            std::make_shared<std::string>(state_->intake().refuse());
+        state_->mark_refused();
+        auto const text = std::make_shared<std::string>(std::move(refusal));
         asio::async_write(static_cast<base&>(*this), asio::buffer(*text),
             [this, text, input, handler = std::move(handler)](
                 asio::error_code ec, std::size_t) mutable {
--- a/drivers/front/request_buffers.hpp
+++ b/drivers/front/request_buffers.hpp
@@ -88,12 +88,15 @@
 
     request_buffers* buffers() const { return buffers_; }
 
-    void receive(std::string_view bytes)
+    /// Returns how many of the bytes may be handled; see `request_scanner`.
+    std::size_t receive(std::string_view bytes)
     {
-        if (buffers_ != nullptr)
-            scanner_.scan(bytes);
+        return buffers_ == nullptr ? bytes.size() : scanner_.scan(bytes);
     }
 
+    /// Whether the request is malformed.
+    bool is_malformed() const { return scanner_.is_malformed(); }
+
     /// Whether the request is large enough to be charged.
     bool needs_charge() const
     {
--- a/drivers/front/request_scanner.cpp
+++ b/drivers/front/request_scanner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace pomelohinge {
 namespace {
@@ -44,6 +45,15 @@
     return 0;
 }
 
+/// What the parser's callbacks return.
+constexpr int proceed = 0;
+constexpr int reject = -1;
+
+int accept_if(bool within_limits)
+{
+    return within_limits ? proceed : reject;
+}
+
 } // namespace
 
 http_parser_settings const& request_scanner::callbacks()
@@ -51,63 +61,106 @@
     static http_parser_settings const settings = [] {
         http_parser_settings it;
         http_parser_settings_init(&it);
-        it.on_headers_complete = [](http_parser* parser) {
-            auto& scanner = self(parser);
-            scanner.head_complete_ = true;
-            if (parser->content_length != std::numeric_limits<uint64_t>::max())
-                scanner.stated_body_bytes_ = parser->content_length;
-            return 0;
-        };
-        it.on_body = [](http_parser* parser, char const*, std::size_t size) {
-            self(parser).received_body_bytes_ += size;
-            return 0;
-        };
+        it.on_url = count_url;
+        it.on_header_field = count_field_name;
+        it.on_header_value = count_field_value;
+        it.on_headers_complete = check_head;
+        it.on_body = count_body;
         it.on_chunk_header = [](http_parser* parser) {
-            self(parser).received_body_bytes_ += bytes_per_chunk;
-            return 0;
+            self(parser).progress_.chunk_bytes += bytes_per_chunk;
+            return proceed;
         };
         it.on_message_complete = [](http_parser* parser) {
             http_parser_pause(parser, 1);
-            return 0;
+            return proceed;
         };
         return it;
     }();
     return settings;
 }
 
+int request_scanner::count_url(http_parser* parser, char const*, std::size_t n)
+{
+    auto& it = self(parser).progress_;
+    it.url_bytes += n;
+    return accept_if(it.url_bytes <= request_limits::url_bytes);
+}
+
+int request_scanner::count_field_name(
+    http_parser* parser, char const*, std::size_t n)
+{
+    auto& it = self(parser).progress_;
+    if (std::exchange(it.in_value, false)) {
+        it.field_name_bytes = 0;
+        ++it.fields;
+    }
+    it.field_name_bytes += n;
+    return accept_if(it.fields <= request_limits::fields &&
+        it.field_name_bytes <= request_limits::field_name_bytes);
+}
+
+int request_scanner::count_field_value(
+    http_parser* parser, char const*, std::size_t n)
+{
+    auto& it = self(parser).progress_;
+    if (!std::exchange(it.in_value, true))
+        it.field_value_bytes = 0;
+    it.field_value_bytes += n;
+    return accept_if(it.field_value_bytes < request_limits::field_value_bytes);
+}
+
+int request_scanner::check_head(http_parser* parser)
+{
+    auto& it = self(parser).progress_;
+    it.head_complete = true;
+    if (parser->content_length == std::numeric_limits<std::uint64_t>::max())
+        return proceed;
+    it.stated_body_bytes = parser->content_length;
+    return accept_if(parser->content_length <= request_limits::body_bytes);
+}
+
+int request_scanner::count_body(http_parser* parser, char const*, std::size_t n)
+{
+    auto& it = self(parser).progress_;
+    it.body_bytes += n;
+    return accept_if(it.body_bytes <= request_limits::body_bytes);
+}
+
 void request_scanner::restart()
 {
     http_parser_init(&parser_, HTTP_REQUEST);
     head_.clear();
-    head_complete_ = false;
-    stated_body_bytes_ = 0;
-    received_body_bytes_ = 0;
+    progress_ = {};
 }
 
-void request_scanner::scan(std::string_view bytes)
+std::size_t request_scanner::scan(std::string_view bytes)
 {
-    while (!bytes.empty()) {
+    auto const size = bytes.size();
+    while (!bytes.empty() && !malformed_) {
         // The scanner may have been moved since the last call.
         parser_.data = this;
-        bool const in_head = !head_complete_;
+        bool const in_head = !progress_.head_complete;
         auto const n = http_parser_execute(
             &parser_, &callbacks(), bytes.data(), bytes.size());
         if (in_head)
             head_.append(bytes.substr(0, n));
         auto const error = HTTP_PARSER_ERRNO(&parser_);
         if (error == HPE_OK)
-            return;
-        // RESTinio closes the connection of a request that cannot be parsed.
-        if (error != HPE_PAUSED)
-            return;
+            return size;
+        malformed_ = error != HPE_PAUSED;
+        if (malformed_)
+            break;
         restart();
         bytes.remove_prefix(std::min(n, bytes.size()));
     }
+    return size - bytes.size();
 }
 
 std::size_t request_scanner::needed_bytes() const
 {
-    return head_.size() + std::max(stated_body_bytes_, received_body_bytes_);
+    return head_.size() +
+        std::max(progress_.stated_body_bytes,
+            progress_.body_bytes + progress_.chunk_bytes);
 }
 
 received_head request_scanner::head() const
--- a/drivers/front/request_scanner.hpp
+++ b/drivers/front/request_scanner.hpp
@@ -3,6 +3,7 @@
 
 #include "servers/requests/request.hpp"
 
+#include <cstdint>
 #include <http_parser.h>
 #include <string>
 #include <string_view>
@@ -18,14 +19,31 @@
     std::vector<header_field> headers;
 };
 
-/// Follows the bytes of a caller's connection to determine how much memory the
-/// request that is being received needs. It keeps none of the body.
+/// Limits on a request. One that exceeds them counts as malformed.
+struct request_limits
+{
+    static constexpr std::size_t url_bytes = 8 << 10;
+    static constexpr std::size_t field_name_bytes = 256;
+    static constexpr std::size_t field_value_bytes = 16 << 10;
+    static constexpr std::size_t fields = 128;
+    static constexpr std::uint64_t body_bytes = 32 << 20;
+};
+
+/// Follows the bytes of a caller's connection to determine where its requests
+/// end, whether they are well formed, and how much memory the one that is being
+/// received needs. It keeps none of the body.
 class request_scanner
 {
 public:
     request_scanner() { restart(); }
 
-    void scan(std::string_view bytes);
+    /// Returns how many of the bytes may be handled: all, or those before a
+    /// request that is malformed.
+    std::size_t scan(std::string_view bytes);
+
+    /// Whether the request that is being received is malformed. What comes
+    /// behind it is not scanned.
+    bool is_malformed() const { return malformed_; }
 
     /// Memory that the incomplete request needs: for its head, and for its body
     /// the stated length or what has come. 0 between requests.
@@ -35,20 +53,42 @@
     received_head head() const;
 
 private:
+    /// What has come of the request.
+    struct progress
+    {
+        std::size_t url_bytes = 0;
+        std::size_t fields = 0;
+        std::size_t field_name_bytes = 0;
+        std::size_t field_value_bytes = 0;
+        /// The latest part of a header belongs to its value.
+        bool in_value = true;
+        bool head_complete = false;
+        std::size_t stated_body_bytes = 0;
+        std::size_t body_bytes = 0;
+        /// Memory for the records of its chunks.
+        std::size_t chunk_bytes = 0;
+    };
+
     static request_scanner& self(http_parser* parser)
     {
         return *static_cast<request_scanner*>(parser->data);
     }
     static http_parser_settings const& callbacks();
+    static int count_url(http_parser* parser, char const*, std::size_t n);
+    static int count_field_name(
+        http_parser* parser, char const*, std::size_t n);
+    static int count_field_value(
+        http_parser* parser, char const*, std::size_t n);
+    static int check_head(http_parser* parser);
+    static int count_body(http_parser* parser, char const*, std::size_t n);
 
     void restart();
 
     http_parser parser_{};
     /// Bytes of the head as received.
     std::string head_;
-    bool head_complete_ = false;
-    std::size_t stated_body_bytes_ = 0;
-    std::size_t received_body_bytes_ = 0;
+    progress progress_;
+    bool malformed_ = false;
 };
 
 } // namespace pomelohinge
