Answer every request that a connection has received

What callers saw: an order with Connection: close behind another one, and in a stop each request that waited for an earlier answer or came behind one that was under way, never ran and got no answer. One that came between two answers out of order in a stop was read and dropped.

Cause: a connection that is to be closed dropped what had not started, and the answer to the last started request closed it, although further requests had been read.

Change: the pipeline of a connection has a state between open and stopped: closed for further requests, while those that wait still start. A request with Connection: close closes it. If no answer can close the connection, since the last one was given before an earlier one, its read is ended once it is idle; a request that has come by then is answered first. Before, the read was ended as if the caller had shut down its side, which cancels look-ups.

--- a/drivers/front/connection_state.hpp
+++ b/drivers/front/connection_state.hpp
@@ -112,13 +112,15 @@
         return pipeline_.empty() && *unsent_answers_ == 0;
     }
 
-    /// Whether all requests are answered that ever will be, while no answer has
-    /// closed the connection, since the last one was given before an earlier
-    /// one.
+    /// Asks for a close as soon as no request is unanswered.
+    void request_close() { close_requested_ = true; }
+
+    /// Whether the connection is to be closed now, since no answer has closed
+    /// it.
     bool is_close_due() const
     {
-        return pipeline_.is_stopped() && is_answered() && !has_last_answer_ &&
-            !closed_;
+        return close_requested_ && is_answered() && unhandled_bytes_ == 0 &&
+            !has_last_answer_ && !closed_;
     }
 
     /// Whether the caller has shut down its sending side.
@@ -195,6 +197,7 @@
     bool input_ended_ = false;
     std::map<std::uint64_t, std::function<void()>> on_disconnected_;
     request_pipeline pipeline_;
+    bool close_requested_ = false;
     bool has_last_answer_ = false;
     std::shared_ptr<void> last_answer_;
     std::shared_ptr<std::size_t> unsent_answers_ =
--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -91,7 +91,8 @@
         return absl::OkStatus();
     }
 
-    /// Makes every further answer close its connection.
+    /// Closes each connection that gets a further answer, behind the answer to
+    /// the last of its requests.
     void close_connections_after_answers() { closing_ = true; }
 
     /// Accepts the connections that are established and then stops listening.
@@ -319,14 +320,10 @@
         request_pipeline::start_callback start)
     {
         auto& pipeline = it->connection->pipeline();
-        // The answer that closes the connection is the last one, so requests
-        // behind it would get none.
-        if (closing_ && !pipeline.empty())
-            pipeline.stop();
         it->number = pipeline.next_number();
         pipeline.add(repeatable, boottime_clock::now(), std::move(start));
         if (!it->request->header().should_keep_alive())
-            pipeline.stop();
+            pipeline.close();
     }
 
     void refuse(open_request_pointer const& it, refusal refused)
@@ -477,8 +474,8 @@
         buffer_charge charge = {})
     {
         auto& pipeline = it.connection->pipeline();
-        if (closing_)
-            pipeline.stop();
+        if (closing_ && pipeline.is_only(it.number))
+            pipeline.close();
         auto unsent = make_unsent_answer(it);
         if (pipeline.is_last(it.number)) {
             response.connection_close();
@@ -493,6 +490,10 @@
             held = nullptr;
         });
         pipeline.answered(it.number, bytes, boottime_clock::now());
+        // No answer closes the connection if the last one was given before an
+        // earlier one.
+        if (closing_ && pipeline.empty())
+            it.connection->request_close();
     }
 
     asio::io_context& context_;
--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -79,13 +79,11 @@
                     current_connection_scope const scope(state);
                     handler(ec, bytes);
                     send_continue_if_due();
-                    // Ends the wait for the answers.
+                    // Ends the wait for the answers or for further input.
                     asio::error_code ignored;
                     if ((state->has_input_ended() && state->is_answered()) ||
-                        state->is_malformed_next())
+                        state->is_malformed_next() || state->is_close_due())
                         base::cancel(ignored);
-                    else if (is_open() && state->is_close_due())
-                        base::shutdown(shutdown_receive, ignored);
                 }));
     }
 
@@ -136,6 +134,9 @@
         asio::mutable_buffer const& input, asio::error_code const& ec,
         std::size_t bytes, Handler handler)
     {
+        if (ec == asio::error::operation_aborted && is_open() &&
+            state->is_close_due())
+            return close_or_read(state, input, std::move(handler));
         std::string_view const received(
             static_cast<char const*>(input.data()), bytes);
         state->add_received(received);
@@ -153,6 +154,18 @@
             state->mark_closed_by_caller();
     }
 
+    /// Makes RESTinio close the connection, unless a further request has come.
+    template <class Handler>
+    void close_or_read(std::shared_ptr<connection_state> const& state,
+        asio::mutable_buffer const& input, Handler handler)
+    {
+        asio::error_code ec;
+        if (base::available(ec) > 0)
+            return async_read_some(input, std::move(handler));
+        handler(asio::error::make_error_code(asio::error::eof), 0);
+        state->mark_closed_by_caller();
+    }
+
     /// Skips what the caller sends until the requests before the malformed one
     /// are answered, and then refuses that one.
     template <class Handler>
--- a/servers/requests/request_pipeline.cpp
+++ b/servers/requests/request_pipeline.cpp
@@ -10,8 +10,9 @@
 {
     auto const number = next_number();
     last_added_ = number;
-    if (stopped_)
+    if (closed_)
         return;
+    last_accepted_ = number;
     requests_.push_back(
         {number, repeatable, stage::waiting, now, 0, std::move(start)});
     start_waiting(now);
@@ -30,7 +31,7 @@
 
 void request_pipeline::start_waiting(time_point now)
 {
-    while (!stopped_) {
+    for (;;) {
         auto const it = std::find_if(requests_.begin(), requests_.end(),
             [](auto const& entry) { return entry.at == stage::waiting; });
         if (it == requests_.end() ||
@@ -66,7 +67,8 @@
 
 void request_pipeline::stop()
 {
-    stopped_ = true;
+    closed_ = true;
+    last_accepted_ = last_started_;
     std::erase_if(requests_,
         [](auto const& entry) { return entry.at == stage::waiting; });
 }
--- a/servers/requests/request_pipeline.hpp
+++ b/servers/requests/request_pipeline.hpp
@@ -44,19 +44,27 @@
     void answered(
         request_number number, std::size_t answer_bytes, time_point now);
 
+    /// Accepts no further request: one that is added later counts as not
+    /// received. Those that wait still start.
+    void close() { closed_ = true; }
+
     /// Starts no further request. Those that wait, or are added later, count as
     /// not received.
     void stop();
 
-    /// Whether no request runs after this one, because the pipeline has
-    /// stopped: the connection closes behind its answer.
+    /// Whether no request runs after this one, because the pipeline is closed:
+    /// the connection closes behind its answer.
     bool is_last(request_number number) const
     {
-        return stopped_ && number == last_started_;
+        return closed_ && number == last_accepted_;
     }
 
-    /// Whether no further request starts.
-    bool is_stopped() const { return stopped_; }
+    /// Whether this is the only request that is unanswered, and none behind it
+    /// is answered already.
+    bool is_only(request_number number) const
+    {
+        return requests_.size() == 1 && requests_.front().number == number;
+    }
 
     /// Whether no request is unanswered.
     bool empty() const { return requests_.empty(); }
@@ -80,10 +88,11 @@
     /// Unanswered requests, and answered ones behind them.
     std::deque<entry> requests_;
     request_number last_added_ = 0;
+    request_number last_accepted_ = 0;
     request_number last_started_ = 0;
     std::size_t running_ = 0;
     std::size_t waiting_bytes_ = 0;
-    bool stopped_ = false;
+    bool closed_ = false;
 };
 
 } // namespace pomelohinge
--- a/tests/servers/request_pipeline_test.cpp
+++ b/tests/servers/request_pipeline_test.cpp
@@ -108,6 +108,32 @@
     EXPECT_TRUE(pipeline_.empty());
 }
 
+TEST_F(request_pipeline_test, closed_pipeline_starts_requests_that_wait)
+{
+    auto const first = add(false);
+    auto const second = add(false);
+    pipeline_.close();
+    add(false);
+    EXPECT_FALSE(pipeline_.is_last(first));
+    answer(first);
+    EXPECT_EQ(started_, (numbers{1, 2}));
+    EXPECT_TRUE(pipeline_.is_last(second));
+    answer(second);
+    EXPECT_EQ(started_, (numbers{1, 2}));
+    EXPECT_TRUE(pipeline_.empty());
+}
+
+TEST_F(request_pipeline_test, request_before_an_answered_one_is_not_the_only)
+{
+    auto const first = add(true);
+    auto const second = add(true);
+    answer(second);
+    EXPECT_FALSE(pipeline_.is_only(first));
+    answer(first);
+    auto const third = add(true);
+    EXPECT_TRUE(pipeline_.is_only(third));
+}
+
 TEST_F(request_pipeline_test, request_answered_at_once_lets_the_next_one_start)
 {
     std::vector<int> order;
