Send 100 Continue for a head that comes with the end of a request

What callers saw: a head with Expect: 100-continue that arrived in one read with the end of the request before got no 100, and a caller that waits for it no answer.

Cause: a second search for the end of the head (expect_continue) began anew with each received request, and the bytes behind one were not given to it. It also searched each read.

Change: request_scanner, which knows where requests and heads end, decides once for a head whose body has not come with it. expect_continue is gone.

Evidence: front_connection_test.head_behind_the_end_of_a_request_gets_continue failed before and passes now; the other tests of the 100 pass.

--- a/drivers/front/connection_state.hpp
+++ b/drivers/front/connection_state.hpp
@@ -1,7 +1,6 @@
 #ifndef POMELOHINGE_DRIVERS_FRONT_CONNECTION_STATE_HPP
 #define POMELOHINGE_DRIVERS_FRONT_CONNECTION_STATE_HPP
 
-#include "drivers/front/expect_continue.hpp"
 #include "drivers/front/request_buffers.hpp"
 #include "servers/requests/request_pipeline.hpp"
 
@@ -48,7 +47,6 @@
     {
         unhandled_bytes_ = 0;
         receiving().erase(this);
-        expect_continue_.request_received();
     }
 
     /// Registers a request that runs and returns its id. `on_disconnected` is
@@ -88,18 +86,15 @@
         unhandled_bytes_ += bytes.size();
         if (!bytes.empty())
             receiving()[this] = boottime_clock::now();
-        expect_continue_.add(bytes);
     }
 
     /// Whether the caller waits for a "100 Continue", which belongs behind the
     /// answers to its earlier requests.
     bool is_continue_due() const
     {
-        return expect_continue_.is_due() && is_answered();
+        return intake_.expects_continue() && is_answered();
     }
 
-    void mark_continue_sent() { expect_continue_.mark_sent(); }
-
     /// The number of answers that are being written.
     std::shared_ptr<std::size_t> const& unsent_answers() const
     {
@@ -202,7 +197,6 @@
     std::shared_ptr<void> last_answer_;
     std::shared_ptr<std::size_t> unsent_answers_ =
         std::make_shared<std::size_t>(0);
-    expect_continue expect_continue_;
     request_intake intake_;
 };
 
--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -215,7 +215,7 @@
     {
         if (!is_open() || !state_->is_continue_due())
             return;
-        state_->mark_continue_sent();
+        state_->intake().mark_continue_sent();
         asio::error_code ec;
         base::non_blocking(true, ec);
         base::write_some(asio::buffer(continue_answer), ec);
--- a/drivers/front/request_buffers.hpp
+++ b/drivers/front/request_buffers.hpp
@@ -94,6 +94,10 @@
         return buffers_ == nullptr ? bytes.size() : scanner_.scan(bytes);
     }
 
+    /// Whether the caller waits for a "100 Continue".
+    bool expects_continue() const { return scanner_.expects_continue(); }
+    void mark_continue_sent() { scanner_.mark_continue_sent(); }
+
     /// Whether the request is malformed.
     bool is_malformed() const { return scanner_.is_malformed(); }
 
--- a/drivers/front/request_scanner.cpp
+++ b/drivers/front/request_scanner.cpp
@@ -1,5 +1,7 @@
 #include "drivers/front/request_scanner.hpp"
 
+#include "drivers/http/header_names.hpp"
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -49,6 +51,12 @@
 constexpr int proceed = 0;
 constexpr int reject = -1;
 
+/// Without the blanks at its end, which the parser leaves.
+std::string_view trimmed(std::string_view value)
+{
+    return value.substr(0, value.find_last_not_of(" \t") + 1);
+}
+
 int accept_if(bool within_limits)
 {
     return within_limits ? proceed : reject;
@@ -145,8 +153,11 @@
         if (in_head)
             head_.append(bytes.substr(0, n));
         auto const error = HTTP_PARSER_ERRNO(&parser_);
-        if (error == HPE_OK)
+        if (error == HPE_OK) {
+            if (in_head && progress_.head_complete)
+                progress_.expects_continue = has_expectation();
             return size;
+        }
         malformed_ = error != HPE_PAUSED;
         if (malformed_)
             break;
@@ -156,6 +167,18 @@
     return size - bytes.size();
 }
 
+/// Whether the head of the request contains the expectation. HTTP/1.0 has none.
+bool request_scanner::has_expectation() const
+{
+    if (parser_.http_major != 1 || parser_.http_minor != 1)
+        return false;
+    auto const fields = head().headers;
+    return std::any_of(fields.begin(), fields.end(), [](auto const& it) {
+        return is_same_header(it.name, "Expect") &&
+            is_same_header(trimmed(it.value), "100-continue");
+    });
+}
+
 std::size_t request_scanner::needed_bytes() const
 {
     return head_.size() +
--- a/drivers/front/request_scanner.hpp
+++ b/drivers/front/request_scanner.hpp
@@ -52,6 +52,13 @@
     /// The head of the incomplete request.
     received_head head() const;
 
+    /// Whether the caller waits for a "100 Continue" before it sends the body
+    /// of the incomplete request (RFC 9110, section 10.1.1).
+    bool expects_continue() const { return progress_.expects_continue; }
+
+    /// Records that the caller has been told to continue.
+    void mark_continue_sent() { progress_.expects_continue = false; }
+
 private:
     /// What has come of the request.
     struct progress
@@ -63,6 +70,7 @@
         /// The latest part of a header belongs to its value.
         bool in_value = true;
         bool head_complete = false;
+        bool expects_continue = false;
         std::size_t stated_body_bytes = 0;
         std::size_t body_bytes = 0;
         /// Memory for the records of its chunks.
@@ -83,6 +91,7 @@
     static int count_body(http_parser* parser, char const*, std::size_t n);
 
     void restart();
+    bool has_expectation() const;
 
     http_parser parser_{};
     /// Bytes of the head as received.
--- a/tests/drivers/front_connection_test.cpp
+++ b/tests/drivers/front_connection_test.cpp
@@ -275,6 +275,28 @@
     EXPECT_EQ(read_for(socket, 500ms).find("HTTP/1.1 200"), 0u);
 }
 
+/// The end of the earlier request and the head came with one read.
+TEST_F(front_connection_test, head_behind_the_end_of_a_request_gets_continue)
+{
+    std::string const head = "POST /small HTTP/1.1\r\nHost: x\r\n";
+    std::string const waiting =
+        head + "Expect: 100-continue \r\nContent-Length: 3\r\n\r\n";
+    std::string const expected = "HTTP/1.1 100 Continue\r\n\r\n";
+    auto socket = connect();
+    send(socket, head + "Content-Length: 3\r\n\r\nab");
+    std::this_thread::sleep_for(100ms);
+    for (int n = 0; n < 2; ++n) {
+        send(socket, "c" + waiting);
+        auto const answers = read_for(socket, 300ms);
+        EXPECT_EQ(answers.find("HTTP/1.1 200"), 0u) << answers;
+        EXPECT_TRUE(answers.ends_with("\r\n\r\nsmall" + expected)) << answers;
+        send(socket, "ab");
+        std::this_thread::sleep_for(50ms);
+    }
+    send(socket, "c");
+    EXPECT_EQ(read_for(socket, 300ms).find("HTTP/1.1 200"), 0u);
+}
+
 TEST_F(front_connection_test, caller_that_does_not_wait_gets_no_continue)
 {
     for (std::string const head : {"POST /small HTTP/1.1\r\nHost: x\r\n",
