Wait for the queue of accepts without spinning

What happened: a stop whose accepts fail, for instance without a descriptor left, looked at the queue of the listening socket without a pause for 500 ms: 398 ms of processor time in 400 ms.

Change: the queue is looked at after each accepted connection, and once more at the time limit. An address that fails to listen leaves no pointer to its socket.

Evidence: front_connection_test.stop_while_accepting_fails_does_not_spin failed before (398 ms) and passes now (below 100 ms); request_on_connection_that_waits_for_accept_is_answered passes 20 of 20 times. The handling of the limit on descriptors is shared by two tests now.

--- a/drivers/front/accept_limiter.hpp
+++ b/drivers/front/accept_limiter.hpp
@@ -4,6 +4,7 @@
 #include "drivers/front/front_socket.hpp"
 
 #include <cstddef>
+#include <functional>
 #include <limits>
 #include <memory>
 #include <restinio/all.hpp>
@@ -27,6 +28,12 @@
     /// The number of connections accepted so far.
     std::size_t accepted() const { return accepted_; }
 
+    /// `callback` is called after each accepted connection.
+    void on_accepted(std::function<void()> callback)
+    {
+        on_accepted_ = std::move(callback);
+    }
+
     /// Starts to accept again after an error, at which RESTinio stops.
     void restart()
     {
@@ -40,6 +47,8 @@
 
     void accept_next(std::size_t socket)
     {
+        if (on_accepted_)
+            on_accepted_();
         socket_ = socket;
         is_paused_ = is_at_limit();
         if (!is_paused_)
@@ -62,6 +71,7 @@
 
 private:
     acceptor* acceptor_ = nullptr;
+    std::function<void()> on_accepted_;
     std::size_t max_connections_ = std::numeric_limits<std::size_t>::max();
     std::size_t connections_ = 0;
     std::size_t accepted_ = 0;
--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -13,6 +13,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 #include <functional>
 #include <limits>
 #include <memory>
@@ -85,6 +86,7 @@
             server_->open_sync();
         } catch (std::exception const& error) {
             server_.reset();
+            acceptor_ = nullptr;
             return listen_status(address, error);
         }
         log(log_event::front_listening, {{"address", address}});
@@ -98,7 +100,16 @@
     /// Accepts the connections that are established and then stops listening.
     void stop_listening()
     {
-        stop_listening_before(boottime_clock::now() + max_accept_time);
+        stops_listening_by_ = boottime_clock::now() + max_accept_time;
+        accept_timer_.expires_after(max_accept_time);
+        accept_timer_.async_wait([this](asio::error_code ec) {
+            if (!ec)
+                stop_listening_when_accepted();
+        });
+        accepts_->on_accepted([this] {
+            asio::post(context_, [this] { stop_listening_when_accepted(); });
+        });
+        stop_listening_when_accepted();
     }
 
     /// The memory that large requests hold.
@@ -168,9 +179,6 @@
     /// Limit on accepting connections before listening stops, since new ones
     /// may be established all the time.
     static constexpr duration max_accept_time = std::chrono::milliseconds(500);
-    /// Period at which the queue of the listening socket is looked at
-    /// meanwhile.
-    static constexpr auto accept_check_period = std::chrono::milliseconds(5);
 
     using traits = front_traits;
     using server = restinio::http_server_t<traits>;
@@ -217,16 +225,17 @@
     }
 
     /// Closing the listening socket resets the connections in its queue, so it
-    /// stays open while RESTinio accepts them, one for each call.
-    void stop_listening_before(time_point deadline)
+    /// stays open while RESTinio accepts them. To be called after each.
+    void stop_listening_when_accepted()
     {
-        if (server_ == nullptr)
+        if (acceptor_ == nullptr)
             return;
         bool const waits = has_queued_connection() &&
-            !accepts_->is_at_limit() && boottime_clock::now() < deadline;
+            !accepts_->is_at_limit() &&
+            boottime_clock::now() < stops_listening_by_;
         if (waits)
-            return asio::post(context_,
-                [this, deadline] { stop_listening_before(deadline); });
+            return;
+        accept_timer_.cancel();
         server_->close_sync();
         acceptor_ = nullptr;
     }
@@ -501,6 +510,9 @@
     front_limits limits_;
     request_buffers& buffers_;
     std::unique_ptr<server> server_;
+    /// Ends the wait of a stop for connections to be accepted.
+    asio::steady_timer accept_timer_{context_};
+    time_point stops_listening_by_{};
     /// The listening socket of `server_`.
     asio::ip::tcp::acceptor* acceptor_ = nullptr;
     std::shared_ptr<accept_control> accepts_ =
--- a/tests/drivers/front_connection_test.cpp
+++ b/tests/drivers/front_connection_test.cpp
@@ -138,6 +138,53 @@
             std::filesystem::directory_iterator("/proc/self/fd"), {});
     }
 
+    /// Puts the limit on open descriptors back when it is destroyed.
+    struct descriptor_limit
+    {
+        explicit descriptor_limit(rlimit const& limit) : before(limit) {}
+        descriptor_limit(descriptor_limit const&) = delete;
+        descriptor_limit& operator=(descriptor_limit const&) = delete;
+        ~descriptor_limit() { EXPECT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0); }
+
+        rlimit before;
+    };
+
+    /// Leaves three descriptors more than are open. `latest` is the socket that
+    /// was opened last.
+    static descriptor_limit limit_descriptors(asio::ip::tcp::socket& latest)
+    {
+        rlimit limit{};
+        EXPECT_EQ(getrlimit(RLIMIT_NOFILE, &limit), 0);
+        auto lowered = limit;
+        auto const next = dup(latest.native_handle());
+        close(next);
+        lowered.rlim_cur = static_cast<rlim_t>(next) + 3;
+        EXPECT_EQ(setrlimit(RLIMIT_NOFILE, &lowered), 0);
+        return descriptor_limit(limit);
+    }
+
+    std::vector<asio::ip::tcp::socket> open_sockets(std::size_t count)
+    {
+        std::vector<asio::ip::tcp::socket> sockets;
+        for (std::size_t n = 0; n < count; ++n) {
+            sockets.emplace_back(caller_context_);
+            sockets.back().open(asio::ip::tcp::v4());
+        }
+        return sockets;
+    }
+
+    /// Connects the sockets and sends a request on each.
+    static void connect_all(std::vector<asio::ip::tcp::socket>& sockets)
+    {
+        asio::ip::tcp::endpoint const server{
+            asio::ip::make_address(loopback_address()), port};
+        for (auto& it : sockets) {
+            it.connect(server);
+            send(it,
+                "GET /small HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        }
+    }
+
     /// Lets the server check every 50 ms whether it accepts connections.
     void check_accepting_for(std::chrono::milliseconds time)
     {
@@ -362,28 +409,14 @@
 TEST_F(front_connection_test, callers_are_served_after_descriptors_were_out)
 {
     constexpr std::size_t callers = 20;
-    std::vector<asio::ip::tcp::socket> sockets;
-    for (std::size_t n = 0; n < callers; ++n) {
-        sockets.emplace_back(caller_context_);
-        sockets.back().open(asio::ip::tcp::v4());
-    }
-    rlimit limit{};
-    ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &limit), 0);
-    auto lowered = limit;
-    auto const next = dup(sockets.back().native_handle());
-    close(next);
-    lowered.rlim_cur = static_cast<rlim_t>(next) + 3;
-    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &lowered), 0);
-    asio::ip::tcp::endpoint const server{
-        asio::ip::make_address(loopback_address()), port};
-    for (auto& it : sockets) {
-        it.connect(server);
-        send(it, "GET /small HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    auto sockets = open_sockets(callers);
+    {
+        auto const limit = limit_descriptors(sockets.back());
+        connect_all(sockets);
+        auto const started = std::clock();
+        check_accepting_for(500ms);
+        EXPECT_LT(std::clock() - started, CLOCKS_PER_SEC / 4);
     }
-    auto const started = std::clock();
-    check_accepting_for(500ms);
-    EXPECT_LT(std::clock() - started, CLOCKS_PER_SEC / 4);
-    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &limit), 0);
     check_accepting_for(500ms);
     std::size_t answered = 0;
     for (auto& it : sockets)
@@ -391,6 +424,19 @@
     EXPECT_EQ(answered, callers);
 }
 
+/// The queue was looked at without a pause until the stop went on.
+TEST_F(front_connection_test, stop_while_accepting_fails_does_not_spin)
+{
+    auto sockets = open_sockets(20);
+    auto const limit = limit_descriptors(sockets.back());
+    connect_all(sockets);
+    std::this_thread::sleep_for(50ms);
+    auto const started = std::clock();
+    asio::post(context_, [this] { front_.stop_listening(); });
+    std::this_thread::sleep_for(400ms);
+    EXPECT_LT(std::clock() - started, CLOCKS_PER_SEC / 10);
+}
+
 TEST_F(front_connection_test, part_of_a_request_behind_the_last_gets_no_answer)
 {
     auto socket = connect();
