Let idle callers make room at the limit of connections

What callers saw: at the limit of connections idle ones kept new ones waiting for up to 120 s. Callers that stated a large length and stalled kept the memory for large requests as long, and others were refused as overloaded.

Cause: a connection ended only by its own time limit; the memory of a request was returned only when it was complete or its connection ended.

Change: the connections of a thread are kept in order of their latest activity. When a connection waits at the limit, the one that has been idle for longest is closed, if that is a second at least: none with a request under way, a part of one received, or unread bytes. Each accept looks at 16 connections at most and closes one, and at most 64 are being closed at once. A request whose bytes have not come for 5 s is refused as not_run when another finds no memory; while there is room it may go on.

--- a/drivers/front/connection_state.hpp
+++ b/drivers/front/connection_state.hpp
@@ -1,16 +1,20 @@
 #ifndef POMELOHINGE_DRIVERS_FRONT_CONNECTION_STATE_HPP
 #define POMELOHINGE_DRIVERS_FRONT_CONNECTION_STATE_HPP
 
+#include "core/log.hpp"
+#include "drivers/front/connection_list.hpp"
 #include "drivers/front/request_buffers.hpp"
 #include "servers/requests/request_pipeline.hpp"
 
 #include <algorithm>
+#include <asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace pomelohinge {
 
@@ -22,11 +26,20 @@
 class connection_state
 {
 public:
-    explicit connection_state(request_buffers* buffers = nullptr)
-        : intake_(buffers)
+    /// Without `buffers` and `list`, requests are not charged and the
+    /// connection makes no room.
+    explicit connection_state(
+        request_buffers* buffers = nullptr, connection_list* list = nullptr)
+        : list_(list), intake_(buffers)
     {
     }
-    ~connection_state() { receiving().erase(this); }
+    ~connection_state()
+    {
+        detach();
+        if (makes_room_)
+            --list_->closing;
+        receiving().erase(this);
+    }
     connection_state(connection_state const&) = delete;
     connection_state& operator=(connection_state const&) = delete;
 
@@ -39,6 +52,67 @@
                 [&](auto const& it) { return it.second >= since; }));
     }
 
+    /// Records that bytes are read from the connection, or were written to it.
+    /// `socket` is its socket until `detach`.
+    void record_activity(asio::ip::tcp::socket& socket)
+    {
+        if (list_ == nullptr)
+            return;
+        active_at_ = boottime_clock::now();
+        if (std::exchange(socket_, &socket) != nullptr)
+            return list_->move_to_end(position_);
+        position_ = list_->add(*this);
+    }
+
+    /// Records that the connection is being closed.
+    void detach()
+    {
+        if (std::exchange(socket_, nullptr) != nullptr)
+            list_->remove(position_);
+    }
+
+    /// Closes the connection that has been idle for longest, unless none has
+    /// been idle for some time. A limited number of connections is examined;
+    /// those with a request under way come last the next time.
+    static void close_longest_idle(connection_list& connections)
+    {
+        auto const since = boottime_clock::now() - min_idle_time;
+        auto const examined = std::min(connections.size(), max_examined);
+        for (std::size_t n = 0;
+             n < examined && connections.closing < max_closing; ++n) {
+            auto& it = connections.front();
+            if (it.is_idle()) {
+                if (it.active_at_ <= since)
+                    it.make_room();
+                return;
+            }
+            connections.move_to_end(it.position_);
+        }
+    }
+
+    /// Gives up requests whose bytes have stopped coming and returns their
+    /// memory. Their callers get a refusal.
+    static void give_up_stalled()
+    {
+        auto const since = boottime_clock::now() - max_stall;
+        std::vector<connection_state*> stalled;
+        for (auto const& [it, at] : receiving())
+            if (at <= since && it->holds_memory_)
+                stalled.push_back(it);
+        for (auto* const it : stalled)
+            it->give_up();
+    }
+
+    /// Records that bytes are read for which memory is charged.
+    void begin_charged_read()
+    {
+        if (!std::exchange(holds_memory_, true))
+            receiving()[this] = boottime_clock::now();
+    }
+
+    /// Records that nothing is read until there is memory for it.
+    void await_memory() { holds_memory_ = false; }
+
     /// The memory of the request that is being received.
     request_intake& intake() { return intake_; }
 
@@ -46,6 +120,7 @@
     void mark_received()
     {
         unhandled_bytes_ = 0;
+        holds_memory_ = false;
         receiving().erase(this);
     }
 
@@ -74,6 +149,12 @@
         last_answer_ = std::move(answer);
     }
 
+    /// Whether an answer or a refusal closes the connection.
+    bool has_last_answer() const { return has_last_answer_; }
+
+    /// The other connections of the server.
+    connection_list* list() const { return list_; }
+
     /// Records that the caller has received all that was written.
     void mark_delivered() { last_answer_ = nullptr; }
 
@@ -110,6 +191,8 @@
     /// Asks for a close as soon as no request is unanswered.
     void request_close() { close_requested_ = true; }
 
+    bool is_close_requested() const { return close_requested_; }
+
     /// Whether the connection is to be closed now, since no answer has closed
     /// it.
     bool is_close_due() const
@@ -180,12 +263,64 @@
 private:
     /// Connections of this thread with a part of a request, and when its latest
     /// bytes came.
-    static std::map<connection_state const*, time_point>& receiving()
+    static std::map<connection_state*, time_point>& receiving()
     {
-        thread_local std::map<connection_state const*, time_point> connections;
+        thread_local std::map<connection_state*, time_point> connections;
         return connections;
     }
 
+    /// Time for which a connection is idle at least before it makes room. A
+    /// caller that has just connected sends its request within it.
+    static constexpr duration min_idle_time = std::chrono::seconds(1);
+    /// Connections that are examined for each one that makes room.
+    static constexpr std::size_t max_examined = 16;
+    /// Connections that make room at the same time.
+    static constexpr std::size_t max_closing = 64;
+    /// Time for which the bytes of a request may stop coming while others wait
+    /// for its memory.
+    static constexpr duration max_stall = std::chrono::seconds(5);
+
+    /// Whether no request is under way and nothing has come that is unread.
+    bool is_idle() const
+    {
+        asio::error_code ec;
+        return is_answered() && unhandled_bytes_ == 0 && !has_last_answer_ &&
+            !close_requested_ && !input_ended_ && !intake_.is_malformed() &&
+            socket_->available(ec) == 0;
+    }
+
+    void make_room()
+    {
+        makes_room_ = true;
+        ++list_->closing;
+        request_close();
+        end_read();
+    }
+
+    void give_up()
+    {
+        log(log_event::request_refused,
+            {{"request", ""}, {"kind", to_name(refusal_kind::malformed)},
+                {"outcome", to_name(outcome::not_run)},
+                {"detail", "its bytes stopped coming"}});
+        holds_memory_ = false;
+        receiving().erase(this);
+        intake_.give_up();
+        end_read();
+    }
+
+    void end_read()
+    {
+        asio::error_code ec;
+        socket_->cancel(ec);
+    }
+
+    asio::ip::tcp::socket* socket_ = nullptr;
+    connection_list* list_;
+    connection_list::position position_{};
+    time_point active_at_{};
+    bool makes_room_ = false;
+    bool holds_memory_ = false;
     std::uint64_t last_id_ = 0;
     std::size_t unhandled_bytes_ = 0;
     bool closed_ = false;
--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -46,7 +46,8 @@
 {
     /// Requests with larger bodies are refused before they reach a handler.
     std::size_t max_body_bytes = 1 << 20;
-    /// Further connections wait until others are closed.
+    /// Further connections wait until others are closed. The one that has been
+    /// idle for longest is closed for each.
     std::size_t max_connections = std::numeric_limits<std::size_t>::max();
     /// Memory for all large requests together.
     std::size_t buffer_bytes = std::numeric_limits<std::size_t>::max();
@@ -78,6 +79,7 @@
             return absl::InvalidArgumentError(
                 "\"" + address + "\" is not an IP:PORT");
         accepts_->set_max_connections(limits_.max_connections);
+        accepts_->on_accepted([this] { make_room(); });
         accept_limiter::current() = accepts_;
         try {
             server_ = std::make_unique<server>(
@@ -127,7 +129,7 @@
             if (!std::exchange(is_limit_logged_, true))
                 log(log_event::connections_limited,
                     {{"limit", limits_.max_connections}});
-            return;
+            return make_room();
         }
         is_limit_logged_ = false;
         bool const has_stopped = std::exchange(has_waited_, true) &&
@@ -240,6 +242,14 @@
         acceptor_ = nullptr;
     }
 
+    /// Closes an idle connection if one waits to be accepted at the limit.
+    void make_room()
+    {
+        if (accepts_->is_at_limit() && has_queued_connection())
+            connection_state::close_longest_idle(
+                asio::use_service<connection_list>(context_));
+    }
+
     bool has_queued_connection() const
     {
         if (acceptor_ == nullptr || !acceptor_->is_open())
@@ -483,7 +493,8 @@
         buffer_charge charge = {})
     {
         auto& pipeline = it.connection->pipeline();
-        if (closing_ && pipeline.is_only(it.number))
+        bool const closes = closing_ || it.connection->is_close_requested();
+        if (closes && pipeline.is_only(it.number))
             pipeline.close();
         auto unsent = make_unsent_answer(it);
         if (pipeline.is_last(it.number)) {
@@ -501,7 +512,7 @@
         pipeline.answered(it.number, bytes, boottime_clock::now());
         // No answer closes the connection if the last one was given before an
         // earlier one.
-        if (closing_ && pipeline.empty())
+        if (closes && pipeline.empty())
             it.connection->request_close();
     }
 
--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -30,9 +30,11 @@
 
     explicit front_socket(asio::io_context& context)
         : base(context), state_(std::make_shared<connection_state>(
-                             &asio::use_service<request_buffers>(context)))
+                             &asio::use_service<request_buffers>(context),
+                             &asio::use_service<connection_list>(context)))
     {
     }
+    ~front_socket() { state_->detach(); }
     /// RESTinio accepts the next connection into the moved-from socket, so
     /// the moved-from socket gets a new state.
     front_socket(front_socket&& other) noexcept
@@ -59,6 +61,8 @@
                 asio::error_code const& ec, std::size_t bytes) mutable {
                 after_read(state, input, ec, bytes, std::move(handler));
             });
+        if (is_open())
+            state_->record_activity(*this);
         if (state_->intake().is_malformed())
             return refuse_malformed(state_, input, std::move(after));
         read_with_room(input, std::move(after));
@@ -76,6 +80,8 @@
                 [this, state = state_,
                     handler = std::forward<Handler>(handler)](
                     asio::error_code const& ec, std::size_t bytes) mutable {
+                    if (is_open())
+                        state_->record_activity(*this);
                     current_connection_scope const scope(state);
                     handler(ec, bytes);
                     send_continue_if_due();
@@ -102,6 +108,7 @@
     {
         asio::error_code ec;
         state_->pipeline().stop();
+        state_->detach();
         if (!is_open() || state_->is_closed())
             return static_cast<void>(base::close(ec));
         base::cancel(ec);
@@ -134,9 +141,12 @@
         asio::mutable_buffer const& input, asio::error_code const& ec,
         std::size_t bytes, Handler handler)
     {
-        if (ec == asio::error::operation_aborted && is_open() &&
-            state->is_close_due())
-            return close_or_read(state, input, std::move(handler));
+        if (ec == asio::error::operation_aborted && is_open()) {
+            if (state->is_close_due())
+                return close_or_read(state, input, std::move(handler));
+            if (state->intake().is_malformed() && !state->has_last_answer())
+                return async_read_some(input, std::move(handler));
+        }
         std::string_view const received(
             static_cast<char const*>(input.data()), bytes);
         state->add_received(received);
@@ -242,9 +252,10 @@
 
     std::shared_ptr<connection_state> replace_state()
     {
+        state_->detach();
         auto* const buffers = state_->intake().buffers();
-        return std::exchange(
-            state_, std::make_shared<connection_state>(buffers));
+        return std::exchange(state_,
+            std::make_shared<connection_state>(buffers, state_->list()));
     }
 
     /// Reads once there is room for what the request needs. The handler keeps
@@ -261,12 +272,24 @@
                 if (auto const it = weak.lock())
                     it->end();
             }))
-            return base::async_read_some(input, std::move(handler));
+            return read_charged(input, std::move(handler));
+        state_->await_memory();
+        if (!too_large)
+            connection_state::give_up_stalled();
+        if (wait->ended)
+            return read_charged(input, std::move(handler));
         wait->timer.expires_after(
             too_large ? duration::zero() : request_buffers::max_wait);
         await_room(wait, input, std::move(handler));
     }
 
+    template <class Handler>
+    void read_charged(asio::mutable_buffer const& input, Handler handler)
+    {
+        state_->begin_charged_read();
+        base::async_read_some(input, std::move(handler));
+    }
+
     template <class Handler>
     void await_room(std::shared_ptr<timed_wait> const& wait,
         asio::mutable_buffer const& input, Handler handler)
@@ -274,8 +297,10 @@
         wait->timer.async_wait(
             [this, wait, input, handler = std::move(handler)](
                 asio::error_code const&) mutable {
+                if (!wait->ended && !state_->intake().is_too_large())
+                    connection_state::give_up_stalled();
                 if (wait->ended || !base::is_open())
-                    return base::async_read_some(input, std::move(handler));
+                    return read_charged(input, std::move(handler));
                 if (state_->is_answered())
                     return refuse_request(
                         state_->intake().refuse(), input, std::move(handler));
--- a/drivers/front/request_buffers.hpp
+++ b/drivers/front/request_buffers.hpp
@@ -125,6 +125,13 @@
     /// Returns the memory of a request that will not be completed.
     void abandon() { charge_ = {}; }
 
+    /// Treats the request as malformed and returns its memory.
+    void give_up()
+    {
+        scanner_.reject_request();
+        abandon();
+    }
+
     /// Gives up the request. Returns the HTTP response that refuses it.
     std::string refuse();
 
--- a/drivers/front/request_scanner.hpp
+++ b/drivers/front/request_scanner.hpp
@@ -45,6 +45,9 @@
     /// behind it is not scanned.
     bool is_malformed() const { return malformed_; }
 
+    /// Treats the incomplete request as malformed.
+    void reject_request() { malformed_ = true; }
+
     /// Memory that the incomplete request needs: for its head, and for its body
     /// the stated length or what has come. 0 between requests.
     std::size_t needed_bytes() const;
--- a/tests/drivers/front_buffers_test.cpp
+++ b/tests/drivers/front_buffers_test.cpp
@@ -265,6 +265,64 @@
     EXPECT_EQ(used_bytes(), 0u);
 }
 
+/// Callers that stalled within a body kept the memory for all others for 120 s.
+TEST_F(front_buffers_test, stalled_callers_make_room_for_others)
+{
+    auto const stalled =
+        send_many(head("Content-Length: 900000") + std::string(1000, 'x'), 6);
+    context_.run_for(100ms);
+    auto const refused = send_many(request(900'000), 1);
+    context_.run_for(1500ms);
+    EXPECT_EQ(count(refused, "503"), 1);
+    EXPECT_EQ(count(stalled, "400"), 0);
+    context_.run_for(4s);
+    auto const callers = send_many(request(900'000), 1);
+    run_until_ended(callers, true);
+    EXPECT_EQ(count(callers, "200"), 1);
+    context_.run_for(100ms);
+    auto const given_up = count(stalled, "400");
+    EXPECT_GE(given_up, 1);
+    for (auto const& it : stalled)
+        if (it->answer.starts_with("HTTP/1.1 400"))
+            EXPECT_NE(it->answer.find("Outcome: not_run"), std::string::npos);
+}
+
+TEST_F(front_buffers_test, stalled_request_behind_an_order_is_refused_last)
+{
+    auto const stalled = send("POST /a HTTP/1.1\r\nHost: x\r\n"
+                              "Content-Length: 0\r\n\r\n" +
+        head("Content-Length: 900000") + std::string(1000, 'x'));
+    context_.run_for(100ms);
+    ASSERT_EQ(open_.size(), 1u);
+    auto const order = std::move(open_.back());
+    open_.pop_back();
+    auto const holders =
+        send_many(head("Content-Length: 900000") + std::string(1000, 'x'), 5);
+    context_.run_for(5500ms);
+    auto const caller = send_many(request(900'000), 1);
+    run_until_ended(caller, true);
+    EXPECT_EQ(count(caller, "200"), 1);
+    EXPECT_EQ(stalled->answer.find("HTTP/1.1"), std::string::npos);
+    order.done(upstream_answer{200, {}, "ordered", {}});
+    run_until_ended({stalled}, true);
+    EXPECT_TRUE(stalled->answer.starts_with("HTTP/1.1 200")) << stalled->answer;
+    EXPECT_NE(stalled->answer.find("orderedHTTP/1.1 400"), std::string::npos)
+        << stalled->answer;
+}
+
+TEST_F(front_buffers_test, stalled_caller_keeps_its_request_while_there_is_room)
+{
+    auto const caller =
+        send(head("Content-Length: 900000") + std::string(1000, 'x'));
+    context_.run_for(6s);
+    EXPECT_EQ(caller->answer.find("HTTP/1.1"), std::string::npos);
+    auto const rest = std::string(899'000, 'x');
+    asio::async_write(caller->socket, asio::buffer(rest),
+        [](asio::error_code, std::size_t) {});
+    run_until_ended({caller}, true);
+    EXPECT_EQ(count({caller}, "200"), 1);
+}
+
 TEST_F(front_buffers_test, body_is_passed_on_without_a_copy)
 {
     auto const callers = send_many(request(500'000), 1);
