Close connections that make room without lingering

Up to 64 closes lingered for a second each, beside 80 connections of callers under a limit of 160 descriptors, so the operators' pages got none and timed out.

Change: a connection that is closed to make room, on which all is delivered and nothing has come, is closed at once; nothing can be cut. So no bound on closes is needed, and a flood of connections is worked off as fast as they become idle.

--- a/drivers/front/connection_list.hpp
+++ b/drivers/front/connection_list.hpp
@@ -24,7 +24,6 @@
     {
     }
 
-    bool empty() const { return connections_.empty(); }
     std::size_t size() const { return connections_.size(); }
 
     position add(connection_state& it)
@@ -42,10 +41,6 @@
         connections_.splice(connections_.end(), connections_, at);
     }
 
-    /// The number of connections that are being closed to make room. Their
-    /// descriptors are open until the callers have closed their sides.
-    std::size_t closing = 0;
-
 private:
     void shutdown() override {}
 
--- a/drivers/front/connection_state.hpp
+++ b/drivers/front/connection_state.hpp
@@ -4,6 +4,7 @@
 #include "core/log.hpp"
 #include "drivers/front/connection_list.hpp"
 #include "drivers/front/request_buffers.hpp"
+#include "drivers/front/socket_queue.hpp"
 #include "servers/requests/request_pipeline.hpp"
 
 #include <algorithm>
@@ -36,8 +37,6 @@
     ~connection_state()
     {
         detach();
-        if (makes_room_)
-            --list_->closing;
         receiving().erase(this);
     }
     connection_state(connection_state const&) = delete;
@@ -78,8 +77,7 @@
     {
         auto const since = boottime_clock::now() - min_idle_time;
         auto const examined = std::min(connections.size(), max_examined);
-        for (std::size_t n = 0;
-             n < examined && connections.closing < max_closing; ++n) {
+        for (std::size_t n = 0; n < examined; ++n) {
             auto& it = connections.front();
             if (it.is_idle()) {
                 if (it.active_at_ <= since)
@@ -90,6 +88,9 @@
         }
     }
 
+    /// Whether the connection is closed only to make room for another one.
+    bool makes_room() const { return makes_room_ && !has_last_answer_; }
+
     /// Gives up requests whose bytes have stopped coming and returns their
     /// memory. Their callers get a refusal.
     static void give_up_stalled()
@@ -274,25 +275,23 @@
     static constexpr duration min_idle_time = std::chrono::seconds(1);
     /// Connections that are examined for each one that makes room.
     static constexpr std::size_t max_examined = 16;
-    /// Connections that make room at the same time.
-    static constexpr std::size_t max_closing = 64;
     /// Time for which the bytes of a request may stop coming while others wait
     /// for its memory.
     static constexpr duration max_stall = std::chrono::seconds(5);
 
-    /// Whether no request is under way and nothing has come that is unread.
+    /// Whether no request is under way, nothing has come that is unread and all
+    /// that was written is delivered.
     bool is_idle() const
     {
         asio::error_code ec;
         return is_answered() && unhandled_bytes_ == 0 && !has_last_answer_ &&
             !close_requested_ && !input_ended_ && !intake_.is_malformed() &&
-            socket_->available(ec) == 0;
+            socket_->available(ec) == 0 && is_delivered(*socket_);
     }
 
     void make_room()
     {
         makes_room_ = true;
-        ++list_->closing;
         request_close();
         end_read();
     }
--- a/drivers/front/front_socket.hpp
+++ b/drivers/front/front_socket.hpp
@@ -109,7 +109,7 @@
         asio::error_code ec;
         state_->pipeline().stop();
         state_->detach();
-        if (!is_open() || state_->is_closed())
+        if (!is_open() || state_->is_closed() || state_->makes_room())
             return static_cast<void>(base::close(ec));
         base::cancel(ec);
         std::make_shared<lingering_close>(static_cast<base&&>(*this), state_)
--- a/drivers/front/lingering_close.hpp
+++ b/drivers/front/lingering_close.hpp
@@ -2,16 +2,15 @@
 #define POMELOHINGE_DRIVERS_FRONT_LINGERING_CLOSE_HPP
 
 #include "drivers/front/connection_state.hpp"
+#include "drivers/front/socket_queue.hpp"
 
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
-#include <linux/sockios.h>
 #include <memory>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <utility>
 
 namespace pomelohinge {
@@ -51,18 +50,11 @@
                 if (!ec)
                     return self->skip_input();
                 self->input_ended_ = true;
-                if (ec != asio::error::eof || self->is_delivered())
+                if (ec != asio::error::eof || is_delivered(self->socket_))
                     self->close();
             });
     }
 
-    bool is_delivered()
-    {
-        int unsent_bytes = 0;
-        return ::ioctl(socket_.native_handle(), SIOCOUTQ, &unsent_bytes) != 0 ||
-            unsent_bytes == 0;
-    }
-
     /// Whether the connection has failed. A socket that is not read any more
     /// does not report this by itself.
     bool has_failed()
@@ -79,7 +71,7 @@
     {
         if (has_failed() || ++checks_ > max_checks)
             return close();
-        if (is_delivered()) {
+        if (is_delivered(socket_)) {
             state_->mark_delivered();
             if (input_ended_ ||
                 ++checks_after_delivery_ > max_checks_after_delivery)
