--- a/drivers/front/front_server.hpp
+++ b/drivers/front/front_server.hpp
@@ -13,6 +13,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 #include <functional>
 #include <limits>
 #include <memory>
@@ -45,7 +46,8 @@
 {
     /// Requests with larger bodies are refused before they reach a handler.
     std::size_t max_body_bytes = 1 << 20;
-    /// Further connections wait until others are closed.
+    /// Further connections wait until others are closed. The one that has been
+    /// idle for longest is closed for each.
     std::size_t max_connections = std::numeric_limits<std::size_t>::max();
     /// Memory for all large requests together.
     std::size_t buffer_bytes = std::numeric_limits<std::size_t>::max();
@@ -77,6 +79,7 @@
             return absl::InvalidArgumentError(
                 "\"" + address + "\" is not an IP:PORT");
         accepts_->set_max_connections(limits_.max_connections);
+        accepts_->on_accepted([this] { make_room(); });
         accept_limiter::current() = accepts_;
         try {
             server_ = std::make_unique<server>(
@@ -85,19 +88,30 @@
             server_->open_sync();
         } catch (std::exception const& error) {
             server_.reset();
+            acceptor_ = nullptr;
             return listen_status(address, error);
         }
         log(log_event::front_listening, {{"address", address}});
         return absl::OkStatus();
     }
 
-    /// Makes every further answer close its connection.
+    /// Closes each connection that gets a further answer, behind the answer to
+    /// the last of its requests.
     void close_connections_after_answers() { closing_ = true; }
 
     /// Accepts the connections that are established and then stops listening.
     void stop_listening()
     {
-        stop_listening_before(boottime_clock::now() + max_accept_time);
+        stops_listening_by_ = boottime_clock::now() + max_accept_time;
+        accept_timer_.expires_after(max_accept_time);
+        accept_timer_.async_wait([this](asio::error_code ec) {
+            if (!ec)
+                stop_listening_when_accepted();
+        });
+        accepts_->on_accepted([this] {
+            asio::post(context_, [this] { stop_listening_when_accepted(); });
+        });
+        stop_listening_when_accepted();
     }
 
     /// The memory that large requests hold.
@@ -115,7 +129,7 @@
             if (!std::exchange(is_limit_logged_, true))
                 log(log_event::connections_limited,
                     {{"limit", limits_.max_connections}});
-            return;
+            return make_room();
         }
         is_limit_logged_ = false;
         bool const has_stopped = std::exchange(has_waited_, true) &&
@@ -143,18 +157,8 @@
     }
 
 private:
-    /// Limits on the head of a request. RESTinio closes the connection of a
-    /// request that exceeds them; `front_socket` sends a refusal before that.
-    static constexpr std::size_t max_url_bytes = 8 << 10;
-    static constexpr std::size_t max_field_name_bytes = 256;
-    static constexpr std::size_t max_field_value_bytes = 16 << 10;
-    static constexpr std::size_t max_fields = 128;
     static constexpr std::size_t max_head_bytes = 128 << 10;
 
-    /// Bodies above `front_limits::max_body_bytes` are read and then refused;
-    /// bodies above this limit are not read.
-    static constexpr std::uint64_t max_body_bytes_read = 32 << 20;
-
     /// RESTinio detects that a caller has closed its connection only while it
     /// reads from the connection, so it reads one request more than a caller
     /// may send ahead.
@@ -177,9 +181,6 @@
     /// Limit on accepting connections before listening stops, since new ones
     /// may be established all the time.
     static constexpr duration max_accept_time = std::chrono::milliseconds(500);
-    /// Period at which the queue of the listening socket is looked at
-    /// meanwhile.
-    static constexpr auto accept_check_period = std::chrono::milliseconds(5);
 
     using traits = front_traits;
     using server = restinio::http_server_t<traits>;
@@ -202,11 +203,11 @@
             .write_http_response_timelimit(write_timeout)
             .incoming_http_msg_limits(
                 restinio::incoming_http_msg_limits_t{}
-                    .max_url_size(max_url_bytes)
-                    .max_field_name_size(max_field_name_bytes)
-                    .max_field_value_size(max_field_value_bytes)
-                    .max_field_count(max_fields)
-                    .max_body_size(max_body_bytes_read))
+                    .max_url_size(request_limits::url_bytes)
+                    .max_field_name_size(request_limits::field_name_bytes)
+                    .max_field_value_size(request_limits::field_value_bytes)
+                    .max_field_count(request_limits::fields)
+                    .max_body_size(request_limits::body_bytes))
             .acceptor_options_setter([](auto& options) {
                 options.set_option(
                     asio::ip::tcp::acceptor::reuse_address(true));
@@ -226,20 +227,29 @@
     }
 
     /// Closing the listening socket resets the connections in its queue, so it
-    /// stays open while RESTinio accepts them, one for each call.
-    void stop_listening_before(time_point deadline)
+    /// stays open while RESTinio accepts them. To be called after each.
+    void stop_listening_when_accepted()
     {
-        if (server_ == nullptr)
+        if (acceptor_ == nullptr)
             return;
         bool const waits = has_queued_connection() &&
-            !accepts_->is_at_limit() && boottime_clock::now() < deadline;
+            !accepts_->is_at_limit() &&
+            boottime_clock::now() < stops_listening_by_;
         if (waits)
-            return asio::post(context_,
-                [this, deadline] { stop_listening_before(deadline); });
+            return;
+        accept_timer_.cancel();
         server_->close_sync();
         acceptor_ = nullptr;
     }
 
+    /// Closes an idle connection if one waits to be accepted at the limit.
+    void make_room()
+    {
+        if (accepts_->is_at_limit() && has_queued_connection())
+            connection_state::close_longest_idle(
+                asio::use_service<connection_list>(context_));
+    }
+
     bool has_queued_connection() const
     {
         if (acceptor_ == nullptr || !acceptor_->is_open())
@@ -329,14 +339,10 @@
         request_pipeline::start_callback start)
     {
         auto& pipeline = it->connection->pipeline();
-        // The answer that closes the connection is the last one, so requests
-        // behind it would get none.
-        if (closing_ && !pipeline.empty())
-            pipeline.stop();
         it->number = pipeline.next_number();
         pipeline.add(repeatable, boottime_clock::now(), std::move(start));
         if (!it->request->header().should_keep_alive())
-            pipeline.stop();
+            pipeline.close();
     }
 
     void refuse(open_request_pointer const& it, refusal refused)
@@ -487,8 +493,9 @@
         buffer_charge charge = {})
     {
         auto& pipeline = it.connection->pipeline();
-        if (closing_)
-            pipeline.stop();
+        bool const closes = closing_ || it.connection->is_close_requested();
+        if (closes && pipeline.is_only(it.number))
+            pipeline.close();
         auto unsent = make_unsent_answer(it);
         if (pipeline.is_last(it.number)) {
             response.connection_close();
@@ -503,6 +510,10 @@
             held = nullptr;
         });
         pipeline.answered(it.number, bytes, boottime_clock::now());
+        // No answer closes the connection if the last one was given before an
+        // earlier one.
+        if (closes && pipeline.empty())
+            it.connection->request_close();
     }
 
     asio::io_context& context_;
@@ -510,6 +521,9 @@
     front_limits limits_;
     request_buffers& buffers_;
     std::unique_ptr<server> server_;
+    /// Ends the wait of a stop for connections to be accepted.
+    asio::steady_timer accept_timer_{context_};
+    time_point stops_listening_by_{};
     /// The listening socket of `server_`.
     asio::ip::tcp::acceptor* acceptor_ = nullptr;
     std::shared_ptr<accept_control> accepts_ =
--- a/drivers/front/request_buffers.hpp
+++ b/drivers/front/request_buffers.hpp
@@ -88,12 +88,19 @@
 
     request_buffers* buffers() const { return buffers_; }
 
-    void receive(std::string_view bytes)
+    /// Returns how many of the bytes may be handled; see `request_scanner`.
+    std::size_t receive(std::string_view bytes)
     {
-        if (buffers_ != nullptr)
-            scanner_.scan(bytes);
+        return buffers_ == nullptr ? bytes.size() : scanner_.scan(bytes);
     }
 
+    /// Whether the caller waits for a "100 Continue".
+    bool expects_continue() const { return scanner_.expects_continue(); }
+    void mark_continue_sent() { scanner_.mark_continue_sent(); }
+
+    /// Whether the request is malformed.
+    bool is_malformed() const { return scanner_.is_malformed(); }
+
     /// Whether the request is large enough to be charged.
     bool needs_charge() const
     {
@@ -118,6 +125,13 @@
     /// Returns the memory of a request that will not be completed.
     void abandon() { charge_ = {}; }
 
+    /// Treats the request as malformed and returns its memory.
+    void give_up()
+    {
+        scanner_.reject_request();
+        abandon();
+    }
+
     /// Gives up the request. Returns the HTTP response that refuses it.
     std::string refuse();
 
