Round the wait of a watch up to whole milliseconds

Idle VMs called the store more often than their periods ask for. A reader watches until its next list is due, and both clients cut that time to whole milliseconds: the watch ended a part of a millisecond early, and another one, of zero wait, followed before the list.

--- a/core/clock.hpp
+++ b/core/clock.hpp
@@ -78,6 +78,13 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
 
+/// Converts `value` to whole milliseconds, rounding up, so that a wait of the
+/// result is not shorter than `value`.
+constexpr std::int64_t to_milliseconds_rounded_up(duration value)
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(value).count();
+}
+
 } // namespace pomelohinge
 
 #endif
--- a/drivers/platform/http_object_store.cpp
+++ b/drivers/platform/http_object_store.cpp
@@ -170,7 +170,7 @@
 {
     auto call = make_own_call("http://" + address_ + "/watch/" + prefix +
             "?since=" + std::to_string(since) +
-            "&wait_ms=" + std::to_string(to_milliseconds(wait)),
+            "&wait_ms=" + std::to_string(to_milliseconds_rounded_up(wait)),
         wait + watch_timeout_margin);
     http_.start(
         std::move(call), [done = std::move(done)](http_result const& result) {
--- a/tests/platform/fixed_store.hpp
+++ b/tests/platform/fixed_store.hpp
@@ -47,6 +47,13 @@
         answer_ = encode(status, body);
     }
 
+    /// Start line and headers of the last call.
+    std::string head() const
+    {
+        std::lock_guard const lock(mutex_);
+        return head_;
+    }
+
     /// Answers each call with a new body.
     void set_answers(std::function<std::string()> make_body)
     {
@@ -73,6 +80,7 @@
             asio::read_until(
                 socket, asio::dynamic_buffer(head), "\r\n\r\n", ec);
             std::lock_guard const lock(mutex_);
+            head_ = std::move(head);
             if (make_body_)
                 answer_ = encode(200, make_body_());
             asio::write(socket, asio::buffer(answer_), ec);
@@ -81,7 +89,8 @@
 
     asio::io_context context_;
     tcp::acceptor acceptor_;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
+    std::string head_;
     std::string answer_;
     std::function<std::string()> make_body_;
     std::atomic<bool> stopped_ = false;
