--- a/stand_ins/platform.cpp
+++ b/stand_ins/platform.cpp
@@ -20,6 +20,9 @@
 /// Delay of every answer with the fault `slow`.
 constexpr auto slow_answer_delay = std::chrono::milliseconds(1500);
 
+/// Delay of every write with the fault `late`, beyond the timeout of a call.
+constexpr auto late_write_delay = std::chrono::milliseconds(3000);
+
 /// The server closes the connection of an unanswered request, including that
 /// of a pending watch, after this time.
 constexpr auto handler_timeout = std::chrono::seconds(60);
@@ -115,18 +118,34 @@
                 answer(request, 200, it->value, it->version);
             return;
         }
+        if (fault_ == platform_fault::late) {
+            run_after(late_write_delay,
+                [this, it = request.shared_from_this(), name] {
+                    write(*it, name);
+                });
+            return withhold_answer(request);
+        }
+        auto const version = write(request, name);
+        if (fault_ == platform_fault::lossy && version)
+            return withhold_answer(request);
+        answer(request, version ? 200 : 409, version ? "ok" : "conflict",
+            version.value_or(0));
+    }
+
+    /// Writes or removes an object. Returns its new version, 0 if it is
+    /// removed, or nothing if it has another version than expected.
+    std::optional<std::uint64_t> write(
+        restinio::request_t const& request, std::string const& name)
+    {
         auto const expected = expected_version(request);
         std::optional<std::uint64_t> version;
-        if (method == restinio::http_method_put())
+        if (request.header().method() == restinio::http_method_put())
             version = state_.put(name, request.body(), expected);
         else if (state_.remove(name, expected))
             version = 0;
         if (version)
             answer_watches();
-        if (fault_ == platform_fault::lossy && version)
-            return withhold_answer(request);
-        answer(request, version ? 200 : 409, version ? "ok" : "conflict",
-            version.value_or(0));
+        return version;
     }
 
     /// Keeps a request without an answer. The client's own timeout ends the
--- a/stand_ins/platform_state.hpp
+++ b/stand_ins/platform_state.hpp
@@ -22,6 +22,8 @@
     lossy,
     /// Watches report no changes.
     stale,
+    /// Writes take effect seconds later and get no answer.
+    late,
 };
 
 } // namespace pomelohinge::stand_ins
@@ -36,6 +38,7 @@
         {stand_ins::platform_fault::slow, "slow"},
         {stand_ins::platform_fault::lossy, "lossy"},
         {stand_ins::platform_fault::stale, "stale"},
+        {stand_ins::platform_fault::late, "late"},
     });
 static_assert(is_ordered<stand_ins::platform_fault>());
 
