Bound the memory of unanswered questions of all other VMs together

Each message between VMs was bounded (48 MiB), but not their sum: a hub whose control thread is late, or which a faulty VM floods, kept every question until it was answered, and ended for its memory with all requests in flight.

Questions above 16 KiB that have no reply yet now hold 32 MiB at most, and one alone always has room. Beyond that a question is refused with RESOURCE_EXHAUSTED, counted, and logged as peer_messages_refused once a second at most. The sender keeps its connection, asks the next hub and comes again, as for a hub that does not answer. A single question may have 16 MiB, since only replies carry configurations. What gRPC has received of a message that is not complete is bounded by message alone.

--- a/drivers/peers/peer_client.cpp
+++ b/drivers/peers/peer_client.cpp
@@ -147,12 +147,14 @@
     stub(address).async()->Sync(&it->context, &it->question, &it->reply,
         [this, calls = calls_, it, address, done = std::move(done)](
             grpc::Status const& status) {
-            calls->end(
-                it, [this, address, ok = status.ok(), done](call& ended) {
-                    if (ok)
+            calls->end(it,
+                [this, address, code = status.error_code(), done](call& ended) {
+                    if (code == grpc::StatusCode::OK)
                         return done(from_wire(
                             std::move(ended.reply), boottime_clock::now()));
-                    peers_.erase(address);
+                    // The connection to a VM that has no room is sound.
+                    if (code != grpc::StatusCode::RESOURCE_EXHAUSTED)
+                        peers_.erase(address);
                     done(sync_reply{});
                 });
         });
--- a/drivers/peers/peer_server.cpp
+++ b/drivers/peers/peer_server.cpp
@@ -1,5 +1,6 @@
 #include "drivers/peers/peer_server.hpp"
 
+#include "core/log.hpp"
 #include "drivers/http/endpoint.hpp"
 #include "drivers/peers/codec.hpp"
 #include "drivers/peers/generated/peers.grpc.pb.h"
@@ -15,6 +16,9 @@
 /// gRPC closes connections whose keep-alive pings arrive more often than this.
 constexpr int min_ping_interval_ms = 1000;
 
+/// Period of the log event of refused questions.
+constexpr duration log_period = std::chrono::seconds(1);
+
 /// Binds a socket to the address for a moment, since gRPC does not tell why it
 /// cannot listen.
 absl::Status try_bind(std::string const& address)
@@ -49,7 +53,7 @@
         int port = 0;
         builder.AddListeningPort(
             address, grpc::InsecureServerCredentials(), &port);
-        builder.SetMaxReceiveMessageSize(max_message_bytes);
+        builder.SetMaxReceiveMessageSize(max_question_bytes);
         builder.SetMaxSendMessageSize(max_message_bytes);
         builder.AddChannelArgument(
             GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
@@ -81,6 +85,8 @@
     {
         grpc::ServerUnaryReactor* reactor;
         wire::SyncReply* reply;
+        /// Memory that counts for the limit.
+        std::size_t bytes;
     };
     using question_pointer = std::shared_ptr<open_question>;
 
@@ -88,10 +94,10 @@
         wire::SyncQuestion const* question, wire::SyncReply* reply) override
     {
         auto* const reactor = context->DefaultReactor();
-        auto const it =
-            std::make_shared<open_question>(open_question{reactor, reply});
-        if (!add(it))
-            reactor->Finish(refused());
+        auto const it = std::make_shared<open_question>(
+            open_question{reactor, reply, counted_bytes(*question)});
+        if (auto const status = add(it); !status.ok())
+            reactor->Finish(status);
         else
             handler_(from_wire(*question),
                 [this, it](sync_reply const& answer) { finish(it, answer); });
@@ -103,11 +109,40 @@
         return {grpc::StatusCode::UNAVAILABLE, "the VM starts or stops"};
     }
 
-    /// Returns false if the server stops.
-    bool add(question_pointer const& it)
+    static std::size_t counted_bytes(wire::SyncQuestion const& question)
+    {
+        auto const bytes = question.SpaceUsedLong();
+        return bytes <= max_uncounted_question_bytes ? 0 : bytes;
+    }
+
+    /// Returns an error if the server stops or the open questions leave no
+    /// room. A question that is the only one of its size always has room.
+    grpc::Status add(question_pointer const& it)
     {
         std::lock_guard const lock(mutex_);
-        return !stopping_ && open_.insert(it).second;
+        if (stopping_)
+            return refused();
+        bool const has_room = it->bytes == 0 || open_bytes_ == 0 ||
+            open_bytes_ + it->bytes <= max_open_question_bytes;
+        if (!has_room)
+            return refuse_for_room(it->bytes);
+        open_bytes_ += it->bytes;
+        open_.insert(it);
+        return grpc::Status::OK;
+    }
+
+    grpc::Status refuse_for_room(std::size_t bytes)
+    {
+        ++refused_;
+        auto const now = boottime_clock::now();
+        if (now >= next_log_) {
+            next_log_ = now + log_period;
+            log(log_event::peer_messages_refused,
+                {{"bytes", bytes}, {"held", open_bytes_},
+                    {"limit", max_open_question_bytes}, {"refused", refused_}});
+        }
+        return {grpc::StatusCode::RESOURCE_EXHAUSTED,
+            "too many questions are open"};
     }
 
     void finish(question_pointer const& it, sync_reply const& answer)
@@ -116,6 +151,7 @@
             std::lock_guard const lock(mutex_);
             if (open_.erase(it) == 0)
                 return;
+            open_bytes_ -= it->bytes;
         }
         if (!answer.reached)
             return it->reactor->Finish(refused());
@@ -141,7 +177,10 @@
     /// Guarded by the mutex, like the flag. gRPC ends only after each of them
     /// has been finished.
     std::set<question_pointer> open_;
+    std::size_t open_bytes_ = 0;
     bool stopping_ = false;
+    std::uint64_t refused_ = 0;
+    time_point next_log_{};
 };
 
 peer_server::peer_server(sync_handler handler)
--- a/drivers/peers/peer_server.hpp
+++ b/drivers/peers/peer_server.hpp
@@ -17,7 +17,8 @@
 using sync_handler =
     std::function<void(sync_question, std::function<void(sync_reply)>)>;
 
-/// Serves calls of other VMs over gRPC.
+/// Serves calls of other VMs over gRPC. The memory of questions without a reply
+/// is limited; what exceeds it is refused, and the sender comes again later.
 class peer_server
 {
 public:
