Keep a VM's own record when a hub lists it in another data centre

A VM that read a hub's list which names it in another data centre, as one that has been replaced under its name there, lost its own record: the lookup for its entry flag moved it and left an empty one without addresses, until the next sync wrote it again. What it told callers and other VMs meanwhile was wrong.

--- a/servers/membership/member_table.cpp
+++ b/servers/membership/member_table.cpp
@@ -63,7 +63,7 @@
 {
     for (auto const& it : members) {
         if (it.record.vm == self_) {
-            auto& own = find_or_create(it.record).member;
+            auto& own = members_[{data_centres_[self_], self_}].member;
             if (own.entry != it.entry)
                 ++sequence_;
             own.entry = it.entry;
--- a/tests/drivers/codec_test.cpp
+++ b/tests/drivers/codec_test.cpp
@@ -1,6 +1,6 @@
 #include "drivers/peers/codec.hpp"
 
-#include "servers/membership/hub_order.hpp"
+#include "servers/control/sync_server.hpp"
 #include "servers/poison/poison_guard.hpp"
 
 #include <cmath>
@@ -131,6 +131,41 @@
         check(it.liveness_timeout);
         check(it.report);
         EXPECT_FALSE(to_wire(it).SerializeAsString().empty());
+        check_hub(it);
+    }
+
+    /// Lets a hub answer the question and tell other VMs of it.
+    void check_hub(sync_question const& it) const
+    {
+        fleet_state state;
+        member_table members(vm(0));
+        sync_server server(vm(0), state, members);
+        int replies = 0;
+        auto const reply = [&](sync_reply const& answer) {
+            ++replies;
+            check(answer.others);
+            EXPECT_FALSE(to_wire(answer, now_).SerializeAsString().empty());
+        };
+        server.answer(it, now_, reply);
+        auto other = question();
+        other.from = vm(2);
+        other.long_poll_timeout = {};
+        server.answer(other, now_, reply);
+        server.choose_entries(now_);
+        auto const later = now_ + std::chrono::hours(24 * 400);
+        members.expire(later);
+        server.answer_long_polls(later);
+        server.expire(later);
+        EXPECT_EQ(replies, 2);
+        check_members(members);
+    }
+
+    /// Checks that the table still knows the VM itself.
+    static void check_members(member_table const& members)
+    {
+        ASSERT_NE(members.find(vm(0).vm), nullptr);
+        EXPECT_EQ(members.find(vm(0).vm)->record, vm(0));
+        hub_order(members.members(), data_centre_id("east"));
     }
 
     void check(wire::SyncReply message) const
@@ -145,7 +180,15 @@
                 EXPECT_TRUE(std::isfinite(member.load));
             }
             hub_order(*it.members, data_centre_id("east"));
+            member_table members(vm(0));
+            members.update_from_hub(*it.members, now_);
+            check_members(members);
         }
+        fleet_state state;
+        if (it.closures)
+            state.apply_closures(*it.closures);
+        if (it.read_age != duration::max())
+            state.confirm(it.configuration.version, now_ - it.read_age);
         if (it.targets) {
             for (auto const& target : it.targets->put)
                 EXPECT_GE(target.slots, 1);
