Use no reply of another VM that cannot be parsed

gRPC's generated callback stub reports success for a reply that is missing or cannot be parsed, and hands over what it has read up to there. A lost field has the value zero: a hub's data counted as read a moment ago (read_age), so a VM could go on serving a withdrawn key, and store_reached was false.

The client now receives replies as bytes and parses them itself. One that is missing or cannot be parsed is logged as peer_reply_unreadable, and its sender counts as unreachable.

--- a/drivers/peers/peer_client.cpp
+++ b/drivers/peers/peer_client.cpp
@@ -1,5 +1,6 @@
 #include "drivers/peers/peer_client.hpp"
 
+#include "core/log.hpp"
 #include "drivers/peers/codec.hpp"
 #include "drivers/peers/grpc_limits.hpp"
 
@@ -8,6 +9,7 @@
 #include <condition_variable>
 #include <grpcpp/grpcpp.h>
 #include <mutex>
+#include <optional>
 #include <set>
 
 namespace pomelohinge {
@@ -45,9 +47,27 @@
 {
     grpc::ClientContext context;
     wire::SyncQuestion question;
-    wire::SyncReply reply;
+    grpc::ByteBuffer reply;
 };
 
+namespace {
+
+/// The method of `Peer` in peers.proto.
+constexpr char const* sync_method = "/pomelohinge.wire.Peer/Sync";
+
+/// Parses a reply. Returns nothing if there is none or it is not complete.
+std::optional<wire::SyncReply> parse_reply(grpc::ByteBuffer& bytes)
+{
+    wire::SyncReply reply;
+    if (!bytes.Valid() ||
+        !grpc::SerializationTraits<wire::SyncReply>::Deserialize(&bytes, &reply)
+             .ok())
+        return std::nullopt;
+    return reply;
+}
+
+} // namespace
+
 /// The calls that gRPC has not ended yet. Thread-safe. A call holds its
 /// channel, and gRPC's thread must not destroy the last channel: it would join
 /// itself.
@@ -117,11 +137,11 @@
     calls_->detach();
 }
 
-wire::Peer::Stub& peer_client::stub(std::string const& address)
+peer_client::stub_type& peer_client::stub(std::string const& address)
 {
     auto& it = peers_[address];
     if (it.stub == nullptr)
-        it.stub = wire::Peer::NewStub(grpc::CreateCustomChannel(
+        it.stub = std::make_unique<stub_type>(grpc::CreateCustomChannel(
             address, grpc::InsecureChannelCredentials(), channel_arguments()));
     it.used_at = boottime_clock::now();
     return *it.stub;
@@ -144,22 +164,30 @@
             question.long_poll_timeout + sync_timeout_margin));
     if (!calls_->add(std::move(owned)))
         return asio::post(context_, [done] { done(sync_reply{}); });
-    stub(address).async()->Sync(&it->context, &it->question, &it->reply,
+    stub(address).UnaryCall(&it->context, sync_method, {}, &it->question,
+        &it->reply,
         [this, calls = calls_, it, address, done = std::move(done)](
             grpc::Status const& status) {
             calls->end(it,
-                [this, address, code = status.error_code(), done](call& ended) {
-                    if (code == grpc::StatusCode::OK)
-                        return done(from_wire(
-                            std::move(ended.reply), boottime_clock::now()));
-                    // The connection to a VM that has no room is sound.
-                    if (code != grpc::StatusCode::RESOURCE_EXHAUSTED)
-                        peers_.erase(address);
-                    done(sync_reply{});
-                });
+                [this, address, code = status.error_code(), done](
+                    call& ended) { done(handle_end(address, code, ended)); });
         });
 }
 
+sync_reply peer_client::handle_end(
+    std::string const& address, grpc::StatusCode code, call& ended)
+{
+    if (code == grpc::StatusCode::OK) {
+        if (auto reply = parse_reply(ended.reply))
+            return from_wire(std::move(*reply), boottime_clock::now());
+        log(log_event::peer_reply_unreadable, {{"peer", address}});
+    }
+    // The connection to a VM that has no room is sound.
+    if (code != grpc::StatusCode::RESOURCE_EXHAUSTED)
+        peers_.erase(address);
+    return {};
+}
+
 void peer_client::stop(std::chrono::milliseconds grace)
 {
     calls_->stop(grace);
--- a/drivers/peers/peer_client.hpp
+++ b/drivers/peers/peer_client.hpp
@@ -8,6 +8,7 @@
 #include <asio/io_context.hpp>
 #include <chrono>
 #include <functional>
+#include <grpcpp/generic/generic_stub.h>
 #include <memory>
 #include <string>
 
@@ -23,7 +24,7 @@
     ~peer_client();
 
     /// Sends a question to the VM at `address`. `done` is called once; if no
-    /// reply was received in time, its argument has `reached` false.
+    /// readable reply was received in time, its argument has `reached` false.
     void sync(std::string const& address, sync_question const& question,
         std::function<void(sync_reply)> done);
 
@@ -35,16 +36,25 @@
     void stop(std::chrono::milliseconds grace);
 
 private:
+    /// Returns replies as bytes: the generated stub reports success for one
+    /// that cannot be parsed or is missing.
+    using stub_type =
+        grpc::TemplatedGenericStub<wire::SyncQuestion, grpc::ByteBuffer>;
+
     struct peer
     {
-        std::unique_ptr<wire::Peer::Stub> stub;
+        std::unique_ptr<stub_type> stub;
         time_point used_at;
     };
 
     struct call;
     class open_calls;
 
-    wire::Peer::Stub& stub(std::string const& address);
+    stub_type& stub(std::string const& address);
+    /// Returns the reply of a call that has ended; `reached` is false without
+    /// one.
+    sync_reply handle_end(
+        std::string const& address, grpc::StatusCode code, call& ended);
 
     asio::io_context& context_;
     /// Shared with the callbacks, which may outlive this object.
