--- a/tests/drivers/peer_budget_test.cpp
+++ b/tests/drivers/peer_budget_test.cpp
@@ -2,6 +2,7 @@
 #include "drivers/peers/peer_server.hpp"
 #include "tests/drivers/loopback_address.hpp"
 
+#include <grpc/grpc.h>
 #include <gtest/gtest.h>
 #include <mutex>
 
@@ -18,6 +19,10 @@
     static constexpr std::chrono::milliseconds grace{100};
     static constexpr std::chrono::seconds limit{20};
 
+    /// Without another user, gRPC ends with each test and waits up to 10 s for
+    /// connections that have been closed while they sent a large question.
+    static void SetUpTestSuite() { grpc_init(); }
+
     void SetUp() override { ASSERT_TRUE(server_.listen(address_).ok()); }
 
     void TearDown() override
--- a/tests/process/changed_targets_test.py
+++ b/tests/process/changed_targets_test.py
@@ -10,11 +10,13 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import time
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from process_fixture import ROOT
 from refused_orders_fixture import (
     Headers, RefusedOrdersTest, Target, deployment)
 
@@ -27,6 +29,14 @@
 CHANGE_PERIOD_S = 0.12
 
 
+def kind_of(constant: str) -> str:
+    """The platform's name of a kind of objects."""
+    names = (ROOT / "platform" / "names.hpp").read_text(encoding="utf-8")
+    found = re.search(rf'string_view {constant} = "([^"]+)"', names)
+    assert found is not None
+    return found.group(1)
+
+
 class Worker(Target):
     """Notes when each order begins, and can end its process."""
 
@@ -99,10 +109,11 @@
         await self.play.store.delete("servers", it.name)
 
     async def evacuate(self, zone: str) -> None:
-        await self.play.store.put("evacuations", zone, {"reason": "drill"})
+        await self.play.store.put(
+            kind_of("closures"), zone, {"reason": "drill"})
 
     async def put_back(self, zone: str) -> None:
-        await self.play.store.delete("evacuations", zone)
+        await self.play.store.delete(kind_of("closures"), zone)
 
     def chosen(self, *, service: str | None = None, zone: str | None = None
                ) -> list[Worker]:
