--- a/tests/simulation/fleet_run.hpp
+++ b/tests/simulation/fleet_run.hpp
@@ -143,6 +143,10 @@
     void renew_entries(caller& sender);
     void deliver_request(incoming_request message, std::string const& address,
         std::string const& from);
+    /// May send a request that was refused as not run again to the same VM,
+    /// with its id.
+    void repeat(incoming_request message, std::string const& address,
+        std::string const& from);
     void on_request_ended(std::string const& id, entry_result const& result);
 
     void inject(fault kind);
