Close connections that will not be reused

What was seen: the connections to a target that has left an answer without an id are not reused for five minutes, but those of its other answers were kept idle until they expired. Each held a descriptor, up to 8 for each address, and the target looked cheaper than it was, since has_idle_connection counted them.

Cause: take_idle asks leaves_unnamed; on_answer did not. Connections that were idle already when the target left its first answer without an id stayed as well.

Evidence: connection_that_will_not_be_reused_is_closed and answer_without_id_closes_the_idle_connections of answer_owner_test failed before.

--- a/drivers/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -99,12 +99,9 @@
     void keep_idle(connection_pointer it);
     void remove_idle(connection_pointer const& it);
 
-    void record_unnamed(std::string const& address)
-    {
-        if (unnamed_.size() >= max_unnamed_addresses)
-            unnamed_.clear();
-        unnamed_[address] = boottime_clock::now();
-    }
+    /// Records that a target has left an answer without a name, and closes its
+    /// idle connections, since they are not reused.
+    void record_unnamed(std::string const& address);
 
     /// Whether the target does not name the request in each of its answers.
     bool leaves_unnamed(std::string const& address) const
@@ -337,7 +334,7 @@
             owner == answer_owner::current && !call_.is_head;
         bool const reusable = parser_->keeps_alive() && rest.empty() &&
             !is_writing_ && !write_failed_ && has_distinct_copies &&
-            !history_.is_full();
+            !history_.is_full() && !pool_->leaves_unnamed(address_);
         auto answer = std::move(parser_->answer());
         charge_.complete();
         answer.charge = std::move(charge_);
@@ -526,6 +523,18 @@
     oldest->close();
 }
 
+void connection_pool::detail::record_unnamed(std::string const& address)
+{
+    if (unnamed_.size() >= max_unnamed_addresses)
+        unnamed_.clear();
+    unnamed_[address] = boottime_clock::now();
+    auto const list = idle_.extract(address);
+    if (list.empty())
+        return;
+    for (auto const& it : list.mapped())
+        it->close();
+}
+
 void connection_pool::detail::remove_idle(connection_pointer const& it)
 {
     auto const list = idle_.find(it->address());
--- a/tests/drivers/answer_owner_test.cpp
+++ b/tests/drivers/answer_owner_test.cpp
@@ -294,5 +294,30 @@
     EXPECT_EQ(run(target, "c").result, attempt_result::answered);
 }
 
+/// The connection stayed open until it expired, and its target looked cheaper
+/// than it was.
+TEST_F(answer_owner_test, connection_that_will_not_be_reused_is_closed)
+{
+    scripted_target const target([](target_connection& it) {
+        for (auto head = it.read_head(); !head.empty(); head = it.read_head())
+            it.write(answer(200, id_in(head) == "c" ? "" : id_in(head)));
+    });
+    EXPECT_EQ(run(target, "c").result, attempt_result::answered);
+    EXPECT_EQ(run(target, "a").result, attempt_result::answered);
+    EXPECT_FALSE(client_.is_connected(target.address()));
+}
+
+TEST_F(answer_owner_test, answer_without_id_closes_the_idle_connections)
+{
+    scripted_target const target([](target_connection& it) {
+        for (auto head = it.read_head(); !head.empty(); head = it.read_head())
+            it.write(answer(200, id_in(head) == "c" ? "" : id_in(head)));
+    });
+    EXPECT_EQ(run(target, "a").result, attempt_result::answered);
+    EXPECT_TRUE(client_.is_connected(target.address()));
+    EXPECT_EQ(run(target, "c", "HEAD").result, attempt_result::answered);
+    EXPECT_FALSE(client_.is_connected(target.address()));
+}
+
 } // namespace
 } // namespace pomelohinge
