Decide once that a misdirected answer has no notice

The dialect of the platform left the notice of a 421 out, and the dispatcher ignored it once more; a traffic thread that shares notices with others relied on the first. Now upstream_client decides, where the result of the attempt is known: dialects only read, and an attempt_end holds a notice only if the target itself has given it. What dialects_test expected of a 421 is expected at a socket by broken_refusal_test.answer_that_is_not_the_targets_own_has_no_notice, which passed before as well.

--- a/drivers/upstream/upstream_client.hpp
+++ b/drivers/upstream/upstream_client.hpp
@@ -59,7 +59,9 @@
                 end.result = it.end == exchange_end::answered
                     ? Dialect::classify(it.answer)
                     : to_attempt_result(it.end);
-                if (it.end == exchange_end::answered)
+                // A misdirected request was answered by another target.
+                if (it.end == exchange_end::answered &&
+                    end.result != attempt_result::misdirected)
                     end.notice = Dialect::read_notice(it.answer);
                 end.answer = std::move(it.answer);
                 on_end(std::move(end));
--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -342,7 +342,7 @@
     service.completions.add(now);
     if (auto* const it = find_current(target)) {
         it->request_ended();
-        if (!notice.empty() && result != attempt_result::misdirected)
+        if (!notice.empty())
             record_notice(target, notice, now);
         if (has_answer(result))
             it->pause().record_answer(now);
--- a/servers/requests/attempt.hpp
+++ b/servers/requests/attempt.hpp
@@ -125,7 +125,8 @@
 {
     attempt_result result = attempt_result::connect_failed;
     upstream_answer answer;
-    /// What the target says of itself in the answer.
+    /// What the target says of itself in the answer; empty if another target
+    /// has given it.
     target_notice notice;
     connection_use use;
 };
