--- a/drivers/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -161,9 +161,8 @@
         id_ = id;
         call_ = std::move(call);
         on_end_ = std::move(on_end);
-        reused_ = is_connected_;
-        idle_duration_ =
-            reused_ ? boottime_clock::now() - idle_since_ : duration::zero();
+        idle_duration_ = is_connected_ ? boottime_clock::now() - idle_since_
+                                       : duration::zero();
         is_idle_ = false;
         skipped_answers_ = 0;
         history_.begin_request(call_.request_id);
@@ -371,7 +370,7 @@
     /// the target has probably closed it while it was idle.
     bool record_use(bool lost)
     {
-        if (reused_)
+        if (history_.earlier_requests() > 0)
             return pool_->reuse_.record_reused(
                 lost, idle_duration_, boottime_clock::now());
         pool_->reuse_.record_new(lost);
@@ -444,7 +443,6 @@
     duration idle_timeout_ = default_idle_timeout;
     duration idle_duration_{};
     bool is_connected_ = false;
-    bool reused_ = false;
     bool is_idle_ = false;
     bool is_reading_ = false;
     bool is_writing_ = false;
