Remove the options of http_call that nothing needs

Nothing set first_byte_timeout, so the restart on a new connection never happened. fresh_connection served the stand-in caller alone, which needs a connection that its payments do not share; own_connection is that, and also keeps a further answer from being taken for that of another call.

--- a/drivers/http/curl_loop.cpp
+++ b/drivers/http/curl_loop.cpp
@@ -110,7 +110,7 @@
     std::uint64_t start(http_call call, callback on_end)
     {
         auto const id = ++last_id_;
-        auto it = std::make_unique<transfer>(context_);
+        auto it = std::make_unique<transfer>();
         it->id = id;
         it->call = std::move(call);
         it->on_end = std::move(on_end);
@@ -135,10 +135,6 @@
     /// A call that has not ended.
     struct transfer
     {
-        explicit transfer(asio::io_context& context) : first_byte_timer(context)
-        {
-        }
-
         std::uint64_t id = 0;
         http_call call;
         callback on_end;
@@ -147,7 +143,6 @@
         header_list headers;
         http_result result;
         bool too_large = false;
-        asio::steady_timer first_byte_timer;
     };
 
     /// One of libcurl's sockets and the events that libcurl waits for on it.
@@ -171,7 +166,6 @@
         set_options(it);
         set_body(it);
         curl_multi_add_handle(multi_, it.easy.get());
-        start_first_byte_timer(it);
     }
 
     void set_options(transfer& it)
@@ -198,10 +192,9 @@
         curl_easy_setopt(
             easy, CURLOPT_TCP_KEEPINTVL, keep_alive_interval_seconds);
         curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, max_idle_seconds);
-        bool const is_new = call.fresh_connection || call.own_connection;
-        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, is_new ? 1L : 0L);
-        curl_easy_setopt(
-            easy, CURLOPT_FORBID_REUSE, call.own_connection ? 1L : 0L);
+        long const is_own = call.own_connection ? 1 : 0;
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, is_own);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, is_own);
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &on_body);
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, &it);
         curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &on_header);
@@ -237,31 +230,6 @@
             curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
     }
 
-    /// Restarts the call on a new connection if no byte of an answer arrives
-    /// on a reused one in time.
-    void start_first_byte_timer(transfer& it)
-    {
-        if (it.call.first_byte_timeout <= duration::zero() ||
-            it.call.fresh_connection || it.call.own_connection)
-            return;
-        it.first_byte_timer.expires_after(it.call.first_byte_timeout);
-        it.first_byte_timer.async_wait([this, id = it.id](asio::error_code ec) {
-            auto const found = transfers_.find(id);
-            if (ec || found == transfers_.end())
-                return;
-            auto& waiting = *found->second;
-            long connects = 0;
-            curl_easy_getinfo(
-                waiting.easy.get(), CURLINFO_NUM_CONNECTS, &connects);
-            bool const unanswered = connects == 0 && waiting.result.status == 0;
-            if (!unanswered)
-                return;
-            curl_multi_remove_handle(multi_, waiting.easy.get());
-            waiting.call.fresh_connection = true;
-            begin(waiting);
-        });
-    }
-
     void finish(std::uint64_t id, http_end end)
     {
         auto const it = transfers_.find(id);
--- a/drivers/http/curl_loop.hpp
+++ b/drivers/http/curl_loop.hpp
@@ -23,16 +23,11 @@
     /// Time limit of the whole call, including connecting.
     duration timeout = std::chrono::seconds(5);
     duration connect_timeout = std::chrono::seconds(1);
-    /// Open a new connection instead of reusing one. When a reused connection
-    /// turns out to be closed, libcurl sends the request again, which is safe
-    /// for idempotent requests only.
-    bool fresh_connection = false;
     /// Open a new connection and close it after the call. The answer is then
     /// certainly that of this call, and not one too many of an earlier call.
+    /// When a reused connection turns out to be closed, libcurl sends the
+    /// request again, which is safe for idempotent requests only.
     bool own_connection = false;
-    /// If no byte of an answer is received on a reused connection within this
-    /// time, the call starts again on a new connection. Zero for no timeout.
-    duration first_byte_timeout{};
     /// Limit on the body of the answer.
     std::size_t max_answer_bytes = 16 << 20;
 };
--- a/stand_ins/caller.cpp
+++ b/stand_ins/caller.cpp
@@ -253,7 +253,7 @@
         call.timeout =
             std::chrono::milliseconds(group.deadline_ms) + deadline_margin;
         call.connect_timeout = connect_timeout;
-        call.fresh_connection = group.method == "POST";
+        call.own_connection = group.method == "POST";
         http_.start(std::move(call), [this, it](http_result const& result) {
             handle_result(it, result);
         });
