Promise nothing to a keyed order before its record is read

What callers saw: an order with an Idempotency-Key that came again, and was refused before its record was read, was told not_run although its first sending was running or done: no policy yet, a stale or withdrawn key, no route, held back as poisonous, a stop, or time that had passed behind others of the connection. A caller that believes it may charge once more under another key.

Cause: may_have_run was set only when the record was asked for. Now each request with a key may have run until it is known to need no record or its record has told. Requests without a key, and those of routes whose requests are idempotent, are refused as before. A keyed order that never ran is told unknown in these cases; it may come again with its key, which is what the key is for.

Refusals of the front itself, for heads that cannot be parsed, are not changed.

--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -43,6 +43,8 @@
         static_assert(EntryEnvironment<Environment>);
         auto const now = environment_.now();
         state().load.add(now);
+        // An earlier request with the key may have run, until its record tells.
+        progress_.may_have_run = !message_.head.idempotency_key.empty();
         auto const& policy = environment_.current_policy();
         if (policy == nullptr || !policy->ready)
             return refuse(refusal_kind::not_ready,
@@ -52,9 +54,11 @@
             policy->index->routes.admit(message_.head, draw(state().random));
         if (auto* const it = std::get_if<refusal>(&admitted)) {
             refusal_ = std::move(*it);
+            refusal_.result = progress_.current_outcome();
             return fire(request_event::refused);
         }
         admitted_ = std::get<admitted_request>(std::move(admitted));
+        progress_.may_have_run = check(request_guard::needs_record);
         statistics_.organisation = admitted_.organisation;
         statistics_.service = admitted_.service;
         times_ = request_times(admitted_, now - message_.waited);
@@ -261,8 +265,6 @@
 
     void create_record()
     {
-        // An earlier request with the key may run, until the record tells.
-        progress_.may_have_run = true;
         idempotency_.begin(environment_, message_.head, admitted_, fingerprint_,
             if_alive(
                 [this](record_outcome result) { on_record_reply(result); }));
--- a/tests/servers/refusal_outcome_test.cpp
+++ b/tests/servers/refusal_outcome_test.cpp
@@ -272,5 +272,36 @@
         request_sort::lookup, request_sort::order, request_sort::keyed_order),
     [](auto const& it) { return std::string(to_name(it.param)); });
 
+/// A repeat that was refused before its record was read was told that the order
+/// had not run, although its first was running or done.
+class unread_record_test : public testing::TestWithParam<world_event>
+{
+protected:
+    static std::optional<outcome> refused_outcome(request_sort sort)
+    {
+        request_world world(sort);
+        apply(world, GetParam());
+        world.start();
+        auto const* const it =
+            world.result() ? std::get_if<refusal>(&*world.result()) : nullptr;
+        return it == nullptr ? std::nullopt : std::optional(it->result);
+    }
+};
+
+TEST_P(unread_record_test, keyed_order_refused_before_it_is_read_may_have_run)
+{
+    EXPECT_EQ(refused_outcome(request_sort::keyed_order), outcome::unknown);
+}
+
+TEST_P(unread_record_test, order_without_a_key_has_not_run)
+{
+    EXPECT_EQ(refused_outcome(request_sort::order), outcome::not_run);
+}
+
+INSTANTIATE_TEST_SUITE_P(refusals, unread_record_test,
+    testing::Values(world_event::key_is_withdrawn, world_event::stop_is_near,
+        world_event::store_is_lost),
+    [](auto const& it) { return std::string(to_name(it.param)); });
+
 } // namespace
 } // namespace pomelohinge
