--- a/drivers/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -99,12 +99,9 @@
     void keep_idle(connection_pointer it);
     void remove_idle(connection_pointer const& it);
 
-    void record_unnamed(std::string const& address)
-    {
-        if (unnamed_.size() >= max_unnamed_addresses)
-            unnamed_.clear();
-        unnamed_[address] = boottime_clock::now();
-    }
+    /// Records that a target has left an answer without a name, and closes its
+    /// idle connections, since they are not reused.
+    void record_unnamed(std::string const& address);
 
     /// Whether the target does not name the request in each of its answers.
     bool leaves_unnamed(std::string const& address) const
@@ -164,9 +161,8 @@
         id_ = id;
         call_ = std::move(call);
         on_end_ = std::move(on_end);
-        reused_ = is_connected_;
-        idle_duration_ =
-            reused_ ? boottime_clock::now() - idle_since_ : duration::zero();
+        idle_duration_ = is_connected_ ? boottime_clock::now() - idle_since_
+                                       : duration::zero();
         is_idle_ = false;
         skipped_answers_ = 0;
         history_.begin_request(call_.request_id);
@@ -337,7 +333,7 @@
             owner == answer_owner::current && !call_.is_head;
         bool const reusable = parser_->keeps_alive() && rest.empty() &&
             !is_writing_ && !write_failed_ && has_distinct_copies &&
-            !history_.is_full();
+            !history_.is_full() && !pool_->leaves_unnamed(address_);
         auto answer = std::move(parser_->answer());
         charge_.complete();
         answer.charge = std::move(charge_);
@@ -374,7 +370,7 @@
     /// the target has probably closed it while it was idle.
     bool record_use(bool lost)
     {
-        if (reused_)
+        if (history_.earlier_requests() > 0)
             return pool_->reuse_.record_reused(
                 lost, idle_duration_, boottime_clock::now());
         pool_->reuse_.record_new(lost);
@@ -447,7 +443,6 @@
     duration idle_timeout_ = default_idle_timeout;
     duration idle_duration_{};
     bool is_connected_ = false;
-    bool reused_ = false;
     bool is_idle_ = false;
     bool is_reading_ = false;
     bool is_writing_ = false;
@@ -526,6 +521,18 @@
     oldest->close();
 }
 
+void connection_pool::detail::record_unnamed(std::string const& address)
+{
+    if (unnamed_.size() >= max_unnamed_addresses)
+        unnamed_.clear();
+    unnamed_[address] = boottime_clock::now();
+    auto const list = idle_.extract(address);
+    if (list.empty())
+        return;
+    for (auto const& it : list.mapped())
+        it->close();
+}
+
 void connection_pool::detail::remove_idle(connection_pointer const& it)
 {
     auto const list = idle_.find(it->address());
--- a/drivers/http/curl_loop.cpp
+++ b/drivers/http/curl_loop.cpp
@@ -72,14 +72,16 @@
     return it == headers.end() ? std::string_view() : it->value;
 }
 
-std::string combined_header(
+std::vector<std::string_view> distinct_values(
     std::vector<header_field> const& headers, std::string_view name)
 {
-    auto const first = trimmed(find_header(headers, name));
-    std::string values(first);
-    for (auto const& it : headers)
-        if (is_same_header(it.name, name) && trimmed(it.value) != first)
-            values += ", " + it.value;
+    std::vector<std::string_view> values;
+    for (auto const& it : headers) {
+        auto const value = trimmed(it.value);
+        if (is_same_header(it.name, name) &&
+            std::find(values.begin(), values.end(), value) == values.end())
+            values.push_back(value);
+    }
     return values;
 }
 
@@ -108,7 +110,7 @@
     std::uint64_t start(http_call call, callback on_end)
     {
         auto const id = ++last_id_;
-        auto it = std::make_unique<transfer>(context_);
+        auto it = std::make_unique<transfer>();
         it->id = id;
         it->call = std::move(call);
         it->on_end = std::move(on_end);
@@ -133,10 +135,6 @@
     /// A call that has not ended.
     struct transfer
     {
-        explicit transfer(asio::io_context& context) : first_byte_timer(context)
-        {
-        }
-
         std::uint64_t id = 0;
         http_call call;
         callback on_end;
@@ -145,7 +143,6 @@
         header_list headers;
         http_result result;
         bool too_large = false;
-        asio::steady_timer first_byte_timer;
     };
 
     /// One of libcurl's sockets and the events that libcurl waits for on it.
@@ -168,7 +165,6 @@
         set_options(it);
         set_body(it);
         curl().multi_add_handle(multi_, it.easy.get());
-        start_first_byte_timer(it);
     }
 
     void set_options(transfer& it)
@@ -195,10 +191,9 @@
         curl().easy_setopt(
             easy, CURLOPT_TCP_KEEPINTVL, keep_alive_interval_seconds);
         curl().easy_setopt(easy, CURLOPT_MAXAGE_CONN, max_idle_seconds);
-        bool const is_new = call.fresh_connection || call.own_connection;
-        curl().easy_setopt(easy, CURLOPT_FRESH_CONNECT, is_new ? 1L : 0L);
-        curl().easy_setopt(
-            easy, CURLOPT_FORBID_REUSE, call.own_connection ? 1L : 0L);
+        long const is_own = call.own_connection ? 1 : 0;
+        curl().easy_setopt(easy, CURLOPT_FRESH_CONNECT, is_own);
+        curl().easy_setopt(easy, CURLOPT_FORBID_REUSE, is_own);
         curl().easy_setopt(easy, CURLOPT_WRITEFUNCTION, &on_body);
         curl().easy_setopt(easy, CURLOPT_WRITEDATA, &it);
         curl().easy_setopt(easy, CURLOPT_HEADERFUNCTION, &on_header);
@@ -235,31 +230,6 @@
                 easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
     }
 
-    /// Restarts the call on a new connection if no byte of an answer arrives
-    /// on a reused one in time.
-    void start_first_byte_timer(transfer& it)
-    {
-        if (it.call.first_byte_timeout <= duration::zero() ||
-            it.call.fresh_connection || it.call.own_connection)
-            return;
-        it.first_byte_timer.expires_after(it.call.first_byte_timeout);
-        it.first_byte_timer.async_wait([this, id = it.id](asio::error_code ec) {
-            auto const found = transfers_.find(id);
-            if (ec || found == transfers_.end())
-                return;
-            auto& waiting = *found->second;
-            long connects = 0;
-            curl().easy_getinfo(
-                waiting.easy.get(), CURLINFO_NUM_CONNECTS, &connects);
-            bool const unanswered = connects == 0 && waiting.result.status == 0;
-            if (!unanswered)
-                return;
-            curl().multi_remove_handle(multi_, waiting.easy.get());
-            waiting.call.fresh_connection = true;
-            begin(waiting);
-        });
-    }
-
     void finish(std::uint64_t id, http_end end)
     {
         auto const it = transfers_.find(id);
