Read the store on each VM whose hubs send no recent data

Cause: only the first three VMs of a data centre can become its hub, and only hubs read the store. From 14 s on the store turns 15 VMs away with 429; at 19.1 s 24 VMs lose power, among them the reader for the fleet, whose last read was just before the change. Of the three candidates of nottm two are then turned away and one is off, of leics one and two, of derby all three are off. front-derby-15 reads version 25 at 20.1 s, but nobody asks it. The others hold 21 until the power is back at 21.1 s.

So the version had not been sent and lost, and no VM of nottm had it.

Change: a VM reads the store for itself while no hub has sent it data of a read in the last 1.65 s (reading_decision, taken out of control_plane). So that a working hub never looks like a failed one: - a long poll of a VM without traffic is answered after each read of the store, not only after 0.9 s; - a hub that did not answer last time is asked without a long poll; a VM without traffic got no updates for 1.4 s of each 2.9 s while the first candidate was down.

--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -5,6 +5,7 @@
 #include "servers/control/control_environment.hpp"
 #include "servers/control/control_status.hpp"
 #include "servers/control/hub_selector.hpp"
+#include "servers/control/reading_decision.hpp"
 #include "servers/control/registration.hpp"
 #include "servers/control/store_reader.hpp"
 #include "servers/control/sync_server.hpp"
@@ -38,6 +39,7 @@
     {
         auto const now = environment_.now();
         started_at_ = now;
+        reading_decision_.start(now);
         log(log_event::control_started,
             {{"vm", self_.vm.text()},
                 {"data_centre", self_.data_centre.text()}});
@@ -148,13 +150,6 @@
     /// and reads the store itself if its data is stale.
     static constexpr duration max_question_age =
         std::chrono::milliseconds(3000);
-    /// A VM that starts to read the store continues for at least this long.
-    static constexpr duration min_reading_period =
-        std::chrono::milliseconds(3000);
-    /// A VM without a configuration or targets reads the store itself if no hub
-    /// has answered for this long.
-    static constexpr duration initial_hub_timeout =
-        std::chrono::milliseconds(400);
     /// Delay before the next sync after an answered one. The interval between
     /// syncs comes from the long poll at the hub.
     static constexpr duration min_sync_delay = std::chrono::milliseconds(20);
@@ -186,8 +181,6 @@
         if (!registration_.members_known())
             return;
         auto const now = environment_.now();
-        if (hub_replied_at_ == time_point{})
-            hub_replied_at_ = now;
         auto const members = members_.members();
         record_own_read_age(now);
         auto const chosen =
@@ -206,22 +199,15 @@
         exchange_with_hubs();
     }
 
-    /// Whether this VM has to read the store: for the whole fleet if it is the
-    /// hub of the first data centre, for the VMs that send it questions if the
-    /// data from other hubs is stale, and for itself if no hub provides a
-    /// configuration.
     bool must_read_store(time_point now)
     {
-        bool const serves_members =
+        reading_conditions it;
+        it.ready = fleet_state_.ready();
+        it.reads_for_fleet = is_hub() && is_first_hub();
+        it.serves_members =
             is_hub() || sync_server_.was_asked_within(max_question_age, now);
-        bool const lacks_hub = !fleet_state_.ready() &&
-            now - hub_replied_at_ > initial_hub_timeout;
-        bool const stale = fleet_state_.read_age(now) > max_fresh_read_age ||
-            !other_hubs_reach_store_;
-        if (serves_members && stale)
-            read_store_until_ = now + min_reading_period;
-        return lacks_hub || now < read_store_until_ ||
-            (is_hub() && is_first_hub());
+        it.read_age = fleet_state_.read_age(now);
+        return reading_decision_.must_read(it, now);
     }
 
     /// Whether this is the first data centre by name that has a live VM.
@@ -308,16 +294,22 @@
         question.members_sequence = members_sequence_;
         bool const uses_long_poll = fleet_state_.ready() && !is_busy() &&
             self_.standing == vm_standing::serving;
-        question.long_poll_timeout = uses_long_poll ? idle_long_poll_timeout
-            : fleet_state_.ready()                  ? busy_period
-                                                    : duration::zero();
+        // A hub that may be unreachable has to answer at once, since this VM
+        // gets no updates until it gives up.
+        if (!fleet_state_.ready() || !hub_selector_.is_reached(hub_))
+            question.long_poll_timeout = duration::zero();
+        else
+            question.long_poll_timeout =
+                uses_long_poll ? idle_long_poll_timeout : busy_period;
         question.liveness_timeout =
             is_busy() ? busy_liveness_timeout : idle_liveness_timeout;
         question.is_idle = !is_busy();
         question.report = std::move(report);
         environment_.send_sync(hub->record.peers_address, question,
-            [this, asked_hub = hub_, requested_at = environment_.now()](
-                sync_reply reply) {
+            [this, asked_hub = hub_, requested_at = environment_.now(),
+                due = environment_.now() + question.long_poll_timeout +
+                    tick_period](sync_reply reply) {
+                note_reply(reply, std::min(due, environment_.now()));
                 handle_hub_reply(asked_hub, std::move(reply), requested_at);
             });
     }
@@ -333,9 +325,8 @@
             schedule_sync(sync_retry_delay);
             return update_hub();
         }
-        hub_replied_at_ = now;
+        reading_decision_.note_hub_contact(now);
         hub_selector_.note_answer(asked_hub, reply.read_age, now);
-        other_hubs_reach_store_ = reply.store_reached;
         if (reply.members) {
             members_source_ = reply.members_source;
             members_sequence_ = reply.members_sequence;
@@ -349,6 +340,12 @@
         update_hub();
     }
 
+    void note_reply(sync_reply const& reply, time_point replied_at)
+    {
+        reading_decision_.note_reply(
+            reply, fleet_state_.document().version, replied_at);
+    }
+
     void apply_reply(sync_reply reply, time_point requested_at)
     {
         bool any_changed = false;
@@ -434,7 +431,6 @@
         if (!reply.reached)
             return hub_selector_.note_failure(hub, now);
         hub_selector_.note_answer(hub, reply.read_age, now);
-        other_hubs_reach_store_ = reply.store_reached;
         if (reply.members) {
             remote_members_[data_centre] = {
                 reply.members_source, reply.members_sequence};
@@ -445,7 +441,9 @@
             });
         }
         sync_server_.add_remote_report(data_centre, reply.others, now);
+        note_reply(reply, requested_at);
         apply_reply(std::move(reply), requested_at);
+        answer_long_polls();
     }
 
     // Handling of changes.
@@ -555,6 +553,7 @@
     store_reader<Environment> reader_;
     registration<Environment> registration_;
     hub_selector hub_selector_;
+    reading_decision reading_decision_;
 
     /// The hub that this VM sends its questions to; empty if it is the hub.
     vm_id hub_;
@@ -572,12 +571,7 @@
         remote_members_;
     std::set<data_centre_id> exchanges_in_flight_;
     time_point next_exchange_{};
-    time_point hub_replied_at_{};
-    time_point read_store_until_{};
     time_point next_urgent_report_{};
-    /// `store_reached` in the last reply of any hub.
-    bool other_hubs_reach_store_ = true;
-
     policy_pointer policy_;
     std::uint64_t published_members_ = 0;
     std::vector<data_centre_id> published_closures_;
--- a/servers/control/hub_selector.cpp
+++ b/servers/control/hub_selector.cpp
@@ -44,13 +44,16 @@
 
 void hub_selector::note_failure(vm_id const& vm, time_point now)
 {
-    candidates_[vm].unreachable_until = now + unreachable_backoff;
+    auto& it = candidates_[vm];
+    it.reached = false;
+    it.unreachable_until = now + unreachable_backoff;
 }
 
 void hub_selector::note_answer(
     vm_id const& vm, duration read_age, time_point now)
 {
     auto& it = candidates_[vm];
+    it.reached = true;
     it.unreachable_until = {};
     if (read_age > max_fresh_read_age)
         it.stale_until = now + stale_backoff;
--- a/servers/control/hub_selector.hpp
+++ b/servers/control/hub_selector.hpp
@@ -20,6 +20,9 @@
         data_centre_id const& data_centre, vm_id const& self,
         time_point now) const;
 
+    /// Whether a candidate answered the last time it was asked.
+    bool is_reached(vm_id const& vm) const { return state_of(vm).reached; }
+
     /// Records that a candidate did not answer.
     void note_failure(vm_id const& vm, time_point now);
 
@@ -29,6 +32,7 @@
 private:
     struct candidate_state
     {
+        bool reached = false;
         time_point unreachable_until{};
         time_point stale_until{};
     };
--- /dev/null
+++ b/servers/control/reading_decision.hpp
@@ -0,0 +1,56 @@
+#ifndef POMELOHINGE_SERVERS_CONTROL_READING_DECISION_HPP
+#define POMELOHINGE_SERVERS_CONTROL_READING_DECISION_HPP
+
+#include "servers/control/hub_selector.hpp"
+#include "servers/exchange/sync.hpp"
+
+namespace pomelohinge {
+
+/// The state of a VM that decides whether it reads the store.
+struct reading_conditions
+{
+    /// It has a configuration and targets.
+    bool ready = false;
+    /// It is the hub of the first data centre.
+    bool reads_for_fleet = false;
+    /// It is a hub, or members have sent it questions recently.
+    bool serves_members = false;
+    /// Age of the configuration that it holds.
+    duration read_age{};
+};
+
+/// Decides whether a VM reads the store: for the whole fleet if it is the hub
+/// of the first data centre, for the VMs that send it questions if the data of
+/// other hubs is stale, and for itself if no hub provides a configuration or
+/// recent data. Thus no VM that reaches the store depends on others for what is
+/// in force.
+class reading_decision
+{
+public:
+    void start(time_point now) { hubs_read_at_ = now; }
+
+    /// Records that this VM's hub has replied.
+    void note_hub_contact(time_point now) { hub_contact_at_ = now; }
+
+    /// Records the reply of a hub to a VM that holds `version`. `replied_at` is
+    /// when the hub replied: when its reply arrived, or, if that was late, when
+    /// the hub had to reply.
+    void note_reply(
+        sync_reply const& reply, std::uint64_t version, time_point replied_at);
+
+    bool must_read(reading_conditions const& it, time_point now);
+
+private:
+    /// When this VM's hub last replied, or when it was first chosen.
+    time_point hub_contact_at_{};
+    /// The latest read of the store whose data hubs have sent; the start of
+    /// this VM if there was none.
+    time_point hubs_read_at_{};
+    /// `store_reached` in the last reply of any hub.
+    bool hubs_reach_store_ = true;
+    time_point read_until_{};
+};
+
+} // namespace pomelohinge
+
+#endif
--- a/servers/control/sync_server.cpp
+++ b/servers/control/sync_server.cpp
@@ -7,6 +7,10 @@
 namespace pomelohinge {
 namespace {
 
+/// Two estimates of the time of one read differ by less than this, and two
+/// reads by more.
+constexpr duration min_read_interval = std::chrono::milliseconds(400);
+
 bool is_remote(sync_relation relation)
 {
     return relation == sync_relation::hub;
@@ -51,7 +55,15 @@
         question.closures_revision < fleet_state_.closures().revision ||
         question.members_source != self_.incarnation ||
         question.members_sequence < members_.sequence() ||
-        (!question.is_idle && reports_.has_failures_for(source_of(question)));
+        (question.is_idle ? has_newer_read(question)
+                          : reports_.has_failures_for(source_of(question)));
+}
+
+bool sync_server::has_newer_read(sync_question const& question) const
+{
+    auto const it = replied_reads_.find(question.from.vm);
+    return it == replied_reads_.end() ||
+        fleet_state_.read_at() - it->second > min_read_interval;
 }
 
 sync_reply sync_server::make_reply(
@@ -69,6 +81,7 @@
     if (question.configuration_version < document.version)
         reply.configuration.text = document.text;
     reply.read_age = fleet_state_.read_age(now);
+    replied_reads_[question.from.vm] = fleet_state_.read_at();
     reply.store_reached = store_reached_;
     reply.targets = fleet_state_.targets().changes_after(question.targets);
     if (question.closures_revision < fleet_state_.closures().revision)
@@ -139,6 +152,8 @@
 void sync_server::expire(time_point now)
 {
     reports_.expire(now);
+    std::erase_if(replied_reads_,
+        [&](auto const& it) { return members_.find(it.first) == nullptr; });
 }
 
 } // namespace pomelohinge
--- a/servers/control/sync_server.hpp
+++ b/servers/control/sync_server.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <list>
+#include <map>
 
 namespace pomelohinge {
 
@@ -29,7 +30,9 @@
     /// timeout has passed.
     void answer(sync_question question, time_point now, reply_callback reply);
 
-    /// Answers the long polls that have updates or have reached their timeout.
+    /// Answers the long polls that have updates or have reached their timeout,
+    /// and those of VMs without traffic after each read of the store, so that
+    /// their data ages no further than that of this VM.
     void answer_long_polls(time_point now);
 
     /// Stores this VM's own report and returns the sum of the others.
@@ -82,6 +85,8 @@
 
     /// Whether there is anything that the sender of `question` lacks.
     bool has_updates(sync_question const& question) const;
+    /// Whether this VM has read the store since its last reply to the sender.
+    bool has_newer_read(sync_question const& question) const;
     sync_reply make_reply(sync_question const& question, time_point now);
 
     vm_record const& self_;
@@ -90,6 +95,8 @@
     report_aggregator reports_;
     entry_selection entries_;
     std::list<long_poll> long_polls_;
+    /// The read of the store that the last reply to each VM was based on.
+    std::map<vm_id, time_point> replied_reads_;
     time_point last_question_at_{};
     bool store_reached_ = true;
 };
--- a/tests/servers/control_test.cpp
+++ b/tests/servers/control_test.cpp
@@ -188,6 +188,15 @@
     EXPECT_EQ(choose_hub(vm_at(4)), vm_at(0));
 }
 
+TEST_F(hub_test, hub_is_reached_once_it_answers_until_it_fails)
+{
+    EXPECT_FALSE(selector_.is_reached(vm_at(0)));
+    selector_.note_answer(vm_at(0), 100ms, clock_.now());
+    EXPECT_TRUE(selector_.is_reached(vm_at(0)));
+    selector_.note_failure(vm_at(0), clock_.now());
+    EXPECT_FALSE(selector_.is_reached(vm_at(0)));
+}
+
 TEST_F(hub_test, hub_with_stale_data_is_skipped)
 {
     selector_.note_answer(vm_at(0), 3s, clock_.now());
@@ -428,6 +437,50 @@
     EXPECT_EQ(answers, 1);
 }
 
+/// Guards against a VM without traffic whose data is as old as two reads of its
+/// hub, so that it cannot tell a hub that works from one that has failed.
+TEST_F(sync_server_test, idle_vm_is_answered_after_each_read)
+{
+    int answers = 0;
+    auto ask = [&] {
+        auto it = question(900ms);
+        it.is_idle = true;
+        sync_server_.answer(
+            it, clock_.now(), [&](sync_reply const&) { ++answers; });
+    };
+    state_.confirm(0, clock_.now());
+    ask();
+    EXPECT_EQ(answers, 1);
+    ask();
+    clock_.advance(800ms);
+    sync_server_.answer_long_polls(clock_.now());
+    EXPECT_EQ(answers, 1);
+    state_.confirm(0, clock_.now());
+    sync_server_.answer_long_polls(clock_.now());
+    EXPECT_EQ(answers, 2);
+}
+
+TEST_F(sync_server_test, idle_vm_that_asks_after_a_read_is_answered_at_once)
+{
+    int answers = 0;
+    auto ask = [&] {
+        auto it = question(900ms);
+        it.is_idle = true;
+        sync_server_.answer(
+            it, clock_.now(), [&](sync_reply const&) { ++answers; });
+    };
+    state_.confirm(0, clock_.now());
+    ask();
+    clock_.advance(800ms);
+    state_.confirm(0, clock_.now());
+    ask();
+    EXPECT_EQ(answers, 2);
+    // A second estimate of the time of the same read is no other read.
+    state_.confirm(0, clock_.now() + 5ms);
+    ask();
+    EXPECT_EQ(answers, 2);
+}
+
 class fleet_state_test : public testing::Test
 {
 protected:
