Let a refused order's time end clearly before the store's call

Cause: the order's time limit and the timeout of a store call are both 2 s. With the store's answer first the order is refused as overloaded, with the limit first as past its deadline; the latter may not promise anything. Both are true, so the test checked which of two timers of 2 s fires first.

The orders now ask for 1 s, so that the status is 504 at any speed, and the test checks as before that each runs once when it comes again.

--- a/tests/process/acknowledgement_test.py
+++ b/tests/process/acknowledgement_test.py
@@ -53,13 +53,15 @@
             self.fleet.start_vm(vm)
         self.fleet.wait_ready()
 
-    def order(self, vm: int, name: str) -> tuple[int, bytes]:
+    def order(self, vm: int, name: str, deadline_ms: int = 2000
+              ) -> tuple[int, bytes]:
         connection = http.client.HTTPConnection(
             *self.vms[vm].callers.split(":"), timeout=20)
         try:
             connection.request("POST", "/booking/orders", name.encode(), {
                 "Authorization": "Bearer bathers-secret",
-                "Idempotency-Key": name})
+                "Idempotency-Key": name,
+                "Pomelohinge-Deadline-Ms": str(deadline_ms)})
             answer = connection.getresponse()
             return answer.status, answer.read()
         finally:
@@ -81,11 +83,12 @@
 
     def test_order_refused_while_its_record_is_created_can_be_repeated(self):
         self.fleet.set_platform_fault("lossy")
-        first = [self.order(0, f"order-{n}")[0] for n in range(6)]
+        # The order is over before the store's call, which takes 2 s.
+        first = [self.order(0, f"order-{n}", 1000)[0] for n in range(6)]
         self.fleet.set_platform_fault("none")
-        time.sleep(1)
+        time.sleep(2)
         second = [self.order(1, f"order-{n}")[0] for n in range(6)]
-        self.assertEqual(first, [503] * 6)
+        self.assertEqual(first, [504] * 6)
         self.assertEqual(second, [200] * 6)
         self.assertEqual(
             Target.runs, {b"order-%d" % n: 1 for n in range(6)})
