Keep VMs alive that an unchanged list of a hub shows as alive

What callers saw: a VM that is not the hub gave one entry or none to those that asked it, in a fleet of one data centre without changes for as long as that lasted. With three, VMs counted as gone for seconds at a time.

Cause: what a hub's list shows as alive counts so for 4 s, and a hub sends its list only when it has changed. In a quiet fleet nothing renewed it. With several data centres the hubs lost each other's VMs in this way, which changed the lists and renewed them.

A reply without a list that names the hub and the sequence number of the last one now renews it, for another data centre's hub only its own VMs.

Not mended: a VM that was asked as a hub counts those VMs as gone until its next long poll ends.

--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -5,6 +5,7 @@
 #include "servers/control/control_environment.hpp"
 #include "servers/control/control_status.hpp"
 #include "servers/control/hub_selector.hpp"
+#include "servers/control/member_list_position.hpp"
 #include "servers/control/registration.hpp"
 #include "servers/control/returned_hub.hpp"
 #include "servers/control/store_reader.hpp"
@@ -79,8 +80,7 @@
             if (hub == nullptr)
                 return;
             auto question = make_question(sync_relation::member);
-            question.members_source = members_source_;
-            question.members_sequence = members_sequence_;
+            hub_members_.write_to(question);
             question.liveness_timeout = busy_liveness_timeout;
             question.report = std::move(report);
             environment_.send_sync(hub->record.peers_address, question,
@@ -311,8 +311,7 @@
             return schedule_sync(sync_retry_delay);
         }
         auto question = make_question(sync_relation::member);
-        question.members_source = members_source_;
-        question.members_sequence = members_sequence_;
+        hub_members_.write_to(question);
         bool const uses_long_poll = fleet_state_.ready() && !is_busy() &&
             self_.standing == vm_standing::serving;
         question.long_poll_timeout = uses_long_poll ? idle_long_poll_timeout
@@ -343,10 +342,10 @@
         hub_replied_at_ = now;
         hub_selector_.note_answer(asked_hub, reply.read_age, now);
         other_hubs_reach_store_ = reply.store_reached;
-        if (reply.members) {
-            members_source_ = reply.members_source;
-            members_sequence_ = reply.members_sequence;
-        }
+        if (reply.members)
+            hub_members_.advance(reply);
+        else if (hub_members_.is_confirmed_by(reply))
+            members_.confirm_listed(std::nullopt, now);
         environment_.distribute_report(reply.others);
         // The reply gives the age of the hub's data as of the answer.
         // `requested_at` is earlier than that by the duration of the long poll,
@@ -421,8 +420,7 @@
             return;
         exchanges_in_flight_.insert(data_centre);
         auto question = make_question(sync_relation::hub);
-        question.members_source = remote_members_[data_centre].first;
-        question.members_sequence = remote_members_[data_centre].second;
+        remote_members_[data_centre].write_to(question);
         question.liveness_timeout = exchange_liveness_timeout;
         question.report = sync_server_.report_for_remote(data_centre);
         environment_.send_sync(hub->peers_address, question,
@@ -443,14 +441,14 @@
         hub_selector_.note_answer(hub, reply.read_age, now);
         other_hubs_reach_store_ = reply.store_reached;
         if (reply.members) {
-            remote_members_[data_centre] = {
-                reply.members_source, reply.members_sequence};
+            remote_members_[data_centre].advance(reply);
             // The remote hub got its data on other data centres from their
             // hubs, and on this one from here.
             std::erase_if(*reply.members, [&](auto const& it) {
                 return it.record.data_centre != data_centre;
             });
-        }
+        } else if (remote_members_[data_centre].is_confirmed_by(reply))
+            members_.confirm_listed(data_centre, now);
         sync_server_.add_remote_report(data_centre, reply.others, now);
         apply_reply(std::move(reply), requested_at);
     }
@@ -571,13 +569,9 @@
     bool sync_scheduled_ = false;
     /// Requests per second from callers.
     double load_ = 0;
-    /// Member list last received from the hub: the incarnation of that hub and
-    /// its sequence number.
-    std::uint64_t members_source_ = 0;
-    std::uint64_t members_sequence_ = 0;
+    member_list_position hub_members_;
     /// The same for the hub of each other data centre.
-    std::map<data_centre_id, std::pair<std::uint64_t, std::uint64_t>>
-        remote_members_;
+    std::map<data_centre_id, member_list_position> remote_members_;
     std::set<data_centre_id> exchanges_in_flight_;
     time_point next_exchange_{};
     time_point hub_replied_at_{};
--- a/servers/membership/member_table.cpp
+++ b/servers/membership/member_table.cpp
@@ -70,6 +70,7 @@
             continue;
         }
         auto& existing = find_or_create(it.record);
+        existing.listed_alive = it.alive;
         // A report received from the VM itself is newer than the hub's copy.
         if (existing.reported_at != time_point{} && now < existing.expires_at)
             continue;
@@ -80,6 +81,23 @@
     }
 }
 
+void member_table::confirm_listed(
+    std::optional<data_centre_id> const& data_centre, time_point now)
+{
+    for (auto& [key, it] : members_) {
+        bool const is_covered = !data_centre || key.first == *data_centre;
+        if (!is_covered || !it.listed_alive || key.second == self_)
+            continue;
+        // As in `update_from_hub`.
+        if (it.reported_at != time_point{} && now < it.expires_at)
+            continue;
+        if (!it.member.alive)
+            ++sequence_;
+        it.member.alive = true;
+        it.expires_at = now + hub_member_timeout;
+    }
+}
+
 void member_table::add_listed(
     std::vector<vm_record> const& records, time_point now)
 {
--- a/servers/membership/member_table.hpp
+++ b/servers/membership/member_table.hpp
@@ -5,6 +5,7 @@
 #include "servers/membership/vm_record.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace pomelohinge {
@@ -26,6 +27,11 @@
     /// only the `entry` flag is updated.
     void update_from_hub(fleet_members const& members, time_point now);
 
+    /// Records that the last list of a hub still applies: that of this VM's own
+    /// hub, or of the hub of `data_centre`, which covers its own VMs.
+    void confirm_listed(
+        std::optional<data_centre_id> const& data_centre, time_point now);
+
     /// Adds the VMs in the store's list that are not in the table. They are
     /// not alive until a question or a hub's member list arrives.
     void add_listed(std::vector<vm_record> const& records, time_point now);
@@ -63,6 +69,8 @@
         time_point expires_at{};
         /// When the last question of the VM itself arrived.
         time_point reported_at{};
+        /// Alive in the last list of a hub.
+        bool listed_alive = false;
     };
 
     vm_id self_;
--- a/tests/simulation/returned_hub_test.cpp
+++ b/tests/simulation/returned_hub_test.cpp
@@ -138,6 +138,26 @@
     EXPECT_EQ(hubs(), std::set{candidate(1).vm.text()});
 }
 
+/// Guards against VMs that count as gone because the list of their hub does not
+/// change, so that callers are given no entries. A VM that ceases to be a hub
+/// hears of its members within one long poll.
+TEST_P(returned_hub_test, quiet_fleet_counts_no_vm_as_gone_for_long)
+{
+    constexpr duration step = 100ms;
+    constexpr duration max_span = 1500ms;
+    std::map<std::string, duration> gone;
+    for (int n = 0; n < 400; ++n) {
+        run_for(step);
+        for (auto const& [name, it] : vms_)
+            for (auto const& member : it->plane().status().members) {
+                auto const pair = name + " " + member.record.vm.text();
+                auto& span = gone[pair];
+                span = member.alive ? duration::zero() : span + step;
+                ASSERT_LE(span, max_span) << pair;
+            }
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(
     data_centres, returned_hub_test, testing::Values(1u, 3u));
 
