--- a/tests/simulation/returned_hub_test.cpp
+++ b/tests/simulation/returned_hub_test.cpp
@@ -68,6 +68,20 @@
         return hub_order(members_, data_centre_id("east"))[n]->record;
     }
 
+    /// A name of a VM that comes before `other` in the hub order.
+    std::string name_before(vm_record other) const
+    {
+        fleet_member first;
+        first.record = other;
+        fleet_member second = first;
+        for (int n = 0;; ++n) {
+            second.record.vm = vm_id("new-" + std::to_string(n));
+            if (hub_order({first, second}, other.data_centre).front()->record ==
+                second.record)
+                return second.record.vm.text();
+        }
+    }
+
     /// Stops a VM as planned and starts it again, as another process.
     void restart(vm_record record)
     {
@@ -158,6 +172,129 @@
     }
 }
 
+TEST_P(returned_hub_test, new_vm_that_comes_first_is_followed)
+{
+    auto const name = name_before(candidate(0));
+    add_vm("east", name);
+    run_for(6s);
+    EXPECT_EQ(hubs(), std::set{name});
+}
+
+TEST_P(returned_hub_test, hub_replaced_under_another_name_is_followed)
+{
+    auto const name = name_before(candidate(0));
+    vms_.erase(candidate(0).vm.text());
+    run_for(3s);
+    add_vm("east", name);
+    run_for(6s);
+    EXPECT_EQ(hubs(), std::set{name});
+}
+
+TEST_P(returned_hub_test, hub_that_returns_after_its_removal_is_followed)
+{
+    auto record = candidate(0);
+    vms_.at(record.vm.text())->plane().leave();
+    run_for(3s);
+    vms_.erase(record.vm.text());
+    run_for(70s);
+    record.incarnation = ++last_incarnation_;
+    start(record);
+    run_for(6s);
+    EXPECT_EQ(hubs(), std::set{record.vm.text()});
+}
+
+TEST_P(returned_hub_test, hub_that_returns_with_its_successor_is_followed)
+{
+    auto first = candidate(0);
+    auto second = candidate(1);
+    vms_.at(first.vm.text())->plane().leave();
+    vms_.at(second.vm.text())->plane().leave();
+    run_for(3s);
+    vms_.erase(first.vm.text());
+    vms_.erase(second.vm.text());
+    run_for(1s);
+    first.incarnation = ++last_incarnation_;
+    second.incarnation = ++last_incarnation_;
+    start(second);
+    start(first);
+    run_for(5s);
+    EXPECT_EQ(hubs(), std::set{first.vm.text()});
+}
+
+TEST_P(returned_hub_test, hub_that_is_killed_while_leaving_is_followed_again)
+{
+    auto record = candidate(0);
+    vms_.at(record.vm.text())->plane().leave();
+    run_for(100ms);
+    vms_.erase(record.vm.text());
+    record.incarnation = ++last_incarnation_;
+    start(record);
+    run_for(6s);
+    EXPECT_EQ(hubs(), std::set{record.vm.text()});
+}
+
+TEST_P(
+    returned_hub_test, hub_cut_off_from_its_successor_for_a_while_is_followed)
+{
+    auto record = candidate(0);
+    auto const first = record.vm.text();
+    auto const second = candidate(1).vm.text();
+    vms_.at(first)->plane().leave();
+    run_for(3s);
+    vms_.erase(first);
+    simulator_.block_link(first, second);
+    simulator_.block_link(second, first);
+    run_for(1s);
+    record.incarnation = ++last_incarnation_;
+    start(record);
+    run_for(20s);
+    simulator_.unblock_link(first, second);
+    simulator_.unblock_link(second, first);
+    run_for(6s);
+    EXPECT_EQ(hubs(), std::set{first});
+}
+
+TEST_P(returned_hub_test, hub_that_returns_while_the_store_is_away_is_followed)
+{
+    auto record = candidate(0);
+    auto const first = record.vm.text();
+    vms_.at(first)->plane().leave();
+    run_for(3s);
+    vms_.erase(first);
+    for (auto const& [name, it] : vms_)
+        simulator_.block_link(name, "store");
+    run_for(3s);
+    record.incarnation = ++last_incarnation_;
+    start(record);
+    run_for(10s);
+    EXPECT_EQ(hubs(), std::set{first});
+}
+
+/// Guards against the short list of VMs of one that has just started, which
+/// hides other data centres from the hub that asks it.
+TEST_P(returned_hub_test, return_of_a_hub_hides_no_vm_from_its_successor)
+{
+    auto record = candidate(0);
+    auto const first = record.vm.text();
+    auto const second = candidate(1).vm.text();
+    vms_.at(first)->plane().leave();
+    run_for(3s);
+    vms_.erase(first);
+    run_for(3s);
+    record.incarnation = ++last_incarnation_;
+    start(record);
+    std::set<std::string> hidden;
+    for (int n = 0; n < 500; ++n) {
+        run_for(10ms);
+        auto const status = vms_.at(second)->plane().status();
+        for (auto const& it : status.members)
+            if (status.hub.empty() && !it.alive &&
+                it.record.data_centre != record.data_centre)
+                hidden.insert(it.record.vm.text());
+    }
+    EXPECT_EQ(hidden, std::set<std::string>());
+}
+
 INSTANTIATE_TEST_SUITE_P(
     data_centres, returned_hub_test, testing::Values(1u, 3u));
 
