Give the VMs of configuration_delay_test incarnations of their own

All had incarnation 1, while a daemon draws 64 random bits. A VM that changed from one hub to another took the position in one list for that in the other, so that with the renewal of unchanged lists two hubs went on reading the store: vms_stop_reading_when_hubs_are_back/2 failed, and passes now with all others. The checks are as they were.

--- a/tests/simulation/configuration_delay_test.cpp
+++ b/tests/simulation/configuration_delay_test.cpp
@@ -61,7 +61,7 @@
         record.callers_address = name + ":80";
         record.peers_address = name + ":90";
         record.cores = 0.2;
-        record.incarnation = 1;
+        record.incarnation = vms_.size() + 1;
         members_.push_back({record, true, false, 0});
         vms_[name] = std::make_unique<fake_vm>(context_, record);
         vms_[name]->start();
