Log a refused socket of a handle that libcurl owns

libcurl has handles of its own, for connections that it closes. One without a call behind it would have been dereferenced; found by reading, without a test.

--- a/drivers/http/curl_loop.cpp
+++ b/drivers/http/curl_loop.cpp
@@ -356,6 +356,10 @@
     {
         transfer* it = nullptr;
         curl().easy_getinfo(easy, CURLINFO_PRIVATE, &it);
+        // libcurl has handles of its own, for connections that it closes.
+        if (it == nullptr)
+            return log(log_event::http_socket_refused,
+                {{"url", ""}, {"detail", ec.message()}});
         log(log_event::http_socket_refused,
             {{"url", it->call.url}, {"detail", ec.message()}});
         asio::post(context_, [this, id = it->id] {
