Take only its own row from a hub that has returned

It has just started and lists most VMs as not alive, which its successor would have merged into its own list.

--- a/servers/control/returned_hub.hpp
+++ b/servers/control/returned_hub.hpp
@@ -6,6 +6,7 @@
 #include "servers/control/hub_selector.hpp"
 
 #include <functional>
+#include <vector>
 
 namespace pomelohinge {
 
@@ -22,7 +23,7 @@
     }
 
     /// Asks such a VM, if there is one and none is being asked. `on_answer` is
-    /// called with its reply; its members show that it is alive.
+    /// called with its reply, whose members are that VM alone.
     void ask(fleet_members const& members, vm_record const& self,
         sync_question question, std::function<void(sync_reply)> on_answer)
     {
@@ -43,6 +44,10 @@
                     return selector_.note_failure(vm, now);
                 log(log_event::hub_returned, {{"hub", vm.text()}});
                 selector_.note_answer(vm, reply.read_age, now);
+                // It has just started and hears of few others.
+                if (reply.members)
+                    std::erase_if(*reply.members,
+                        [&](auto const& it) { return it.record.vm != vm; });
                 on_answer(std::move(reply));
             });
     }
