--- a/tests/drivers/peer_reply_test.cpp
+++ b/tests/drivers/peer_reply_test.cpp
@@ -2,9 +2,9 @@
 #include "drivers/peers/peer_client.hpp"
 #include "tests/drivers/loopback_address.hpp"
 
+#include <asio/executor_work_guard.hpp>
 #include <grpcpp/generic/async_generic_service.h>
 #include <grpcpp/grpcpp.h>
-#include <asio/executor_work_guard.hpp>
 #include <gtest/gtest.h>
 #include <random>
 
