--- a/tests/process/memory_limit_test.py
+++ b/tests/process/memory_limit_test.py
@@ -16,7 +16,7 @@
 START_S = 20
 #: Exit status of a process that ends by an uncaught exception.
 UNCAUGHT_EXCEPTION = 4
-CALLERS = 24
+CALLERS = 200
 BODY_BYTES = 900_000
 
 
