Copy the members only if a VM that may have returned is among them

A hub looks for such a VM with each answered question, and copied and sorted all members each time. Nearly always there is none, so the look now ends before the copy.

--- a/servers/control/hub_selector.cpp
+++ b/servers/control/hub_selector.cpp
@@ -43,17 +43,22 @@
     return selected->record;
 }
 
-std::optional<vm_record> hub_selector::find_returned(fleet_members members,
-    data_centre_id const& data_centre, vm_id const& self, time_point now) const
+std::optional<vm_record> hub_selector::find_returned(
+    fleet_members const& members, data_centre_id const& data_centre,
+    vm_id const& self, time_point now) const
 {
     std::set<vm_id> gone;
-    for (auto& it : members) {
-        if (it.alive || it.record.standing != vm_standing::leaving)
-            continue;
-        gone.insert(it.record.vm);
-        it.record.standing = vm_standing::serving;
-    }
-    for (auto const* it : hub_order(members, data_centre)) {
+    for (auto const& it : members)
+        if (!it.alive && it.record.standing == vm_standing::leaving &&
+            it.record.data_centre == data_centre)
+            gone.insert(it.record.vm);
+    if (gone.empty())
+        return std::nullopt;
+    auto restored = members;
+    for (auto& it : restored)
+        if (gone.contains(it.record.vm))
+            it.record.standing = vm_standing::serving;
+    for (auto const* it : hub_order(restored, data_centre)) {
         auto const& vm = it->record.vm;
         if (vm == self)
             break;
--- a/servers/control/hub_selector.hpp
+++ b/servers/control/hub_selector.hpp
@@ -23,7 +23,7 @@
     /// A VM that has left and would come before `self` in the order if it had
     /// not. It may have started again, as the hub of its own part of the data
     /// centre, since VMs that follow another hub hear nothing of it.
-    std::optional<vm_record> find_returned(fleet_members members,
+    std::optional<vm_record> find_returned(fleet_members const& members,
         data_centre_id const& data_centre, vm_id const& self,
         time_point now) const;
 
