Treat an early answer without a length as incomplete

Cause: a target that answers before it has read the request and resets the connection ends the write with the error. The read after it sees a plain end of the input, which was taken for the end of an answer that states no length.

Change: the end of the input completes such an answer only if the whole request has been written without an error. Answers that state their length or end with their last chunk are complete as before.

--- a/drivers/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -390,9 +390,13 @@
         parse(bytes);
     }
 
+    /// The end of the input completes an answer that states no length only if
+    /// the request has been written: a write that meets a reset consumes the
+    /// error, and the read after it sees a plain end of the input.
     void on_read_error(asio::error_code ec)
     {
-        if (ec == asio::error::eof &&
+        bool const may_be_reset = is_writing_ || write_failed_;
+        if (ec == asio::error::eof && !may_be_reset &&
             parser_->end_of_input() == answer_parser::progress::complete)
             return on_answer({});
         bool const was_closed_while_idle = record_use(!parser_->has_input());
--- a/tests/drivers/connection_pool_test.cpp
+++ b/tests/drivers/connection_pool_test.cpp
@@ -17,12 +17,14 @@
 
     /// Runs an exchange to its end. The thread is busy for `pause` after its
     /// start.
-    exchange_end run_exchange(
-        scripted_target const& target, std::chrono::milliseconds pause = 0ms)
+    exchange_end run_exchange(scripted_target const& target,
+        std::chrono::milliseconds pause = 0ms, std::size_t body_bytes = 0)
     {
         exchange_call call;
         call.address = target.address();
-        call.head = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+        call.head = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+            std::to_string(body_bytes) + "\r\n\r\n";
+        call.body = std::string(body_bytes, 'x');
         call.timeout = 2s;
         call.request_id = std::to_string(++last_request_);
         call.named_request = [id = call.request_id](upstream_answer const&) {
@@ -87,5 +89,85 @@
     EXPECT_EQ(run_exchange(target, 500ms), exchange_end::answered);
 }
 
+/// A target answers an upload before it has read it, and resets the connection.
+/// The reset ends the write, and the read after it sees a plain end of input.
+class early_answer_test : public connection_pool_test
+{
+protected:
+    static constexpr std::size_t upload_bytes = 8 << 20;
+    static constexpr int exchanges = 8;
+
+    /// Sends uploads that the target answers with `early`, and returns how many
+    /// of them ended with an answer.
+    int count_answers(std::string const& early)
+    {
+        scripted_target const target([&](target_connection& it) {
+            it.read_head();
+            it.write(early);
+            std::this_thread::sleep_for(20ms);
+            it.reset();
+        });
+        int answered = 0;
+        for (int n = 0; n < exchanges; ++n)
+            answered += upload(target) == exchange_end::answered ? 1 : 0;
+        return answered;
+    }
+
+    exchange_end upload(scripted_target const& target)
+    {
+        return run_exchange(target, 0ms, upload_bytes);
+    }
+};
+
+TEST_F(
+    early_answer_test, answer_without_a_length_before_a_reset_is_not_complete)
+{
+    EXPECT_EQ(count_answers("HTTP/1.1 200 OK\r\n\r\nabc"), 0);
+}
+
+TEST_F(early_answer_test,
+    answer_of_http_1_0_without_a_length_before_a_reset_is_not_complete)
+{
+    EXPECT_EQ(count_answers("HTTP/1.0 200 OK\r\n\r\nabc"), 0);
+}
+
+TEST_F(
+    early_answer_test, refusal_without_a_length_before_a_reset_is_not_complete)
+{
+    EXPECT_EQ(count_answers("HTTP/1.1 503 Service Unavailable\r\n\r\nabc"), 0);
+}
+
+TEST_F(early_answer_test,
+    interim_answer_before_an_answer_without_a_length_completes_nothing)
+{
+    EXPECT_EQ(count_answers("HTTP/1.1 100 Continue\r\n\r\n"
+                            "HTTP/1.1 200 OK\r\n\r\nabc"),
+        0);
+}
+
+TEST_F(early_answer_test, answer_that_states_its_length_is_complete)
+{
+    EXPECT_EQ(count_answers("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"),
+        exchanges);
+}
+
+TEST_F(early_answer_test, answer_that_ends_with_its_last_chunk_is_complete)
+{
+    EXPECT_EQ(count_answers("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+                            "\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+        exchanges);
+}
+
+TEST_F(connection_pool_test,
+    answer_without_a_length_to_a_request_that_was_read_is_complete)
+{
+    scripted_target const target([](target_connection& it) {
+        it.read_call();
+        it.write("HTTP/1.1 200 OK\r\n\r\nabc");
+        it.shut_down();
+    });
+    EXPECT_EQ(run_exchange(target, 0ms, 1 << 20), exchange_end::answered);
+}
+
 } // namespace
 } // namespace pomelohinge
--- a/tests/drivers/scripted_target.hpp
+++ b/tests/drivers/scripted_target.hpp
@@ -81,6 +81,14 @@
         socket_.shutdown(tcp::socket::shutdown_both, ec);
     }
 
+    /// Closes the connection with a reset.
+    void reset()
+    {
+        asio::error_code ec;
+        socket_.set_option(asio::socket_base::linger(true, 0), ec);
+        socket_.close(ec);
+    }
+
 private:
     tcp::socket socket_;
     std::string input_;
