--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -197,18 +197,17 @@
                 !(progress_.may_have_run || progress_.in_progress),
             message_.head.request_id);
         log_request_ended(message_.head.request_id, result,
-            {admitted_.organisation, admitted_.service, target_.id,
-                statistics_.attempts, elapsed(), admitted_.time_limit,
-                admitted_.goal});
+            {admitted_.organisation, admitted_.route, admitted_.service,
+                target_.id, statistics_.attempts, elapsed(),
+                admitted_.time_limit, admitted_.goal});
         auto const* const answer = std::get_if<upstream_answer>(&result);
         bool const was_placed = placement_requested_at_ != time_point{};
+        bool const succeeded =
+            answer != nullptr && answer->status < first_server_error;
+        bool const was_sent = statistics_.attempts > 0;
         if (was_placed)
-            state().targets.request_ended(admitted_.service,
-                answer != nullptr &&
-                        answer
-                            ->status<first_server_error, statistics_.attempts> 0
-                    ? std::optional(reason_.state)
-                    : std::nullopt);
+            state().targets.request_ended(admitted_.service, succeeded,
+                was_sent ? std::optional(reason_.state) : std::nullopt);
         if (auto const callback = std::exchange(on_end_, nullptr))
             callback(std::move(result));
     }
--- a/servers/requests/request_log.cpp
+++ b/servers/requests/request_log.cpp
@@ -12,8 +12,10 @@
         {{"request", request}, {"kind", to_name(it.kind)},
             {"outcome", to_name(it.result)}, {"detail", it.detail},
             {"organisation", summary.organisation.text()},
+            {"route", summary.route.text()},
             {"service", summary.service.text()}, {"attempts", summary.attempts},
             {"ms", to_milliseconds(summary.elapsed)},
+            {"goal_ms", to_milliseconds(summary.goal)},
             {"limit_ms", to_milliseconds(summary.time_limit)}});
 }
 
@@ -24,6 +26,7 @@
         {{"request", request}, {"status", it.status},
             {"target", summary.target.text()},
             {"organisation", summary.organisation.text()},
+            {"route", summary.route.text()},
             {"service", summary.service.text()}, {"attempts", summary.attempts},
             {"ms", to_milliseconds(summary.elapsed)},
             {"goal_ms", to_milliseconds(summary.goal)}});
--- a/servers/requests/request_log.hpp
+++ b/servers/requests/request_log.hpp
@@ -28,6 +28,8 @@
 struct request_summary
 {
     organisation_id const& organisation;
+    /// Empty if no route has matched.
+    route_id const& route;
     service_id const& service;
     target_id const& target;
     std::size_t attempts = 0;
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -12,7 +12,9 @@
     ctest_options=(-E "^($pattern)\$")
 fi
 ctest --test-dir "$1" --output-on-failure -j 4 "${ctest_options[@]}"
-python3 -m unittest discover -s tests/soak -p '*_test.py'
+for it in soak tools; do
+    python3 -m unittest discover -s "tests/$it" -p '*_test.py'
+done
 # A short run without the checks that depend on the speed of the machine.
 python3 soak/soak.py --build "$1" --run-dir "$1/soak-run" --seeds 4:1 \
     --duration 16 --untimed
