End the process when memory is exhausted, though a library catches it

Cause: RESTinio's parser callbacks catch std::bad_alloc and close the connection as for bytes that cannot be parsed. The VM ran on without memory: its calls to the store failed, and callers got 400. Traced with a break on each throw.

--- a/tests/main/uncaught_exceptions_test.cpp
+++ b/tests/main/uncaught_exceptions_test.cpp
@@ -4,6 +4,8 @@
 #include "core/thread_role.hpp"
 
 #include <gtest/gtest.h>
+#include <limits>
+#include <new>
 #include <stdexcept>
 #include <thread>
 #include <unistd.h>
@@ -67,6 +69,20 @@
     EXPECT_EXIT(run_on_thread([] { throw 1; }), ended(), "unknown type");
 }
 
+/// A library caught the exception, and the VM ran on without memory.
+TEST_F(uncaught_exceptions_test, exhausted_memory_ends_process_though_caught)
+{
+    EXPECT_EXIT(run_on_thread([] {
+        set_thread_role(thread_role::traffic);
+        constexpr auto bytes = std::numeric_limits<std::ptrdiff_t>::max() / 2;
+        try {
+            ::operator delete(::operator new(bytes));
+        } catch (std::bad_alloc const&) {
+        }
+    }),
+        ended(), "\"thread\":\"traffic\",\"detail\":\"std::bad_alloc\"");
+}
+
 TEST_F(uncaught_exceptions_test, exceptions_of_two_threads_end_process_once)
 {
     EXPECT_EXIT(run_on_thread([] {
