--- a/tests/tools/load_table_test.py
+++ b/tests/tools/load_table_test.py
@@ -82,6 +82,12 @@
         self.lines.append('0.1 vm-1 {"time_ms": 12, "event"')
         self.assertEqual(self.summarise()["routes"]["reads"]["requests"], 1)
 
+    def test_line_that_lacks_fields_is_passed_over(self):
+        self.add("request_sent", attempt=1, target="t1")
+        self.add_answer()
+        route = self.summarise()["routes"]["reads"]
+        self.assertEqual((route["requests"], route["attempts"]), (1, []))
+
     def test_organisation_with_few_requests_in_goal_comes_first(self):
         for n in range(load_table.MIN_REQUESTS):
             self.add("request_refused", request=f"a{n}", kind="overloaded",
--- a/tools/load_table.py
+++ b/tools/load_table.py
@@ -21,6 +21,15 @@
 # Shares of fewer requests say little about an organisation or a VM.
 MIN_REQUESTS = 20
 
+# Log collectors may cut lines or write two into one.
+NEEDED_FIELDS = {
+    "request_sent": {"request", "attempt", "target", "state", "cause", "near",
+                     "queued_ms"},
+    "attempt_ended": {"request", "attempt", "result"},
+    "request_answered": {"request", "status", "ms"},
+    "request_refused": {"request", "kind", "ms"},
+}
+
 
 @dataclasses.dataclass
 class Attempt:
@@ -46,7 +55,7 @@
 
 
 def read_lines(paths):
-    """Yields (vm, fields) of each log line that can be read."""
+    """Yields (vm, fields) of each line of a request that can be read."""
     for path in paths:
         with open(path, errors="replace") as file:
             for line in file:
@@ -57,6 +66,9 @@
                     fields = json.loads(line[begin:])
                 except json.JSONDecodeError:
                     continue
+                needed = NEEDED_FIELDS.get(fields.get("event"))
+                if needed is None or not needed <= fields.keys():
+                    continue
                 words = line[:begin].split()
                 yield (words[-1] if words else path), fields
 
