Count a returned grant as of the time at which it was given

Cause: a request that waits for a target and is refused returns its grant. The return was counted as of its own time, so the grants of the last second could be negative.

Change: the grant is taken out of the slice of the window that it is in; messages carry no negative counts.

--- a/drivers/peers/codec.cpp
+++ b/drivers/peers/codec.cpp
@@ -78,7 +78,8 @@
 void fill(wire::Demand& to, grant_counts const& from)
 {
     auto const add = [&](double count) {
-        to.add_grants(static_cast<std::uint32_t>(std::lround(count)));
+        to.add_grants(
+            static_cast<std::uint32_t>(std::lround(std::max(count, 0.0))));
     };
     for (auto const count : from.within_steps)
         add(count);
--- a/servers/limits/organisation_limits.cpp
+++ b/servers/limits/organisation_limits.cpp
@@ -211,13 +211,13 @@
 }
 
 void organisation_limits::refund(
-    std::string const& organisation, time_point now)
+    std::string const& organisation, time_point granted_at, time_point now)
 {
     auto const it = organisations_.find(organisation);
     if (it == organisations_.end())
         return;
     it->second.bucket.add(1, now);
-    it->second.grants.add(now, -1);
+    it->second.grants.take_back(granted_at);
 }
 
 void organisation_limits::apply_report(
--- a/servers/limits/organisation_limits.hpp
+++ b/servers/limits/organisation_limits.hpp
@@ -58,8 +58,10 @@
     charge_verdict charge(std::string const& organisation,
         rate_object const& rate, time_point now);
 
-    /// Returns the token of a request that was not sent to any target.
-    void refund(std::string const& organisation, time_point now);
+    /// Returns the token, granted at `granted_at`, of a request that was not
+    /// sent to any target.
+    void refund(
+        std::string const& organisation, time_point granted_at, time_point now);
 
     /// Applies the combined report of all other VMs.
     void apply_report(traffic_report const& report, time_point now);
--- a/servers/limits/rate_meter.cpp
+++ b/servers/limits/rate_meter.cpp
@@ -35,6 +35,19 @@
     sum_ += events;
 }
 
+void window_counter::take_back(time_point added_at)
+{
+    for (auto it = slices_.rbegin(); it != slices_.rend(); ++it) {
+        if (it->begin > added_at)
+            continue;
+        if (added_at - it->begin >= window_ / slices_per_window)
+            return;
+        --it->events;
+        --sum_;
+        return;
+    }
+}
+
 double window_counter::count(time_point now)
 {
     // A slice is counted until its latest possible event has left the window.
--- a/servers/limits/rate_meter.hpp
+++ b/servers/limits/rate_meter.hpp
@@ -27,9 +27,12 @@
 public:
     explicit window_counter(duration window) : window_(window) {}
 
-    /// Adds events; a negative number takes back earlier ones.
     void add(time_point now, double events = 1);
 
+    /// Takes back an event that was added at `added_at`. Does nothing once that
+    /// has left the window.
+    void take_back(time_point added_at);
+
     /// Events within the window before `now`.
     double count(time_point now);
 
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -294,7 +294,7 @@
         auto const verdict =
             state().limits.charge(admitted_.organisation.text(), *rate, now);
         if (verdict.granted) {
-            is_charged_ = true;
+            charged_at_ = now;
             return fire(request_event::charged);
         }
         bool const waits = !std::exchange(has_waited_for_charge_, true) &&
@@ -313,10 +313,10 @@
 
     void refund_charge()
     {
-        if (std::exchange(is_charged_, false) && !progress_.may_have_run &&
-            !progress_.in_progress)
+        auto const charged_at = std::exchange(charged_at_, std::nullopt);
+        if (charged_at && !progress_.may_have_run && !progress_.in_progress)
             state().limits.refund(
-                admitted_.organisation.text(), environment_.now());
+                admitted_.organisation.text(), *charged_at, environment_.now());
     }
 
     // Placement.
@@ -577,7 +577,8 @@
     idempotency_guard<Environment> idempotency_;
     request_statistics statistics_;
 
-    bool is_charged_ = false;
+    /// When the rate granted the request; empty if it was not charged.
+    std::optional<time_point> charged_at_;
     bool has_waited_for_charge_ = false;
 
     ticket ticket_ = 0;
--- a/tests/servers/limits_test.cpp
+++ b/tests/servers/limits_test.cpp
@@ -32,6 +32,60 @@
     }
 }
 
+/// Requests that wait for a target and are then refused give their grant back.
+class refund_test : public limits_test
+{
+protected:
+    static constexpr rate_object rate{20, 20};
+
+    void charge()
+    {
+        ASSERT_TRUE(limits_.charge("o", rate, clock_.now()).granted);
+    }
+
+    organisation_report report()
+    {
+        return limits_.make_report(clock_.now())["o"];
+    }
+
+    organisation_limits limits_;
+};
+
+/// The refund was counted as of its own time, so the grants of the last second
+/// were negative. As an unsigned number in a message they were four billion,
+/// and other VMs refused the organisation.
+TEST_F(refund_test, grant_that_is_returned_later_is_in_no_count)
+{
+    charge();
+    auto const granted_at = clock_.now();
+    clock_.advance(2s);
+    limits_.refund("o", granted_at, clock_.now());
+    EXPECT_EQ(report().granted, 0);
+    for (auto const it : report().grants.within_steps)
+        EXPECT_EQ(it, 0);
+}
+
+TEST_F(refund_test, grant_that_is_returned_leaves_others_counted)
+{
+    charge();
+    auto const granted_at = clock_.now();
+    clock_.advance(1500ms);
+    charge();
+    limits_.refund("o", granted_at, clock_.now());
+    EXPECT_EQ(report().granted, 1);
+    EXPECT_EQ(report().grants.within_steps.front(), 1);
+}
+
+TEST_F(refund_test, grant_that_is_returned_after_the_window_changes_no_count)
+{
+    charge();
+    auto const granted_at = clock_.now();
+    clock_.advance(organisation_limits::window * 2);
+    charge();
+    limits_.refund("o", granted_at, clock_.now());
+    EXPECT_EQ(report().granted, 1);
+}
+
 /// Several entries that exchange reports of demand and grants.
 class shared_rate_test : public limits_test
 {
