Check for a reset behind the end of an answer

Cause: once a target has ended its output, reads report the end of the input even if a reset came behind it, so a partial answer without a length was taken for a complete one although the target had not read the request.

Change: the end of the input proves nothing while the socket has a pending error.

--- a/drivers/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -4,6 +4,7 @@
 #include "drivers/http/answer_parser.hpp"
 #include "drivers/http/curl_loop.hpp"
 #include "drivers/http/endpoint.hpp"
+#include "drivers/http/socket_error.hpp"
 #include "servers/selection/connection_reuse.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -395,7 +396,8 @@
     /// error, and the read after it sees a plain end of the input.
     void on_read_error(asio::error_code ec)
     {
-        bool const may_be_reset = is_writing_ || write_failed_;
+        bool const may_be_reset = is_writing_ || write_failed_ ||
+            has_pending_error(socket_.native_handle());
         if (ec == asio::error::eof && !may_be_reset &&
             parser_->end_of_input() == answer_parser::progress::complete)
             return on_answer({});
--- a/tests/drivers/connection_pool_test.cpp
+++ b/tests/drivers/connection_pool_test.cpp
@@ -1,6 +1,7 @@
 #include "drivers/http/connection_pool.hpp"
 #include "tests/drivers/scripted_target.hpp"
 
+#include <asio/steady_timer.hpp>
 #include <gtest/gtest.h>
 
 namespace pomelohinge {
@@ -169,5 +170,57 @@
     EXPECT_EQ(run_exchange(target, 0ms, 1 << 20), exchange_end::answered);
 }
 
+/// The reset comes behind the end of the target's output, while the pool's
+/// thread is busy. Reads then report only the end.
+TEST_F(early_answer_test,
+    answer_without_a_length_with_a_reset_behind_its_end_is_not_complete)
+{
+    constexpr std::size_t small_upload_bytes = 60'000;
+    scripted_target const target([](target_connection& it) {
+        it.read_head();
+        std::this_thread::sleep_for(40ms);
+        it.write("HTTP/1.1 200 OK\r\n\r\nabc");
+        it.end_output();
+        std::this_thread::sleep_for(20ms);
+        it.reset();
+    });
+    asio::steady_timer busy(context_, 20ms);
+    busy.async_wait(
+        [](asio::error_code) { std::this_thread::sleep_for(120ms); });
+    EXPECT_EQ(
+        run_exchange(target, 0ms, small_upload_bytes), exchange_end::lost);
+}
+
+/// A refusal is no proof unless it is whole, but then it needs no more.
+TEST_F(early_answer_test, refusal_that_states_its_length_is_complete)
+{
+    EXPECT_EQ(count_answers("HTTP/1.0 503 Service Unavailable\r\n"
+                            "Content-Length: 3\r\n\r\nabc"),
+        exchanges);
+}
+
+TEST_F(early_answer_test, answer_without_a_body_is_complete)
+{
+    EXPECT_EQ(count_answers("HTTP/1.1 204 No Content\r\n\r\n"), exchanges);
+}
+
+TEST_F(early_answer_test, part_of_an_answer_with_a_length_is_not_complete)
+{
+    EXPECT_EQ(
+        count_answers("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc"), 0);
+}
+
+TEST_F(early_answer_test, chunks_without_the_last_one_are_not_complete)
+{
+    EXPECT_EQ(count_answers("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+                            "\r\n\r\n3\r\nabc\r\n"),
+        0);
+}
+
+TEST_F(early_answer_test, interim_answer_alone_is_not_complete)
+{
+    EXPECT_EQ(count_answers("HTTP/1.1 100 Continue\r\n\r\n"), 0);
+}
+
 } // namespace
 } // namespace pomelohinge
--- a/tests/drivers/scripted_target.hpp
+++ b/tests/drivers/scripted_target.hpp
@@ -81,6 +81,13 @@
         socket_.shutdown(tcp::socket::shutdown_both, ec);
     }
 
+    /// Ends the output and goes on reading.
+    void end_output()
+    {
+        asio::error_code ec;
+        socket_.shutdown(tcp::socket::shutdown_send, ec);
+    }
+
     /// Closes the connection with a reset.
     void reset()
     {
