Accept heads of answers by one table

Cause: http_parser accepts any version and any status of digits, and the checks beside it were written by hand. Answers with a status of 600 or 999 or of HTTP/2.0 and HTTP/0.9 were forwarded, and 000 was skipped as an interim answer.

Change: head_grammar.hpp holds the accepted status line and head (RFC 9112) as rows of place, bytes and next place. head_checker interprets them. The classes of statuses are in one function.

--- a/drivers/http/answer_parser.cpp
+++ b/drivers/http/answer_parser.cpp
@@ -13,15 +13,6 @@
 constexpr std::size_t max_head_bytes = 64 << 10;
 constexpr std::size_t max_fields = 256;
 
-/// Statuses below this one belong to interim answers, except for the change to
-/// another protocol, which no request asks for.
-constexpr int first_final_status = 200;
-constexpr int status_switching_protocols = 101;
-
-/// Answers with these statuses have no body, whatever length they state.
-constexpr int status_no_content = 204;
-constexpr int status_not_modified = 304;
-
 } // namespace
 
 answer_parser::answer_parser(bool is_head, std::size_t max_body_bytes)
@@ -123,17 +114,17 @@
     auto& self = self_of(parser);
     self.has_head_ = true;
     self.answer_.status = static_cast<int>(parser->status_code);
-    self.is_interim_ = self.answer_.status < first_final_status;
+    auto const status = class_of(self.answer_.status);
+    self.is_interim_ = status == status_class::interim;
     constexpr int skip_body = 1;
     constexpr int error = -1;
     bool const has_length = (parser->flags & F_CONTENTLENGTH) != 0;
     bool const has_body = (parser->flags & F_CHUNKED) != 0 ||
         (has_length && parser->content_length > 0);
-    if (self.answer_.status == status_switching_protocols ||
+    if (status == status_class::protocol_change ||
         (self.is_interim_ && has_body))
         return error;
-    if (self.is_head_ || self.answer_.status == status_no_content ||
-        self.answer_.status == status_not_modified)
+    if (self.is_head_ || status == status_class::without_body)
         return skip_body;
     if (!has_length)
         return 0;
--- a/drivers/http/head_checker.cpp
+++ b/drivers/http/head_checker.cpp
@@ -16,10 +16,16 @@
 
 } // namespace
 
+head_checker::head_checker(head_kind kind)
+    : kind_(kind), place_(kind == head_kind::answer ? head_place::answer_start
+                                                    : head_place::request_start)
+{
+}
+
 std::optional<std::size_t> head_checker::check(std::string_view bytes)
 {
     std::size_t n = 0;
-    while (n < bytes.size() && !is_complete_)
+    while (n < bytes.size() && !is_complete())
         if (!accept(bytes[n++]))
             return std::nullopt;
     return n;
@@ -27,29 +33,21 @@
 
 bool head_checker::accept(char it)
 {
-    bool const begins = last_ == '\0';
-    // Blank lines may precede the head.
-    if (begins && (it == '\r' || it == '\n'))
-        return true;
-    if (it == '\0' || (last_ == '\r') != (it == '\n'))
-        return false;
-    if (ends_status_line(it) && std::exchange(has_status_line_, true))
-        return false;
-    bool const begins_header = last_ == '\n';
-    last_ = it;
-    if (it == '\n') {
-        is_complete_ = is_line_empty_;
-        is_line_empty_ = true;
-        return true;
+    if (!literal_left_.empty()) {
+        if (it != literal_left_.front())
+            return false;
+        literal_left_.remove_prefix(1);
+    } else {
+        auto const* const row =
+            find_row(place_, static_cast<unsigned char>(it));
+        if (row == nullptr)
+            return false;
+        if (row->bytes == byte_set::literal)
+            literal_left_ = row->literal.substr(1);
+        place_ = row->next;
     }
-    if (it == '\r')
-        return true;
-    is_line_empty_ = false;
-    if (begins_header)
-        in_name_ = true;
-    if (it == ':')
-        in_name_ = false;
-    return !in_name_ || (it != ' ' && it != '\t');
+    return kind_ == head_kind::request || !ends_status_line(it) ||
+        !std::exchange(has_status_line_, true);
 }
 
 /// Whether `it` completes the start of a status line.
--- a/tests/drivers/answer_parser_test.cpp
+++ b/tests/drivers/answer_parser_test.cpp
@@ -215,6 +215,70 @@
         }
 }
 
+/// Answers with these were forwarded to callers.
+TEST_F(answer_parser_test, version_other_than_1_0_and_1_1_is_unparsable)
+{
+    for (std::string const version :
+        {"HTTP/0.9", "HTTP/1.2", "HTTP/1.9", "HTTP/2.0", "HTTP/2", "HTTP/11.1",
+            "HTTP/1.10", "HTTP/1", "HTTP/", "http/1.1", "HTTPS/1.1"})
+        EXPECT_EQ(parse(version + " 200 OK\r\nContent-Length: 0\r\n\r\n"),
+            progress::unparsable)
+            << version;
+    for (std::string const version : {"HTTP/1.0", "HTTP/1.1"})
+        EXPECT_EQ(parse(version + " 200 OK\r\nContent-Length: 0\r\n\r\n"),
+            progress::complete)
+            << version;
+}
+
+TEST_F(answer_parser_test, status_is_accepted_from_100_to_599)
+{
+    constexpr int first = 100;
+    constexpr int last = 599;
+    constexpr int first_final = 200;
+    constexpr int protocol_change = 101;
+    for (int status = 0; status <= 999; ++status) {
+        auto const digits = std::to_string(1000 + status).substr(1);
+        auto expected = progress::complete;
+        if (status < first || status > last || status == protocol_change)
+            expected = progress::unparsable;
+        else if (status < first_final)
+            expected = progress::incomplete;
+        EXPECT_EQ(
+            parse("HTTP/1.1 " + digits + " Some\r\nContent-Length: 0\r\n\r\n"),
+            expected)
+            << digits;
+    }
+}
+
+/// A status of 000 counted as interim, so the answer behind it was taken.
+TEST_F(answer_parser_test, status_below_100_is_not_interim)
+{
+    for (std::string const status : {"000", "001", "099"})
+        EXPECT_EQ(parse("HTTP/1.1 " + status +
+                      " None\r\n\r\n"
+                      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+            progress::unparsable)
+            << status;
+}
+
+TEST_F(answer_parser_test, status_of_other_than_three_digits_is_unparsable)
+{
+    for (std::string const status :
+        {"", "2", "20", "2000", "02000", "20x", "-20", "+200", " 200"})
+        EXPECT_EQ(
+            parse("HTTP/1.1 " + status + " OK\r\nContent-Length: 0\r\n\r\n"),
+            progress::unparsable)
+            << status;
+}
+
+TEST_F(answer_parser_test, reason_may_be_empty_or_missing)
+{
+    for (std::string const line : {"HTTP/1.1 200 ", "HTTP/1.1 200"})
+        EXPECT_EQ(
+            parse(line + "\r\nContent-Length: 0\r\n\r\n"), progress::complete)
+            << line;
+}
+
 TEST_F(answer_parser_test, blank_lines_before_an_answer_are_skipped)
 {
     EXPECT_EQ(parse("\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"),
