Require a proven end and a sound head of answers of the store

Cause: an answer was complete if it named a length or a transfer encoding, also one that libcurl ignores: a length that overflows, a length beside chunks, or an encoding without chunks, whose body ends with the connection. Trailers were read as headers. Control bytes, folded lines and statuses outside 100 to 599 were accepted.

Change: each line that libcurl passes on is checked by the table. An answer is complete if its length equals that of its body, if it has chunks and no length, or if its status or method has no body.

--- a/drivers/http/curl_loop.cpp
+++ b/drivers/http/curl_loop.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.hpp"
 #include "drivers/http/curl_library.hpp"
+#include "drivers/http/head_checker.hpp"
 #include "drivers/http/header_names.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -142,6 +143,7 @@
         easy_handle easy;
         header_list headers;
         http_result result;
+        head_checker head;
         bool too_large = false;
     };
 
@@ -162,6 +164,7 @@
     {
         it.easy.reset(curl().easy_init());
         it.result = {};
+        it.head = head_checker();
         set_options(it);
         set_body(it);
         curl().multi_add_handle(multi_, it.easy.get());
@@ -180,6 +183,7 @@
         curl().easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
         curl().easy_setopt(easy, CURLOPT_HTTP_VERSION,
             static_cast<long>(CURL_HTTP_VERSION_1_1));
+        curl().easy_setopt(easy, CURLOPT_HTTP09_ALLOWED, 0L);
         curl().easy_setopt(easy, CURLOPT_TIMEOUT_MS,
             std::max<long>(1, static_cast<long>(to_milliseconds(left))));
         curl().easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
@@ -258,16 +262,24 @@
     }
 
     /// Whether the answer is certainly complete. An answer that has neither a
-    /// length nor a transfer encoding ends with its connection, so it may be
-    /// truncated.
+    /// length nor chunks ends with its connection, so it may be truncated.
     static bool is_complete(transfer const& it)
     {
         auto const& result = it.result;
-        bool const empty = it.call.method == "HEAD" || result.status == 204 ||
-            result.status == 304;
-        return empty ||
-            !find_header(result.headers, "Content-Length").empty() ||
-            !find_header(result.headers, "Transfer-Encoding").empty();
+        if (!it.head.is_complete())
+            return false;
+        if (it.call.method == "HEAD" ||
+            class_of(result.status) == status_class::without_body)
+            return true;
+        auto const lengths = distinct_values(result.headers, "Content-Length");
+        auto const encodings =
+            distinct_values(result.headers, "Transfer-Encoding");
+        // libcurl ends a chunked answer without its last chunk with an error.
+        if (!encodings.empty())
+            return lengths.empty() && encodings.size() == 1 &&
+                is_same_header(encodings.front(), "chunked");
+        return lengths.size() == 1 &&
+            lengths.front() == std::to_string(result.body.size());
     }
 
     void finish_ended()
@@ -407,25 +419,37 @@
         return 0;
     }
 
+    /// libcurl passes the status line and each line of headers and trailers. A
+    /// return value other than their size ends the call.
     static std::size_t on_header(
         char* data, std::size_t size, std::size_t count, void* user)
     {
-        auto& result = static_cast<transfer*>(user)->result;
+        auto& it = *static_cast<transfer*>(user);
+        auto& result = it.result;
         std::string_view const line(data, size * count);
-        if (line.starts_with("HTTP/")) {
+        constexpr std::size_t malformed = 0;
+        if (it.head.is_complete()) {
+            // The trailers of an answer are skipped.
+            if (class_of(result.status) != status_class::interim)
+                return line.size();
+            it.head = head_checker();
+        }
+        bool const is_status_line = it.head.is_at_start();
+        if (it.head.check(line) != line.size())
+            return malformed;
+        if (is_status_line) {
             // The head of the final answer replaces that of an interim one.
-            auto const space = line.find(' ');
-            result.status = space == std::string_view::npos
-                ? 0
-                : std::atoi(std::string(line.substr(space + 1, 3)).c_str());
+            result.status = status_of(line);
             result.headers.clear();
-            return size * count;
+            return class_of(result.status) == status_class::protocol_change
+                ? malformed
+                : line.size();
         }
         auto const colon = line.find(':');
         if (colon != std::string_view::npos)
             result.headers.push_back({std::string(line.substr(0, colon)),
                 std::string(trimmed(line.substr(colon + 1)))});
-        return size * count;
+        return line.size();
     }
 
     static std::size_t on_body(
