Restart the head checker by name

Cause: clang rejects the assignment of empty braces, since the constructor is explicit; gcc accepts it.

Change: the constructor is named.

--- a/drivers/http/answer_parser.cpp
+++ b/drivers/http/answer_parser.cpp
@@ -155,7 +155,7 @@
     auto& self = self_of(parser);
     if (self.is_interim_) {
         self.answer_ = {};
-        self.head_ = {};
+        self.head_ = head_checker();
         self.head_bytes_ = 0;
         self.fields_ = 0;
         self.has_head_ = false;
