Test that a reply of a VM without a status is not used

Cause: parts of answers of targets were taken for whole ones. Between VMs the end of a reply is gRPC's status, which no test covered.

Change: a service sends a whole reply and resets the call.

--- a/tests/drivers/peer_reply_test.cpp
+++ b/tests/drivers/peer_reply_test.cpp
@@ -20,11 +20,16 @@
         reply_ = std::move(bytes);
     }
 
+    /// Makes each call end with a reset behind its reply, without a status.
+    void cut_behind_reply() { is_cut_ = true; }
+
 private:
     class call : public grpc::ServerGenericBidiReactor
     {
     public:
-        explicit call(std::optional<std::string> const& reply)
+        call(grpc::GenericCallbackServerContext& context,
+            std::optional<std::string> const& reply, bool is_cut)
+            : context_(context), is_cut_(is_cut)
         {
             if (reply) {
                 grpc::Slice const slice(*reply);
@@ -36,27 +41,40 @@
 
         void OnReadDone(bool) override
         {
-            if (has_reply_)
+            if (is_cut_)
+                StartWrite(&reply_);
+            else if (has_reply_)
                 StartWriteAndFinish(&reply_, {}, grpc::Status::OK);
             else
                 Finish(grpc::Status::OK);
         }
 
+        void OnWriteDone(bool) override
+        {
+            if (!is_cut_)
+                return;
+            context_.TryCancel();
+            Finish(grpc::Status::CANCELLED);
+        }
+
         void OnDone() override { delete this; }
 
     private:
+        grpc::GenericCallbackServerContext& context_;
+        bool is_cut_;
         grpc::ByteBuffer question_;
         grpc::ByteBuffer reply_;
         bool has_reply_ = false;
     };
 
     grpc::ServerGenericBidiReactor* CreateReactor(
-        grpc::GenericCallbackServerContext*) override
+        grpc::GenericCallbackServerContext* context) override
     {
-        return new call(reply_);
+        return new call(*context, reply_, is_cut_);
     }
 
     std::optional<std::string> reply_;
+    bool is_cut_ = false;
 };
 
 /// Replies whose bytes have changed on their way. A field that is lost has the
@@ -134,6 +152,14 @@
     EXPECT_FALSE(ask().reached);
 }
 
+/// All bytes of the reply have come, but not the status that ends the call.
+TEST_F(peer_reply_test, reply_without_a_status_is_not_used)
+{
+    service_.set_reply(sound_reply());
+    service_.cut_behind_reply();
+    EXPECT_FALSE(ask().reached);
+}
+
 TEST_F(peer_reply_test, call_without_a_reply_has_not_reached_the_peer)
 {
     service_.set_reply(std::nullopt);
