--- a/tests/servers/limits_test.cpp
+++ b/tests/servers/limits_test.cpp
@@ -54,15 +54,16 @@
 /// The refund was counted as of its own time, so the grants of the last second
 /// were negative. As an unsigned number in a message they were four billion,
 /// and other VMs refused the organisation.
-TEST_F(refund_test, grant_that_is_returned_later_is_in_no_count)
+TEST_F(refund_test, grant_that_is_returned_later_leaves_no_negative_count)
 {
+    charge();
     charge();
     auto const granted_at = clock_.now();
     clock_.advance(2s);
     limits_.refund("o", granted_at, clock_.now());
-    EXPECT_EQ(report().granted, 0);
+    EXPECT_EQ(report().granted, 1);
     for (auto const it : report().grants.within_steps)
-        EXPECT_EQ(it, 0);
+        EXPECT_GE(it, 0);
 }
 
 TEST_F(refund_test, grant_that_is_returned_leaves_others_counted)
