Bound the bytes that hubs send to other data centres

Cause: hubs of different data centres sent each other whole reports in each question and each reply, every 0.25 s, and the list of all members whenever any member of any data centre changed.

Change: with exchange.remote_bytes_per_s a hub sends changes of what the other one has confirmed. New failures and grants near a rate limit, or with a large change, are in the next message in any case; other rows follow as the budget lasts, complete reports every few seconds and after each exchange that is not confirmed. Names are numbers after their first use. Members of the own data centre only, and of them the changed ones. Absent: as before. The metric pomelohinge_remote_bytes_total counts what is sent, by part of the message.

--- a/config/settings.cpp
+++ b/config/settings.cpp
@@ -29,6 +29,10 @@
 constexpr double min_link_mbps = 0.1;
 constexpr double max_link_mbps = 1e6;
 constexpr double min_memory_mb = 32;
+/// Limits on the budget for reports to other data centres. With less than the
+/// minimum nothing but the headers would be sent.
+constexpr double min_remote_bytes = 1000;
+constexpr double max_remote_bytes = 1e9;
 constexpr double max_memory_mb = 1e6;
 
 template <class Tag>
@@ -182,6 +186,15 @@
     reader.finish();
 }
 
+void read_exchange(
+    json_document const& document, findings& found, settings& out)
+{
+    object_reader reader(document, "/exchange", found);
+    read_capacity(reader, "remote_bytes_per_s", out.remote_bytes_per_second,
+        {min_remote_bytes, max_remote_bytes}, out);
+    reader.finish();
+}
+
 void read_limits(json_document const& document, findings& found, settings& out)
 {
     object_reader reader(document, "/limits", found);
@@ -224,7 +237,7 @@
     leave_out_taken_addresses(out);
     reader.integer("traffic_threads", out.traffic_threads, 1,
         max_traffic_threads, presence::optional);
-    for (auto const* it : {"log", "limits", "machine", "bounds"})
+    for (auto const* it : {"log", "limits", "machine", "bounds", "exchange"})
         reader.allow(it);
     reader.finish();
     if (reader.has("log"))
@@ -235,6 +248,8 @@
         read_limits(*document, found, out);
     if (reader.has("bounds"))
         read_bounds(*document, found, out);
+    if (reader.has("exchange"))
+        read_exchange(*document, found, out);
     if (found.items().size() != before)
         return std::nullopt;
     return out;
--- a/config/settings.hpp
+++ b/config/settings.hpp
@@ -53,6 +53,9 @@
     /// Maximum time for which a planned stop waits for running requests.
     std::chrono::milliseconds stop_timeout{30'000};
     fleet_bounds bounds;
+    /// Budget for reports to hubs of other data centres, in bytes per second;
+    /// 0 for none.
+    double remote_bytes_per_second = 0;
     /// What was read otherwise than it is written: numbers of the machine and
     /// of the bounds that are out of range, and addresses that cannot be used.
     std::vector<std::string> adjustments;
--- a/drivers/peers/codec.cpp
+++ b/drivers/peers/codec.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
+#include <tuple>
 
 namespace pomelohinge {
 namespace {
@@ -97,6 +99,105 @@
     return counts;
 }
 
+std::uint32_t rounded(double value)
+{
+    constexpr double largest = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(
+        std::lround(std::clamp(value, 0.0, largest)));
+}
+
+void fill(wire::Suspect& to, poison_suspect const& from)
+{
+    to.set_fingerprint(from.request_fingerprint);
+    to.set_crashes(from.crashes);
+    to.set_age_us(to_microseconds(from.age));
+}
+
+/// Numbers in a row of `ReportChanges`.
+constexpr int target_row_size = 5;
+constexpr int organisation_row_size = 4 +
+    static_cast<int>(std::tuple_size_v<decltype(grant_counts::within_steps)>);
+constexpr double demand_unit = 100;
+constexpr double granted_unit = 10;
+
+void fill(wire::ReportChanges& to, report_changes const& from)
+{
+    to.set_stream(from.position.stream);
+    to.set_sequence(from.position.sequence);
+    to.set_base(from.base);
+    auto const add_names = [](auto& names, auto const& added) {
+        for (auto const& it : added) {
+            auto& name = *names.Add();
+            name.set_index(it.index);
+            name.set_text(it.text);
+        }
+    };
+    add_names(*to.mutable_target_names(), from.target_names);
+    add_names(*to.mutable_organisation_names(), from.organisation_names);
+    for (auto const& it : from.targets)
+        for (auto const number : {it.target, it.report.in_flight,
+                 it.report.answers, it.report.faults, it.report.silences})
+            to.add_targets(number);
+    for (auto const& it : from.organisations) {
+        to.add_organisations(it.organisation);
+        to.add_organisations(rounded(it.report.demand * demand_unit));
+        to.add_organisations(rounded(it.report.granted * granted_unit));
+        for (auto const count : it.report.grants.within_steps)
+            to.add_organisations(rounded(count));
+        to.add_organisations(rounded(it.report.grants.within_window));
+    }
+    for (auto const& it : from.suspects)
+        fill(*to.add_suspects(), it);
+    to.set_load(from.load);
+    to.set_entries(from.entries);
+    to.set_partial(from.partial);
+}
+
+organisation_change organisation_from_wire(
+    wire::ReportChanges const& from, int row)
+{
+    auto const number = [&](int n) {
+        return from.organisations(row * organisation_row_size + n);
+    };
+    organisation_change change;
+    change.organisation = number(0);
+    change.report.demand = number(1) / demand_unit;
+    change.report.granted = number(2) / granted_unit;
+    int next = 3;
+    for (auto& count : change.report.grants.within_steps)
+        count = number(next++);
+    change.report.grants.within_window = number(next);
+    return change;
+}
+
+/// Returns nothing if a row is cut.
+std::optional<report_changes> from_wire(wire::ReportChanges const& from)
+{
+    if (from.targets_size() % target_row_size != 0 ||
+        from.organisations_size() % organisation_row_size != 0)
+        return std::nullopt;
+    report_changes changes;
+    changes.position = {from.stream(), from.sequence()};
+    changes.base = from.base();
+    for (auto const& it : from.target_names())
+        changes.target_names.push_back({it.index(), it.text()});
+    for (auto const& it : from.organisation_names())
+        changes.organisation_names.push_back({it.index(), it.text()});
+    for (int n = 0; n < from.targets_size(); n += target_row_size)
+        changes.targets.push_back({from.targets(n),
+            {from.targets(n + 1), from.targets(n + 2), from.targets(n + 3),
+                from.targets(n + 4)}});
+    for (int n = 0; n < from.organisations_size() / organisation_row_size; ++n)
+        changes.organisations.push_back(organisation_from_wire(from, n));
+    for (auto const& it : from.suspects())
+        changes.suspects.push_back(
+            {it.fingerprint(), it.crashes(), from_microseconds(it.age_us())});
+    changes.load = quantity_from_wire(from.load());
+    changes.entries = from.entries();
+    changes.partial = from.partial();
+    return changes;
+}
+
 void fill(wire::Report& to, traffic_report const& from)
 {
     for (auto const& [target, it] : from.targets) {
@@ -114,12 +215,8 @@
         row.set_granted(it.granted);
         fill(row, it.grants);
     }
-    for (auto const& it : from.suspects) {
-        auto& row = *to.add_suspects();
-        row.set_fingerprint(it.request_fingerprint);
-        row.set_crashes(it.crashes);
-        row.set_age_us(to_microseconds(it.age));
-    }
+    for (auto const& it : from.suspects)
+        fill(*to.add_suspects(), it);
     to.set_load(from.load);
     to.set_entries(from.entries);
     to.set_partial(from.partial);
@@ -190,6 +287,19 @@
 
 } // namespace
 
+namespace {
+
+/// Stands for changes that cannot be read: no receiver holds the state that
+/// they change, so that their sender repeats them as a complete report.
+report_changes unreadable_changes()
+{
+    report_changes changes;
+    changes.base = std::numeric_limits<std::uint64_t>::max();
+    return changes;
+}
+
+} // namespace
+
 wire::SyncQuestion to_wire(sync_question const& question)
 {
     wire::SyncQuestion to;
@@ -206,6 +316,8 @@
     to.set_wait_us(to_microseconds(question.long_poll_timeout));
     to.set_patience_us(to_microseconds(question.liveness_timeout));
     fill(*to.mutable_report(), question.report);
+    if (question.changes)
+        fill(*to.mutable_changes(), *question.changes);
     return to;
 }
 
@@ -224,6 +336,9 @@
     question.long_poll_timeout = from_microseconds(from.wait_us());
     question.liveness_timeout = from_microseconds(from.patience_us());
     question.report = from_wire(from.report());
+    if (from.has_changes())
+        question.changes =
+            from_wire(from.changes()).value_or(unreadable_changes());
     return question;
 }
 
@@ -262,7 +377,14 @@
         for (auto const& it : reply.closures->closed)
             closures.add_closed(it.text());
     }
-    fill(*to.mutable_others(), reply.others);
+    if (reply.confirmed) {
+        to.mutable_confirmed()->set_stream(reply.confirmed->stream);
+        to.mutable_confirmed()->set_sequence(reply.confirmed->sequence);
+    }
+    to.set_report_omitted(reply.report_omitted);
+    to.set_members_are_changes(reply.members_are_changes);
+    if (!reply.report_omitted)
+        fill(*to.mutable_others(), reply.others);
     return to;
 }
 
@@ -293,6 +415,11 @@
             reply.closures->closed.emplace_back(it);
     }
     reply.others = from_wire(from.others());
+    reply.report_omitted = from.report_omitted();
+    reply.members_are_changes = from.members_are_changes();
+    if (from.has_confirmed())
+        reply.confirmed = report_position{
+            from.confirmed().stream(), from.confirmed().sequence()};
     return reply;
 }
 
--- a/drivers/peers/peer_client.cpp
+++ b/drivers/peers/peer_client.cpp
@@ -3,6 +3,7 @@
 #include "core/log.hpp"
 #include "drivers/peers/codec.hpp"
 #include "drivers/peers/grpc_limits.hpp"
+#include "drivers/peers/message_sizes.hpp"
 
 #include <algorithm>
 #include <asio/post.hpp>
@@ -185,6 +186,8 @@
     auto owned = std::make_shared<call>();
     auto* const it = owned.get();
     it->question = to_wire(question);
+    if (question.relation == sync_relation::hub)
+        count_remote_bytes(bytes_by_part(it->question));
     it->context.set_deadline(std::chrono::system_clock::now() +
         std::chrono::duration_cast<std::chrono::system_clock::duration>(
             question.long_poll_timeout + sync_timeout_margin));
--- a/drivers/peers/peer_server.cpp
+++ b/drivers/peers/peer_server.cpp
@@ -5,6 +5,7 @@
 #include "drivers/peers/codec.hpp"
 #include "drivers/peers/generated/peers.grpc.pb.h"
 #include "drivers/peers/grpc_limits.hpp"
+#include "drivers/peers/message_sizes.hpp"
 
 #include <grpcpp/grpcpp.h>
 #include <mutex>
@@ -85,6 +86,7 @@
         wire::SyncReply* reply;
         /// Memory that counts for the limit.
         std::size_t bytes;
+        sync_relation relation;
     };
     using question_pointer = std::shared_ptr<open_question>;
 
@@ -92,12 +94,13 @@
         wire::SyncQuestion const* question, wire::SyncReply* reply) override
     {
         auto* const reactor = context->DefaultReactor();
-        auto const it = std::make_shared<open_question>(
-            open_question{reactor, reply, counted_bytes(*question)});
+        auto decoded = from_wire(*question);
+        auto const it = std::make_shared<open_question>(open_question{
+            reactor, reply, counted_bytes(*question), decoded.relation});
         if (auto const status = add(it); !status.ok())
             reactor->Finish(status);
         else
-            handler_(from_wire(*question),
+            handler_(std::move(decoded),
                 [this, it](sync_reply const& answer) { finish(it, answer); });
         return reactor;
     }
@@ -154,6 +157,8 @@
         if (!answer.reached)
             return it->reactor->Finish(refused());
         *it->reply = to_wire(answer, boottime_clock::now());
+        if (it->relation == sync_relation::hub)
+            count_remote_bytes(bytes_by_part(*it->reply));
         it->reactor->Finish(grpc::Status::OK);
     }
 
--- a/main/control_thread.hpp
+++ b/main/control_thread.hpp
@@ -26,6 +26,7 @@
           control_plane_(make_vm_record(configured, random_()),
               configured.seeds, *this, timers_)
     {
+        control_plane_.set_remote_budget(configured.remote_bytes_per_second);
     }
 
     asio::io_context& context() { return context_; }
--- a/main/status_page.cpp
+++ b/main/status_page.cpp
@@ -2,6 +2,7 @@
 
 #include "core/invariant.hpp"
 #include "core/log.hpp"
+#include "servers/exchange/remote_bytes.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -66,6 +67,11 @@
     append_gauge(text, "reads_store", status.reads_store ? 1 : 0);
     if (status.read_age != duration::max())
         append_gauge(text, "read_age_seconds", to_seconds(status.read_age));
+    text += "# TYPE pomelohinge_remote_bytes_total counter\n";
+    for (auto const& it : name_table<exchange_part>)
+        text +=
+            fmt::format("pomelohinge_remote_bytes_total{{part=\"{}\"}} {}\n",
+                it.name, remote_bytes(it.value));
     text += "# TYPE pomelohinge_log_lines_dropped_total counter\n";
     for (auto const& it : name_table<log_event>)
         if (auto const n = dropped_lines(it.value); n > 0)
--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -38,6 +38,13 @@
         static_assert(ControlEnvironment<Environment>);
     }
 
+    /// Sets the budget for reports to other data centres, in bytes per second;
+    /// 0 for none.
+    void set_remote_budget(double bytes_per_second)
+    {
+        sync_server_.set_remote_budget(bytes_per_second);
+    }
+
     void start()
     {
         auto const now = environment_.now();
@@ -419,7 +426,7 @@
         auto question = make_question(sync_relation::hub);
         remote_members_[data_centre].write_to(question);
         question.liveness_timeout = exchange_liveness_timeout;
-        question.report = sync_server_.report_for_remote(data_centre);
+        sync_server_.write_remote_report(question, data_centre, hub->vm, now);
         environment_.send_sync(hub->peers_address, question,
             [this, data_centre, hub = hub->vm, requested_at = now](
                 sync_reply reply) {
@@ -433,9 +440,13 @@
         vm_id const& hub, sync_reply reply, time_point requested_at)
     {
         auto const now = environment_.now();
+        bool const asks_again =
+            sync_server_.record_remote_reply(data_centre, reply, now);
         if (!reply.reached)
             return hub_selector_.note_failure(hub, now);
         hub_selector_.note_answer(hub, reply.read_age, now);
+        if (reply.members_are_changes)
+            members_.confirm_listed(data_centre, now);
         if (reply.members) {
             remote_members_[data_centre].advance(reply);
             // The remote hub got its data on other data centres from their
@@ -445,10 +456,11 @@
             });
         } else if (remote_members_[data_centre].is_confirmed_by(reply))
             members_.confirm_listed(data_centre, now);
-        sync_server_.add_remote_report(data_centre, reply.others, now);
         note_reply(reply, requested_at);
         apply_reply(std::move(reply), requested_at);
         answer_long_polls();
+        if (asks_again)
+            exchange_with(data_centre);
     }
 
     // Handling of changes.
--- a/servers/control/sync_server.cpp
+++ b/servers/control/sync_server.cpp
@@ -11,6 +11,9 @@
 /// reads by more.
 constexpr duration min_read_interval = std::chrono::milliseconds(400);
 
+/// Encoded size of a member in a reply.
+constexpr double approximate_member_bytes = 100;
+
 bool is_remote(sync_relation relation)
 {
     return relation == sync_relation::hub;
@@ -38,9 +41,7 @@
         last_question_at_ = now;
     members_.update_from_vm(
         question.from, question.report.load, question.liveness_timeout, now);
-    reports_.add_report(source_of(question), is_remote(question.relation),
-        std::move(question.report), now);
-    question.report = {};
+    add_report(question, now);
     answer_long_polls(now);
     if (question.long_poll_timeout <= duration::zero() || has_updates(question))
         return reply(make_reply(question, now));
@@ -48,6 +49,16 @@
     long_polls_.push_back({std::move(question), due, std::move(reply)});
 }
 
+void sync_server::add_report(sync_question& question, time_point now)
+{
+    auto const source = source_of(question);
+    if (!is_remote(question.relation))
+        reports_.add_report(source, false, std::move(question.report), now);
+    else if (auto report = remote_reports_.take_report(question, now))
+        reports_.add_report(source, true, std::move(*report), now);
+    question.report = {};
+}
+
 bool sync_server::has_updates(sync_question const& question) const
 {
     return question.configuration_version < fleet_state_.document().version ||
@@ -71,11 +82,7 @@
 {
     sync_reply reply;
     reply.reached = true;
-    reply.members_source = self_.incarnation;
-    reply.members_sequence = members_.sequence();
-    if (question.members_source != self_.incarnation ||
-        question.members_sequence < members_.sequence())
-        reply.members = members_.members();
+    write_members(question, reply);
     auto const& document = fleet_state_.document();
     reply.configuration.version = document.version;
     if (question.configuration_version < document.version)
@@ -86,12 +93,40 @@
     reply.targets = fleet_state_.targets().changes_after(question.targets);
     if (question.closures_revision < fleet_state_.closures().revision)
         reply.closures = fleet_state_.closures();
-    reply.others =
-        reports_.report_for(source_of(question), is_remote(question.relation));
+    write_others(question, reply, now);
+    return reply;
+}
+
+void sync_server::write_members(
+    sync_question const& question, sync_reply& reply)
+{
+    reply.members_source = self_.incarnation;
+    if (is_remote(question.relation) && remote_reports_.has_budget()) {
+        auto const rows =
+            remote_members_.write(question, members_, self_.data_centre, reply);
+        remote_reports_.charge(question.from.data_centre,
+            static_cast<double>(rows) * approximate_member_bytes);
+        return;
+    }
+    reply.members_sequence = members_.sequence();
+    if (question.members_source != self_.incarnation ||
+        question.members_sequence < members_.sequence())
+        reply.members = members_.members();
+}
+
+void sync_server::write_others(
+    sync_question const& question, sync_reply& reply, time_point now)
+{
+    if (question.changes)
+        reply.confirmed = remote_reports_.position_of(question.from.vm);
+    reply.report_omitted = is_remote(question.relation) &&
+        remote_reports_.omits_report(question, now);
+    if (!reply.report_omitted)
+        reply.others = reports_.report_for(
+            source_of(question), is_remote(question.relation));
     // A VM without traffic does not use observations of targets.
     if (question.is_idle)
         reply.others.targets.clear();
-    return reply;
 }
 
 void sync_server::answer_long_polls(time_point now)
@@ -124,16 +159,35 @@
     return reports_.report_for(name, false);
 }
 
-traffic_report sync_server::report_for_remote(data_centre_id const& data_centre)
+organisation_usage sync_server::usage_of(std::string const& organisation) const
+{
+    auto const& configured = fleet_state_.index()->source;
+    auto const* const rate = configured.find<rate_object>(organisation);
+    if (rate == nullptr || rate->requests_per_second <= 0)
+        return {};
+    return {reports_.granted(organisation),
+        rate->requests_per_second * to_seconds(limit_window) +
+            static_cast<double>(rate->burst)};
+}
+
+void sync_server::write_remote_report(sync_question& question,
+    data_centre_id const& data_centre, vm_id const& hub, time_point now)
 {
-    return reports_.report_for(source_of(data_centre), true);
+    remote_reports_.write(
+        question, data_centre, hub,
+        reports_.report_for(source_of(data_centre), true),
+        [this](std::string const& it) { return usage_of(it); }, now);
 }
 
-void sync_server::add_remote_report(
-    data_centre_id const& data_centre, traffic_report report, time_point now)
+bool sync_server::record_remote_reply(
+    data_centre_id const& data_centre, sync_reply const& reply, time_point now)
 {
-    reports_.add_report(source_of(data_centre), true, std::move(report), now);
+    bool const asks_again =
+        remote_reports_.record_reply(data_centre, reply, now);
+    if (reply.reached && !reply.report_omitted)
+        reports_.add_report(source_of(data_centre), true, reply.others, now);
     answer_long_polls(now);
+    return asks_again;
 }
 
 void sync_server::choose_entries(time_point now)
@@ -152,6 +206,7 @@
 void sync_server::expire(time_point now)
 {
     reports_.expire(now);
+    remote_reports_.expire(now);
     std::erase_if(replied_reads_,
         [&](auto const& it) { return members_.find(it.first) == nullptr; });
 }
--- a/servers/control/sync_server.hpp
+++ b/servers/control/sync_server.hpp
@@ -2,7 +2,9 @@
 #define POMELOHINGE_SERVERS_CONTROL_SYNC_SERVER_HPP
 
 #include "servers/control/fleet_state.hpp"
+#include "servers/control/remote_members.hpp"
 #include "servers/entries/entry_selection.hpp"
+#include "servers/exchange/remote_reports.hpp"
 #include "servers/membership/hub_order.hpp"
 #include "servers/membership/member_table.hpp"
 
@@ -21,7 +23,8 @@
 
     sync_server(
         vm_record const& self, fleet_state const& state, member_table& members)
-        : self_(self), fleet_state_(state), members_(members)
+        : self_(self), fleet_state_(state), members_(members),
+          remote_reports_(self.incarnation)
     {
     }
 
@@ -38,20 +41,31 @@
     /// Stores this VM's own report and returns the sum of the others.
     traffic_report exchange_own_report(traffic_report report, time_point now);
 
-    /// The sum of the reports of this data centre, for the hub of another one.
-    traffic_report report_for_remote(data_centre_id const& data_centre);
+    /// Sets the budget for reports to other data centres, in bytes per second;
+    /// 0 for none.
+    void set_remote_budget(double bytes_per_second)
+    {
+        remote_reports_.set_budget(bytes_per_second);
+    }
+
+    /// Adds the sum of the reports of this data centre to a question for the
+    /// hub of another one.
+    void write_remote_report(sync_question& question,
+        data_centre_id const& data_centre, vm_id const& hub, time_point now);
+
+    /// Records the reply to that question, and stores the report in it. Returns
+    /// whether to ask again at once.
+    bool record_remote_reply(data_centre_id const& data_centre,
+        sync_reply const& reply, time_point now);
 
     /// Sets the number of other data centres, whose reports are needed for a
     /// complete sum.
     void expect_other_data_centres(std::size_t n)
     {
         reports_.expect_remote_sources(n);
+        remote_reports_.set_data_centres(n);
     }
 
-    /// Stores the report of another data centre.
-    void add_remote_report(data_centre_id const& data_centre,
-        traffic_report report, time_point now);
-
     /// Sets whether this VM's reads of the store succeed; true if it makes
     /// none.
     void set_store_reached(bool reached) { store_reached_ = reached; }
@@ -88,11 +102,18 @@
     /// Whether this VM has read the store since its last reply to the sender.
     bool has_newer_read(sync_question const& question) const;
     sync_reply make_reply(sync_question const& question, time_point now);
+    void add_report(sync_question& question, time_point now);
+    void write_members(sync_question const& question, sync_reply& reply);
+    void write_others(
+        sync_question const& question, sync_reply& reply, time_point now);
+    organisation_usage usage_of(std::string const& organisation) const;
 
     vm_record const& self_;
     fleet_state const& fleet_state_;
     member_table& members_;
     report_aggregator reports_;
+    remote_reports remote_reports_;
+    remote_members remote_members_;
     entry_selection entries_;
     std::list<long_poll> long_polls_;
     /// The read of the store that the last reply to each VM was based on.
--- a/servers/exchange/fleet_reports.cpp
+++ b/servers/exchange/fleet_reports.cpp
@@ -133,6 +133,17 @@
     return sum;
 }
 
+double report_aggregator::granted(std::string const& organisation) const
+{
+    double sum = 0;
+    for (auto const& [name, it] : sources_) {
+        auto const reported = it.last.organisations.find(organisation);
+        if (reported != it.last.organisations.end())
+            sum += reported->second.granted;
+    }
+    return sum;
+}
+
 bool report_aggregator::has_failures_for(std::string const& receiver) const
 {
     auto const it = sources_.find(receiver);
--- a/servers/exchange/fleet_reports.hpp
+++ b/servers/exchange/fleet_reports.hpp
@@ -97,6 +97,9 @@
     /// delivered to it once.
     traffic_report report_for(std::string const& receiver, bool remote);
 
+    /// Grants to the organisation within the sliding window, of all sources.
+    double granted(std::string const& organisation) const;
+
     /// Whether failures observed by others are not yet delivered to `receiver`.
     bool has_failures_for(std::string const& receiver) const;
 
--- a/servers/exchange/sync.hpp
+++ b/servers/exchange/sync.hpp
@@ -1,7 +1,7 @@
 #ifndef POMELOHINGE_SERVERS_EXCHANGE_SYNC_HPP
 #define POMELOHINGE_SERVERS_EXCHANGE_SYNC_HPP
 
-#include "servers/exchange/fleet_reports.hpp"
+#include "servers/exchange/report_changes.hpp"
 #include "servers/membership/vm_record.hpp"
 #include "servers/targets/target_mirror.hpp"
 
@@ -68,6 +68,9 @@
     /// arrive within this time.
     duration liveness_timeout{};
     traffic_report report;
+    /// In place of `report`, from a hub that has a budget for what it sends to
+    /// other data centres.
+    std::optional<report_changes> changes;
 };
 
 /// A hub's answer: everything that the sender of the question lacks.
@@ -79,6 +82,8 @@
     std::uint64_t members_source = 0;
     std::uint64_t members_sequence = 0;
     std::optional<fleet_members> members;
+    /// `members` lacks those that the sender of the question holds already.
+    bool members_are_changes = false;
     /// The text is null if the sender already holds this version.
     configuration_document configuration;
     /// Time since the last read of the store that returned this configuration;
@@ -90,6 +95,11 @@
     std::optional<data_centre_closures> closures;
     /// Sum of the reports of all VMs but the sender.
     traffic_report others;
+    /// `others` is left out, because this hub sends it with its own questions.
+    bool report_omitted = false;
+    /// The state of the sender's report that this hub holds, if the question
+    /// had changes of it. A hub of an earlier version sets none.
+    std::optional<report_position> confirmed;
 };
 
 } // namespace pomelohinge
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -23,6 +23,7 @@
         "log": {"format": "json"},
         "machine": {"cores": 2, "core_share": 0.2, "memory_mb": 260},
         "bounds": {"strict_revocation": false, "retry_ratio": 0.5},
+        "exchange": {"remote_bytes_per_s": 8000},
         "limits": {"request_body_bytes": 4096, "stop_s": 1.5}})",
         found_);
     ASSERT_TRUE(it) << found_.to_text();
@@ -35,6 +36,7 @@
     EXPECT_EQ(it->bounds.max_revocation_delay, duration::zero());
     EXPECT_DOUBLE_EQ(it->bounds.retry_ratio, 0.5);
     EXPECT_EQ(it->stop_timeout, std::chrono::milliseconds(1500));
+    EXPECT_EQ(it->remote_bytes_per_second, 8000);
 }
 
 TEST_F(
--- a/tests/drivers/codec_test.cpp
+++ b/tests/drivers/codec_test.cpp
@@ -1,6 +1,7 @@
 #include "drivers/peers/codec.hpp"
 
 #include "servers/control/sync_server.hpp"
+#include "servers/exchange/report_receiver.hpp"
 #include "servers/poison/poison_guard.hpp"
 
 #include <cmath>
@@ -42,6 +43,27 @@
         return it;
     }
 
+    static report_changes changes()
+    {
+        report_changes it;
+        it.position = {5, 9};
+        it.base = 8;
+        it.target_names = {{1, "i-1"}};
+        it.organisation_names = {{1, "o-1"}};
+        it.targets = {{1, {1, 2, 3, 4}}};
+        organisation_report organisation;
+        organisation.demand = 2.5;
+        organisation.granted = 7;
+        organisation.grants.within_steps = {1, 2, 3, 4};
+        organisation.grants.within_window = 7;
+        it.organisations = {{1, organisation}};
+        it.suspects.push_back({17, 2, std::chrono::milliseconds(30)});
+        it.load = 12;
+        it.entries = 3;
+        it.partial = true;
+        return it;
+    }
+
     static sync_question question()
     {
         sync_question it;
@@ -50,6 +72,7 @@
         it.long_poll_timeout = std::chrono::milliseconds(900);
         it.liveness_timeout = std::chrono::milliseconds(2500);
         it.report = report();
+        it.changes = changes();
         return it;
     }
 
@@ -73,6 +96,8 @@
         it.targets->removed.emplace_back("i-2");
         it.closures = data_centre_closures{3, {data_centre_id("east")}};
         it.others = report();
+        it.confirmed = report_position{5, 9};
+        it.members_are_changes = true;
         return it;
     }
 
@@ -132,6 +157,23 @@
         check(it.report);
         EXPECT_FALSE(to_wire(it).SerializeAsString().empty());
         check_hub(it);
+        check_hub_of_another_data_centre(it);
+    }
+
+    void check_hub_of_another_data_centre(sync_question it) const
+    {
+        it.relation = sync_relation::hub;
+        it.long_poll_timeout = {};
+        fleet_state state;
+        // The server refers to it.
+        auto const self = vm(0);
+        member_table members(self);
+        sync_server server(self, state, members);
+        server.set_remote_budget(1000);
+        server.answer(it, now_, [&](sync_reply const& answer) {
+            EXPECT_FALSE(to_wire(answer, now_).SerializeAsString().empty());
+        });
+        check(server.exchange_own_report({}, now_));
     }
 
     /// Lets a hub answer the question and tell other VMs of it.
@@ -211,6 +253,37 @@
     EXPECT_EQ(it.report.suspects.front().age, std::chrono::milliseconds(30));
 }
 
+TEST_F(codec_test, changes_of_a_report_are_read_back)
+{
+    auto const it = from_wire(to_wire(question()));
+    ASSERT_TRUE(it.changes);
+    EXPECT_EQ(it.changes->position, changes().position);
+    EXPECT_EQ(it.changes->base, changes().base);
+    EXPECT_EQ(it.changes->target_names, changes().target_names);
+    EXPECT_EQ(it.changes->organisation_names, changes().organisation_names);
+    EXPECT_EQ(it.changes->targets, changes().targets);
+    EXPECT_EQ(it.changes->organisations, changes().organisations);
+    EXPECT_EQ(it.changes->suspects, changes().suspects);
+    EXPECT_EQ(it.changes->entries, 3u);
+    EXPECT_TRUE(it.changes->partial);
+    auto const answer = from_wire(to_wire(reply(), now_), now_);
+    EXPECT_EQ(answer.confirmed, reply().confirmed);
+    EXPECT_TRUE(answer.members_are_changes);
+    EXPECT_FALSE(answer.report_omitted);
+}
+
+/// A cut row would shift the numbers of all rows behind it.
+TEST_F(codec_test, changes_with_a_cut_row_are_refused_by_the_receiver)
+{
+    auto message = to_wire(question());
+    message.mutable_changes()->set_base(0);
+    message.mutable_changes()->add_targets(1);
+    auto const it = from_wire(message);
+    ASSERT_TRUE(it.changes);
+    report_receiver receiver;
+    EXPECT_FALSE(receiver.apply(*it.changes, now_));
+}
+
 TEST_F(codec_test, question_of_mutated_bytes_stays_in_bounds)
 {
     auto const sound = to_wire(question()).SerializeAsString();
--- a/tests/simulation/fake_vm.hpp
+++ b/tests/simulation/fake_vm.hpp
@@ -27,6 +27,9 @@
     std::map<std::string, fake_vm*> vms;
     /// Targets by address.
     std::map<std::string, fake_target*> targets;
+    /// Budget of each hub for reports to other data centres, in bytes per
+    /// second; 0 for none.
+    double remote_budget = 0;
 };
 
 /// A VM in virtual time: the production decision code with simulated time and
@@ -43,6 +46,7 @@
               [](std::string const&) { return true; }, fleet.bounds),
           control_plane_(record_, {}, *this, timers_)
     {
+        control_plane_.set_remote_budget(fleet_.remote_budget);
         fleet_.vms[record_.peers_address] = this;
     }
 
--- a/tests/simulation/fleet_run.cpp
+++ b/tests/simulation/fleet_run.cpp
@@ -53,11 +53,12 @@
 
 } // namespace
 
-fleet_run::fleet_run(std::uint64_t seed)
+fleet_run::fleet_run(std::uint64_t seed, double remote_budget)
     : charts_(load_embedded_charts()), simulator_(seed), store_(simulator_),
       checker_(invariant_bounds{}), context_{simulator_, store_, checker_,
                                         charts_, {}, {}, {}}
 {
+    context_.remote_budget = remote_budget;
     context_.bounds.retry_extra = checker_.bounds().retry_extra;
     for (auto const* it : data_centres) {
         for (std::size_t n = 0; n < targets_per_data_centre; ++n)
--- a/tests/simulation/fleet_run.hpp
+++ b/tests/simulation/fleet_run.hpp
@@ -95,7 +95,9 @@
 class fleet_run
 {
 public:
-    explicit fleet_run(std::uint64_t seed);
+    /// `remote_budget` is that of each hub for reports to other data centres,
+    /// in bytes per second; 0 for none.
+    explicit fleet_run(std::uint64_t seed, double remote_budget = 0);
     ~fleet_run();
 
     /// Runs for `span` with traffic and `fault_count` random faults, then
--- a/tests/simulation/fleet_run_test.cpp
+++ b/tests/simulation/fleet_run_test.cpp
@@ -17,6 +17,37 @@
 /// seeds.
 class fleet_run_test : public testing::TestWithParam<std::uint64_t>
 {
+protected:
+    static void check_under_random_faults(fleet_run& run)
+    {
+        auto const violations = invariant_violations();
+        run.run(40s, 12);
+        for (auto const& it : run.checker().violations())
+            ADD_FAILURE() << "seed " << GetParam() << ": " << it;
+        EXPECT_EQ(invariant_violations(), violations);
+        // After recovery, only requests beyond the rate are refused.
+        auto const before = run.counts();
+        run.drive(5s);
+        std::uint64_t beyond_rate = 0;
+        std::uint64_t refused = 0;
+        for (auto const& [kind, n] : run.counts().refusals) {
+            auto const it = before.refusals.find(kind);
+            auto const increase =
+                n - (it == before.refusals.end() ? 0 : it->second);
+            (kind.starts_with("rate_exceeded") ? beyond_rate : refused) +=
+                increase;
+        }
+        EXPECT_EQ(refused, 0u) << "seed " << GetParam() << "\n"
+                               << run.describe();
+        EXPECT_EQ(run.counts().not_reached, before.not_reached)
+            << "seed " << GetParam() << "\n"
+            << run.describe();
+        EXPECT_GT(run.counts().answered, before.answered + 100)
+            << "seed " << GetParam() << "\n"
+            << run.describe();
+        if (HasFailure())
+            std::cout << "seed " << GetParam() << ":\n" << run.describe();
+    }
 };
 
 std::vector<std::uint64_t> seeds()
@@ -36,32 +67,17 @@
 
 TEST_P(fleet_run_test, fleet_under_random_faults_keeps_every_invariant)
 {
-    auto const violations = invariant_violations();
     fleet_run run(GetParam());
-    run.run(40s, 12);
-    for (auto const& it : run.checker().violations())
-        ADD_FAILURE() << "seed " << GetParam() << ": " << it;
-    EXPECT_EQ(invariant_violations(), violations);
-    // After recovery, only requests beyond the rate are refused.
-    auto const before = run.counts();
-    run.drive(5s);
-    std::uint64_t beyond_rate = 0;
-    std::uint64_t refused = 0;
-    for (auto const& [kind, n] : run.counts().refusals) {
-        auto const it = before.refusals.find(kind);
-        auto const increase =
-            n - (it == before.refusals.end() ? 0 : it->second);
-        (kind.starts_with("rate_exceeded") ? beyond_rate : refused) += increase;
-    }
-    EXPECT_EQ(refused, 0u) << "seed " << GetParam() << "\n" << run.describe();
-    EXPECT_EQ(run.counts().not_reached, before.not_reached)
-        << "seed " << GetParam() << "\n"
-        << run.describe();
-    EXPECT_GT(run.counts().answered, before.answered + 100)
-        << "seed " << GetParam() << "\n"
-        << run.describe();
-    if (HasFailure())
-        std::cout << "seed " << GetParam() << ":\n" << run.describe();
+    check_under_random_faults(run);
+}
+
+/// Changes in place of whole reports between data centres must not cost a rate
+/// limit or a target's health anything.
+TEST_P(fleet_run_test, fleet_with_a_remote_budget_keeps_every_invariant)
+{
+    constexpr double budget = 2000;
+    fleet_run run(GetParam(), budget);
+    check_under_random_faults(run);
 }
 
 INSTANTIATE_TEST_SUITE_P(seeds, fleet_run_test, testing::ValuesIn(seeds()));
