--- a/config/settings.cpp
+++ b/config/settings.cpp
@@ -200,6 +200,14 @@
     reader.finish();
 }
 
+void read_placement(
+    json_document const& document, findings& found, settings& out)
+{
+    object_reader reader(document, "/placement", found);
+    reader.name("mode", out.placement.mode, presence::optional);
+    reader.finish();
+}
+
 } // namespace
 
 std::optional<settings> parse_settings(std::string_view text, findings& found)
@@ -224,7 +232,7 @@
     leave_out_taken_addresses(out);
     reader.integer("traffic_threads", out.traffic_threads, 1,
         max_traffic_threads, presence::optional);
-    for (auto const* it : {"log", "limits", "machine", "bounds"})
+    for (auto const* it : {"log", "limits", "machine", "bounds", "placement"})
         reader.allow(it);
     reader.finish();
     if (reader.has("log"))
@@ -235,6 +243,8 @@
         read_limits(*document, found, out);
     if (reader.has("bounds"))
         read_bounds(*document, found, out);
+    if (reader.has("placement"))
+        read_placement(*document, found, out);
     if (found.items().size() != before)
         return std::nullopt;
     return out;
--- a/config/settings.hpp
+++ b/config/settings.hpp
@@ -2,6 +2,7 @@
 #define POMELOHINGE_CONFIG_SETTINGS_HPP
 
 #include "config/fleet_bounds.hpp"
+#include "config/placement_settings.hpp"
 #include "core/clock.hpp"
 #include "core/findings.hpp"
 #include "core/identifiers.hpp"
@@ -53,6 +54,7 @@
     /// Maximum time for which a planned stop waits for running requests.
     std::chrono::milliseconds stop_timeout{30'000};
     fleet_bounds bounds;
+    placement_settings placement;
     /// What was read otherwise than it is written: numbers of the machine and
     /// of the bounds that are out of range, and addresses that cannot be used.
     std::vector<std::string> adjustments;
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -37,6 +37,22 @@
     EXPECT_EQ(it->stop_timeout, std::chrono::milliseconds(1500));
 }
 
+TEST_F(settings_test, parse_of_placement_mode_returns_it_and_earliest_if_absent)
+{
+    std::string const machine = R"("vm": "vm-1", "data_centre": "derby",
+        "callers_address": "127.0.0.1:8080",
+        "peers_address": "127.0.0.1:8081",
+        "platform_address": "127.0.0.1:9000")";
+    auto const absent = parse_settings("{" + machine + "}", found_);
+    auto const present = parse_settings(
+        "{" + machine + R"(, "placement": {"mode": "by_deadline"}})", found_);
+    ASSERT_TRUE(absent && present) << found_.to_text();
+    EXPECT_EQ(absent->placement.mode, placement_mode::earliest);
+    EXPECT_EQ(present->placement.mode, placement_mode::by_deadline);
+    EXPECT_FALSE(parse_settings(
+        "{" + machine + R"(, "placement": {"mode": "other"}})", found_));
+}
+
 TEST_F(
     settings_test, parse_with_several_errors_reports_all_with_their_positions)
 {
