--- a/servers/limits/rate_meter.cpp
+++ b/servers/limits/rate_meter.cpp
@@ -5,9 +5,6 @@
 namespace pomelohinge {
 namespace {
 
-/// Time constant of the exponential average, in seconds.
-constexpr double averaging_seconds = 1.0;
-
 /// Resolution of a window's counts.
 constexpr int slices_per_window = 20;
 
@@ -15,7 +12,7 @@
 
 void rate_meter::add(time_point now, double events)
 {
-    value_ = per_second(now) + events / averaging_seconds;
+    value_ = per_second(now) + events / averaging_seconds_;
     at_ = now;
 }
 
@@ -23,7 +20,7 @@
 {
     if (value_ == 0)
         return 0;
-    return value_ * std::exp(-to_seconds(now - at_) / averaging_seconds);
+    return value_ * std::exp(-to_seconds(now - at_) / averaging_seconds_);
 }
 
 void window_counter::add(time_point now, double events)
--- a/servers/limits/rate_meter.hpp
+++ b/servers/limits/rate_meter.hpp
@@ -8,14 +8,20 @@
 namespace pomelohinge {
 
 /// Measures events per second as an exponential average over about the last
-/// second.
+/// second, or another time.
 class rate_meter
 {
 public:
+    explicit rate_meter(duration averaging = std::chrono::seconds(1))
+        : averaging_seconds_(to_seconds(averaging))
+    {
+    }
+
     void add(time_point now, double events = 1);
     double per_second(time_point now) const;
 
 private:
+    double averaging_seconds_;
     double value_ = 0;
     time_point at_{};
 };
