Place requests by deadline where placement.mode says so

Requests that must run once went to targets known to fail as soon as the slots of working ones were taken, while long requests that could wait held these. With by_deadline a request waits for a trusted target while that is more likely to succeed, the queue is ordered by priority and latest start, and one decision (servers/queueing/deadline_choice) says which requests probe and which the floor needs. While free slots are crowded each thread keeps to its part of them, since what others have taken is known 0.2 s late.

--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -47,7 +47,7 @@
               [this](std::string const& address) {
                   return upstreams_.is_connected(address);
               },
-              configured.bounds),
+              configured.bounds, configured.placement),
           server_(context_, make_handlers(),
               front_limits{
                   static_cast<std::size_t>(configured.request_body_bytes),
--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -73,7 +73,7 @@
     data_centre_id data_centre, std::uint64_t seed, connected_check connected)
     : charts_(charts), self_(std::move(self)),
       data_centre_(std::move(data_centre)), connected_(std::move(connected)),
-      random_(seed)
+      random_(seed), spread_seed_(seed)
 {
 }
 
@@ -166,6 +166,7 @@
 
 void dispatcher::apply_report(traffic_report const& others, time_point now)
 {
+    count_ends_elsewhere(others, now);
     for (auto& [id, it] : targets_) {
         auto const reported = others.targets.find(id.text());
         if (reported == others.targets.end()) {
@@ -196,6 +197,35 @@
     deliver_decisions();
 }
 
+void dispatcher::count_ends_elsewhere(
+    traffic_report const& others, time_point now)
+{
+    share_.set_elsewhere(others.load, others.entries);
+    for (auto& [name, it] : services_) {
+        double ends = 0;
+        for (auto const* target : it.targets) {
+            auto const reported =
+                others.targets.find(target->record().id.text());
+            if (reported != others.targets.end())
+                ends += reported->second.answers + reported->second.faults +
+                    reported->second.silences;
+        }
+        it.load.add_report(ends, now);
+    }
+}
+
+void dispatcher::set_placement(placement_settings const& it)
+{
+    switch (it.mode) {
+    case placement_mode::earliest:
+        rules_.emplace<earliest_rules>();
+        return;
+    case placement_mode::by_deadline:
+        rules_.emplace<deadline_rules>();
+        return;
+    }
+}
+
 // Observations.
 
 void dispatcher::record_observation(
@@ -342,12 +372,19 @@
     service.completions.add(now);
     if (auto* const it = find_current(target)) {
         it->request_ended();
+        if (it->health().state() == target_state::trusted &&
+            result != attempt_result::shed)
+            service.load.add_trusted_end(now);
         if (!notice.empty())
             record_notice(target, notice, now);
         if (has_answer(result))
             it->pause().record_answer(now);
         record_replacement(*it, result, now);
-        if (is_observation(result))
+        bool const is_full = result == attempt_result::shed &&
+            std::visit(
+                [&](auto& rules) { return rules.shed(service, *it, now); },
+                rules_);
+        if (is_observation(result) && !is_full)
             record_observation(*it, event_of(result), now);
         record_path(*it, result, now - latency, now);
     }
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -1,10 +1,14 @@
 #ifndef POMELOHINGE_SERVERS_DISPATCH_DISPATCHER_HPP
 #define POMELOHINGE_SERVERS_DISPATCH_DISPATCHER_HPP
 
+#include "config/placement_settings.hpp"
 #include "core/text_map.hpp"
 #include "servers/dispatch/traffic_target.hpp"
 #include "servers/dispatch/wait_queue.hpp"
 #include "servers/limits/organisation_limits.hpp"
+#include "servers/queueing/deadline_choice.hpp"
+#include "servers/queueing/load_share.hpp"
+#include "servers/queueing/placement_rules.hpp"
 #include "servers/requests/attempt.hpp"
 #include "servers/requests/policy.hpp"
 #include "servers/selection/picker.hpp"
@@ -51,6 +55,10 @@
     std::vector<target_id> tried;
     /// Time until which the request may be sent.
     time_point start_deadline{};
+    route_id route;
+    /// Until when an answer is of full use, and of some use to the caller.
+    time_point goal_at{};
+    time_point deadline_at{};
 };
 
 /// Whether the request was already sent to the target.
@@ -72,6 +80,9 @@
     retry,
     /// Too few targets are not ejected, so ejected ones are used as well.
     below_floor,
+    /// The target may fail, but waiting for a trusted one is less likely to
+    /// succeed.
+    better_than_waiting,
 };
 
 template <>
@@ -82,6 +93,7 @@
         {placement_cause::floor, "floor"},
         {placement_cause::retry, "retry"},
         {placement_cause::below_floor, "below_floor"},
+        {placement_cause::better_than_waiting, "better_than_waiting"},
     });
 static_assert(is_ordered<placement_cause>());
 
@@ -205,6 +217,17 @@
     /// many are suspected; 0 to 1.
     void set_floor(double share) { floor_ = share; }
 
+    /// Sets the rules by which requests get targets. Called before the first
+    /// request.
+    void set_placement(placement_settings const& it);
+
+    /// Records the time for which an answered attempt of a route held its slot.
+    void add_holding_time(
+        service_id const& service, route_id const& route, duration held)
+    {
+        state_of(service).load.add_holding_time(route, held);
+    }
+
     /// Returns the state of a target; null if the target is unknown.
     traffic_target const* find(target_id const& id) const;
 
@@ -228,6 +251,7 @@
         /// Recent priorities with the time of their last request. Requests of
         /// any but the most urgent one may be used as probes.
         std::map<std::int64_t, time_point> priorities;
+        service_load load;
     };
 
     struct leaving_target
@@ -256,6 +280,7 @@
     }
     traffic_target* find_current(target_record const& target);
     void rebuild_services();
+    void count_ends_elsewhere(traffic_report const& others, time_point now);
     void set_cold_rates(time_point now);
     void record_observation(
         traffic_target& target, target_event event, time_point now);
@@ -273,6 +298,68 @@
         placement_cause cause = placement_cause::lowest_cost;
     };
 
+    /// Until when a request stays in the queue, with the keys of its order.
+    using admission = std::variant<placement_rejection, wait_queue::entry>;
+
+    /// The rules of `placement_mode::earliest`.
+    struct earliest_rules
+    {
+        void arrived(service_state&, placement_request const&, time_point) {}
+        bool shed(service_state&, traffic_target&, time_point) { return false; }
+        bool is_first(service_state const& service,
+            placement_request const& request, time_point now) const;
+        choice choose(dispatcher& owner, service_state& service,
+            placement_request const& request, time_point now);
+        admission admit(dispatcher& owner, service_state& service,
+            placement_request const& request, time_point now);
+        void serve(dispatcher& owner, service_state& service, time_point now);
+    };
+
+    /// The rules of `placement_mode::by_deadline`. They describe the targets to
+    /// `deadline_choice`, which decides.
+    struct deadline_rules
+    {
+        void arrived(service_state& service, placement_request const& request,
+            time_point now);
+        bool shed(
+            service_state& service, traffic_target& target, time_point now);
+        bool is_first(
+            service_state const&, placement_request const&, time_point) const
+        {
+            return true;
+        }
+        choice choose(dispatcher& owner, service_state& service,
+            placement_request const& request, time_point now);
+        admission admit(dispatcher& owner, service_state& service,
+            placement_request const& request, time_point now);
+        void serve(dispatcher& owner, service_state& service, time_point now);
+
+    private:
+        void describe(
+            dispatcher& owner, service_state& service, time_point now);
+        target_view view_of(dispatcher& owner, traffic_target& target,
+            service_baseline const& baseline, time_point now) const;
+        request_view view_of(service_state const& service,
+            placement_request const& request, time_point now) const;
+        wait_queue::entry entry_of(
+            request_view const& request, time_point now) const;
+        std::size_t count_ahead(service_state const& service,
+            wait_queue::entry const& entry, time_point now) const;
+        choice choose_described(dispatcher& owner, service_state& service,
+            placement_request const& request, request_view const& view);
+
+        deadline_choice decision_;
+        std::vector<target_view> views_;
+        excluded_targets excluded_;
+    };
+    friend struct earliest_rules;
+    friend struct deadline_rules;
+
+    template <class Rules>
+    std::variant<placement_decision, ticket> submit_by(Rules& rules,
+        service_state& service, placement_request request,
+        decision_callback on_decision, time_point now);
+
     choice choose(service_state& service, placement_request const& request,
         time_point now);
     traffic_target* choose_target_to_probe(service_state& service,
@@ -310,6 +397,8 @@
     void end_attempt(target_record const& target, attempt_result result,
         duration latency, time_point now, target_notice const& notice);
     void serve_queue(service_state& service, time_point now);
+    void place_queued(ticket id, choice const& chosen, service_state& service,
+        time_point now);
     void serve_queues(time_point now);
     void reject_expired(service_state& service, time_point now);
     void add_decision(ticket id, placement_decision decision);
@@ -321,6 +410,10 @@
     connected_check connected_;
     std::mt19937_64 random_;
     health_and_load_picker picker_;
+    std::variant<earliest_rules, deadline_rules> rules_;
+    /// Makes the threads' choices of targets to probe differ.
+    std::uint64_t spread_seed_ = 0;
+    load_share share_;
     double floor_ = 0;
     bool report_due_ = false;
     policy_pointer policy_;
--- a/servers/dispatch/request_queueing.cpp
+++ b/servers/dispatch/request_queueing.cpp
@@ -55,24 +55,68 @@
 {
     auto& service = state_of(request.service);
     service.queue.add_arrival(request.priority, now);
+    if (request.tried.empty())
+        share_.add_arrival(now);
     if (request.retryable)
         service.last_retryable_at = now;
     if (!has_eligible_target(service, request))
         return placement_decision(reject_without_target(service, request, now));
-    auto const ahead = service.queue.count_ahead_of(request.priority);
-    if (ahead == 0)
-        if (auto const it = choose(service, request, now); it.target != nullptr)
+    return std::visit(
+        [&](auto& rules) {
+            return submit_by(rules, service, std::move(request),
+                std::move(on_decision), now);
+        },
+        rules_);
+}
+
+template <class Rules>
+std::variant<placement_decision, ticket> dispatcher::submit_by(Rules& rules,
+    service_state& service, placement_request request,
+    decision_callback on_decision, time_point now)
+{
+    static_assert(PlacementRules<Rules, dispatcher, service_state,
+        placement_request, choice, admission>);
+    rules.arrived(service, request, now);
+    if (rules.is_first(service, request, now))
+        if (auto const it = rules.choose(*this, service, request, now);
+            it.target != nullptr)
             return placement_decision(place(it, service, request, now));
-    auto const wait = expected_wait(service, request.service, ahead, now);
-    if (now + wait > request.start_deadline)
-        return placement_decision(
-            placement_rejection{rejection_reason::overloaded,
-                std::clamp(wait, min_retry_after, max_retry_after)});
-    auto const id = ++last_ticket_;
-    service.queue.add({id, request.priority, now, request.start_deadline});
+    auto admitted = rules.admit(*this, service, request, now);
+    if (auto const* const it = std::get_if<placement_rejection>(&admitted))
+        return placement_decision(*it);
+    auto entry = std::get<wait_queue::entry>(admitted);
+    entry.id = ++last_ticket_;
+    service.queue.add(entry);
     queued_requests_.emplace(
-        id, queued_request{std::move(request), std::move(on_decision)});
-    return id;
+        entry.id, queued_request{std::move(request), std::move(on_decision)});
+    return entry.id;
+}
+
+bool dispatcher::earliest_rules::is_first(service_state const& service,
+    placement_request const& request, time_point) const
+{
+    return service.queue.count_ahead_of(request.priority) == 0;
+}
+
+dispatcher::choice dispatcher::earliest_rules::choose(dispatcher& owner,
+    service_state& service, placement_request const& request, time_point now)
+{
+    return owner.choose(service, request, now);
+}
+
+dispatcher::admission dispatcher::earliest_rules::admit(dispatcher& owner,
+    service_state& service, placement_request const& request, time_point now)
+{
+    auto const wait = owner.expected_wait(service, request.service,
+        service.queue.count_ahead_of(request.priority), now);
+    if (now + wait > request.start_deadline)
+        return placement_rejection{rejection_reason::overloaded,
+            std::clamp(wait, min_retry_after, max_retry_after)};
+    wait_queue::entry entry;
+    entry.priority = request.priority;
+    entry.queued_at = now;
+    entry.start_deadline = request.start_deadline;
+    return entry;
 }
 
 /// The time until a retry is that until the first pause ends, if pauses are the
@@ -100,7 +144,9 @@
     auto& service = state_of(request.service);
     if (service.queue.count_ahead_of(request.priority) > 0)
         return std::nullopt;
-    auto const chosen = choose(service, request, now);
+    auto const chosen = std::visit(
+        [&](auto& rules) { return rules.choose(*this, service, request, now); },
+        rules_);
     if (chosen.target == nullptr)
         return std::nullopt;
     service.queue.add_arrival(request.priority, now);
@@ -163,9 +209,24 @@
     if (service.queue.empty())
         return;
     reject_expired(service, now);
+    std::visit([&](auto& rules) { rules.serve(*this, service, now); }, rules_);
+}
+
+void dispatcher::place_queued(
+    ticket id, choice const& chosen, service_state& service, time_point now)
+{
+    auto decision =
+        place(chosen, service, queued_requests_.at(id).request, now);
+    service.queue.remove(id);
+    add_decision(id, std::move(decision));
+}
+
+void dispatcher::earliest_rules::serve(
+    dispatcher& owner, service_state& service, time_point now)
+{
     for (auto const& it : service.queue.ordered(now)) {
-        auto const& request = queued_requests_.at(it.id).request;
-        auto const chosen = choose(service, request, now);
+        auto const& request = owner.queued_requests_.at(it.id).request;
+        auto const chosen = owner.choose(service, request, now);
         if (chosen.target == nullptr) {
             // A request that excludes the targets it was already sent to may
             // find none, while a request behind it finds one.
@@ -173,9 +234,7 @@
                 return;
             continue;
         }
-        auto decision = place(chosen, service, request, now);
-        service.queue.remove(it.id);
-        add_decision(it.id, std::move(decision));
+        owner.place_queued(it.id, chosen, service, now);
     }
 }
 
--- a/servers/dispatch/traffic_target.cpp
+++ b/servers/dispatch/traffic_target.cpp
@@ -91,6 +91,7 @@
     if (path_.state() == path_state::open)
         report.in_flight =
             static_cast<std::uint32_t>(std::max<std::int64_t>(in_flight_, 0));
+    reported_in_flight_ = report.in_flight;
     return report;
 }
 
--- a/servers/dispatch/traffic_target.hpp
+++ b/servers/dispatch/traffic_target.hpp
@@ -81,6 +81,9 @@
     void set_in_flight_elsewhere(std::int64_t it) { in_flight_elsewhere_ = it; }
     std::int64_t in_flight_elsewhere() const { return in_flight_elsewhere_; }
 
+    /// Requests in flight from here, as the others know from the last report.
+    std::int64_t reported_in_flight() const { return reported_in_flight_; }
+
     /// Records that a request from here, sent at `sent_at`, has reached the
     /// target.
     void record_reached(time_point sent_at, time_point now);
@@ -122,6 +125,7 @@
     bool has_unreadable_notice_ = false;
     std::int64_t in_flight_ = 0;
     std::int64_t in_flight_elsewhere_ = 0;
+    std::int64_t reported_in_flight_ = 0;
     std::int64_t late_attempts_ = 0;
     time_point last_started_at_{};
     time_point last_reached_at_{};
--- a/servers/dispatch/wait_queue.cpp
+++ b/servers/dispatch/wait_queue.cpp
@@ -27,18 +27,12 @@
 
 std::vector<wait_queue::entry> wait_queue::ordered(time_point now) const
 {
-    auto order = entries_;
     auto const starved_priority = starved(now);
-    auto const key = [&](entry const& it) {
+    return ordered_by([&](entry const& it) {
         return std::tuple(
             !(starved_priority && it.priority == *starved_priority),
             it.priority, it.queued_at, it.id);
-    };
-    std::sort(
-        order.begin(), order.end(), [&](auto const& left, auto const& right) {
-            return key(left) < key(right);
-        });
-    return order;
+    });
 }
 
 std::vector<wait_queue::entry> wait_queue::take_expired(time_point now)
--- a/servers/dispatch/wait_queue.hpp
+++ b/servers/dispatch/wait_queue.hpp
@@ -3,6 +3,7 @@
 
 #include "core/clock.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -27,6 +28,10 @@
         time_point queued_at{};
         /// Time until which the request may be sent.
         time_point start_deadline{};
+        /// Latest start for an answer within the goal, and the expected time
+        /// for which the request holds a slot.
+        time_point goal_start{};
+        duration holding{};
     };
 
     void add(entry const& it) { entries_.push_back(it); }
@@ -37,6 +42,20 @@
     /// Returns the requests in the order in which they get targets.
     std::vector<entry> ordered(time_point now) const;
 
+    /// Returns the requests ordered by `key`.
+    template <class Key>
+    std::vector<entry> ordered_by(Key const& key) const
+    {
+        auto order = entries_;
+        std::sort(order.begin(), order.end(),
+            [&](auto const& left, auto const& right) {
+                return key(left) < key(right);
+            });
+        return order;
+    }
+
+    std::vector<entry> const& entries() const { return entries_; }
+
     /// Removes and returns the requests whose start deadline has passed.
     std::vector<entry> take_expired(time_point now);
 
@@ -51,6 +70,9 @@
     void add_arrival(std::int64_t priority, time_point now);
     void add_start(std::int64_t priority, time_point now);
 
+    /// The priority that is starved, if any.
+    std::optional<std::int64_t> starved(time_point now) const;
+
 private:
     /// Counts with exponential decay, as of the time `at`.
     struct decaying_counts
@@ -62,9 +84,6 @@
 
     static void decay(decaying_counts& it, time_point now);
 
-    /// The priority that is starved, if any.
-    std::optional<std::int64_t> starved(time_point now) const;
-
     std::vector<entry> entries_;
     std::map<std::int64_t, decaying_counts> counts_;
 };
--- a/servers/health/target_health.hpp
+++ b/servers/health/target_health.hpp
@@ -61,6 +61,9 @@
             now - last_observed_at_ < recovery_delay(service);
     }
 
+    /// Whether the latest observation was a failure.
+    bool last_failed() const { return last_failed_; }
+
     /// Number of observed failures since the target was last trusted.
     int failures() const { return failures_; }
 
--- /dev/null
+++ b/servers/queueing/deadline_choice.cpp
@@ -0,0 +1,410 @@
+#include "servers/queueing/deadline_choice.hpp"
+
+#include <cmath>
+
+namespace pomelohinge {
+namespace {
+
+/// Costs in units of load, as in `health_and_load_picker`.
+constexpr double distance_cost = 1;
+constexpr double failure_cost = 3.75;
+constexpr double probe_threshold = 0.25;
+constexpr double min_noise = 0.08;
+
+/// Weight of an answer after the goal, against one within it. Callers value a
+/// late answer at a tenth to a half.
+constexpr double late_weight = 0.3;
+
+/// Cost of a free slot that others are sure to take as well: a request is shed
+/// and sent again.
+constexpr double max_collision_cost = 2;
+
+/// Assumed holding time of a service until one is measured.
+constexpr duration assumed_holding = std::chrono::milliseconds(250);
+
+/// Requests that are repeated probe a target that is confirmed to fail after
+/// this part of its recovery delay, since a failure costs only an attempt.
+constexpr int repeatable_probe_divisor = 3;
+
+/// Delay of a probe at the latest while the service fails requests.
+constexpr duration max_probe_delay = std::chrono::milliseconds(1300);
+
+/// Highest chance of success at a target that failed last and has not had the
+/// time to recover: failing targets fail 75 to 85% of their requests.
+constexpr double recovering_chance = 0.2;
+
+/// Added to the floor, because the use of a target by others is reported with a
+/// delay.
+constexpr double floor_margin = 0.1;
+
+/// Time between two reports of a VM.
+constexpr duration report_period = std::chrono::milliseconds(200);
+
+/// Free slots are crowded if the others are expected to take more than this
+/// part of them before their next report.
+constexpr double crowded = 0.3;
+
+/// Part of the trusted slots that is divided among the threads. The rest lets
+/// those find a free slot that have less than their part.
+constexpr double divided_part = 0.95;
+
+/// A thread may exceed its part of the slots by a fraction of one.
+constexpr double rounding = 0.5;
+
+/// Standard deviations of the number of slots that more urgent requests need
+/// which are kept free for them.
+constexpr double kept_deviations = 1.5;
+
+/// Largest part of the trusted slots that is kept free.
+constexpr double max_kept_share = 0.5;
+
+/// Least part of the slots that come free which less urgent requests count on,
+/// however many more urgent ones arrive.
+constexpr double min_slots_share = 0.05;
+
+double success_chance(target_view const& it)
+{
+    auto const chance = 1 - it.failure_probability;
+    bool const is_recovering =
+        it.last_failed && it.unobserved_for < it.recovery_delay;
+    return is_recovering ? std::min(chance, recovering_chance) : chance;
+}
+
+} // namespace
+
+bool target_view::is_trusted() const
+{
+    return state == target_state::trusted ||
+        (state == target_state::suspect && !last_failed &&
+            failure_probability < probe_threshold);
+}
+
+void deadline_choice::set_targets(std::vector<target_view> const& targets,
+    service_load const& load, service_view const& service, time_point now)
+{
+    targets_ = targets;
+    load_ = &load;
+    service_ = service;
+    now_ = now;
+    summarise();
+    find_special_targets();
+}
+
+void deadline_choice::take(std::size_t position)
+{
+    auto& it = targets_[position];
+    --it.free_slots;
+    it.free_slots_known_elsewhere =
+        std::min(it.free_slots_known_elsewhere, it.free_slots);
+    ++it.in_flight;
+    it.is_idle = false;
+    it.in_use = true;
+    it.load += 1 / static_cast<double>(std::max<std::int64_t>(it.slots, 1));
+    if (it.is_trusted()) {
+        --free_trusted_;
+        ++busy_trusted_;
+        ++own_trusted_;
+    } else {
+        ++own_untrusted_;
+    }
+    find_special_targets();
+}
+
+void deadline_choice::summarise()
+{
+    trusted_slots_ = busy_trusted_ = free_trusted_ = own_trusted_ = 0;
+    free_known_elsewhere_ = trusted_failure_ = 0;
+    untrusted_slots_ = own_untrusted_ = 0;
+    for (auto const& it : targets_) {
+        if (!it.accepts_requests)
+            continue;
+        auto const slots = static_cast<double>(it.slots);
+        auto const free = static_cast<double>(it.free_slots);
+        if (!it.is_trusted()) {
+            untrusted_slots_ += slots;
+            own_untrusted_ += static_cast<double>(it.in_flight);
+            continue;
+        }
+        trusted_slots_ += slots;
+        free_trusted_ += free;
+        busy_trusted_ += slots - free;
+        own_trusted_ += static_cast<double>(it.in_flight);
+        trusted_failure_ += it.failure_probability * slots;
+        free_known_elsewhere_ +=
+            static_cast<double>(it.free_slots_known_elsewhere);
+    }
+    if (trusted_slots_ > 0)
+        trusted_failure_ /= trusted_slots_;
+    crowding_ = load_->starts_elsewhere(now_) * to_seconds(report_period) /
+        std::max(free_known_elsewhere_, 1.0);
+}
+
+/// Whether the others are expected to take a large part of the free slots that
+/// are known here before their next report.
+bool deadline_choice::is_crowded() const
+{
+    return crowding_ > crowded;
+}
+
+/// This thread's part of a number of slots.
+double deadline_choice::own_part(double slots) const
+{
+    return std::max(1.0, divided_part * slots * service_.share);
+}
+
+bool deadline_choice::is_probe_due(target_view const& it, bool retryable) const
+{
+    if (!it.is_idle || it.free_slots <= 0 || it.is_trusted())
+        return false;
+    if (retryable) {
+        auto const delay = it.is_confirmed
+            ? it.recovery_delay / repeatable_probe_divisor
+            : duration::zero();
+        return it.state == target_state::suspect &&
+            it.unobserved_for >=
+            (service_.is_failing ? std::min<duration>(delay, max_probe_delay)
+                                 : delay);
+    }
+    return it.unobserved_for >=
+        (service_.is_failing
+                ? std::min<duration>(it.recovery_delay, max_probe_delay)
+                : it.recovery_delay);
+}
+
+/// Whether the local trusted targets are fewer than the floor needs of those
+/// that work, as far as the estimated share of failing ones tells.
+bool deadline_choice::has_too_few_trusted() const
+{
+    double available = 0;
+    double trusted = 0;
+    for (auto const& it : targets_) {
+        if (!it.accepts_requests || !it.local)
+            continue;
+        ++available;
+        trusted += it.is_trusted() ? 1 : 0;
+    }
+    return trusted < (service_.floor + floor_margin) *
+        (1 - service_.failing_share) * available;
+}
+
+/// Whether the targets in use are fewer than the floor needs. Each target
+/// counts with the probability that it works, since the floor concerns those.
+bool deadline_choice::needs_floor() const
+{
+    double working = 0;
+    double used = 0;
+    for (auto const& it : targets_) {
+        if (!it.accepts_requests || !it.local)
+            continue;
+        auto const weight = 1 - it.failure_probability;
+        working += weight;
+        used += it.in_use ? weight : 0;
+    }
+    return used < (service_.floor + floor_margin) * working;
+}
+
+void deadline_choice::find_special_targets()
+{
+    probe_.reset();
+    costly_probe_.reset();
+    floor_target_.reset();
+    unused_trusted_.reset();
+    untrusted_.reset();
+    bool const needs_floor_now = service_.is_failing && needs_floor();
+    bool const has_retryable = load_->has_retryable(now_);
+    bool const needs_probes =
+        !has_retryable && (service_.is_failing || has_too_few_trusted());
+    auto const raise = [](std::optional<std::size_t>& best, std::size_t at,
+                           auto const& value) {
+        if (!best || value(at) > value(*best))
+            best = at;
+    };
+    auto const unobserved = [&](std::size_t at) {
+        return targets_[at].unobserved_for;
+    };
+    auto const unused = [&](std::size_t at) {
+        return targets_[at].unused_for;
+    };
+    auto const chance = [&](std::size_t at) {
+        return success_chance(targets_[at]) + targets_[at].spread -
+            (targets_[at].local ? 0 : distance_cost);
+    };
+    for (std::size_t at = 0; at < targets_.size(); ++at) {
+        auto const& it = targets_[at];
+        if (it.free_slots <= 0)
+            continue;
+        bool const may_probe = it.local || service_.probes_elsewhere;
+        if (it.is_trusted()) {
+            if (it.local && !it.in_use && it.is_idle &&
+                !(it.last_failed && it.unobserved_for < it.recovery_delay))
+                raise(unused_trusted_, at, unused);
+            continue;
+        }
+        raise(untrusted_, at, chance);
+        if (may_probe && is_probe_due(it, true))
+            raise(probe_, at, unobserved);
+        if (may_probe && needs_probes && is_probe_due(it, false))
+            raise(costly_probe_, at, unobserved);
+        if (needs_floor_now && it.local && !it.in_use && it.is_idle)
+            raise(floor_target_, at, chance);
+    }
+}
+
+/// Whether a failed attempt leaves the request the time for another one within
+/// its goal.
+bool deadline_choice::may_probe(request_view const& request) const
+{
+    auto const holding = load_->holding(request.route);
+    return request.retryable &&
+        now_ + holding.high_quantile() + holding.median() <= request.goal_at;
+}
+
+/// A request that may be repeated probes, long ones first, since they lose the
+/// least part of their time. Requests that must run once probe only for a
+/// service without others, and the most urgent of several priorities never do.
+std::optional<target_choice> deadline_choice::choose_probe(
+    request_view const& request) const
+{
+    if (probe_ && may_probe(request) &&
+        !load_->has_longer_retryable(request.route, now_))
+        return target_choice{*probe_, choice_cause::probe};
+    if (costly_probe_ && !load_->is_most_urgent(request.priority, now_))
+        return target_choice{*costly_probe_, choice_cause::probe};
+    return std::nullopt;
+}
+
+std::optional<target_choice> deadline_choice::choose_for_floor(
+    request_view const& request) const
+{
+    if (unused_trusted_)
+        return target_choice{*unused_trusted_, choice_cause::floor};
+    bool const is_suitable = load_->has_retryable(now_)
+        ? request.retryable
+        : !load_->is_most_urgent(request.priority, now_);
+    if (floor_target_ && is_suitable)
+        return target_choice{*floor_target_, choice_cause::floor};
+    return std::nullopt;
+}
+
+/// Slots that stay free for more urgent requests, of `slots` that serve a part
+/// `share` of them. Their mean need is met by the slots that they hold already
+/// and that come free; what has to be free are the deviations from it.
+double deadline_choice::kept_free(
+    request_view const& request, double slots, double share) const
+{
+    if (request.is_starved)
+        return 0;
+    auto const need = load_->more_urgent_slots(request.priority, now_) / share;
+    return std::min(kept_deviations * std::sqrt(need), slots * max_kept_share);
+}
+
+/// While the slots are crowded, what others have taken is known too late to
+/// share them, and each thread keeps to its own part of them.
+bool deadline_choice::may_take_trusted(request_view const& request) const
+{
+    if (!request.is_next ||
+        free_trusted_ <= kept_free(request, trusted_slots_, service_.share))
+        return false;
+    if (!is_crowded())
+        return true;
+    auto const slots = own_part(trusted_slots_);
+    return own_trusted_ + rounding + kept_free(request, slots, 1) <= slots;
+}
+
+double deadline_choice::slots_per_second(request_view const& request) const
+{
+    auto const holding = load_->mean_holding() > duration::zero()
+        ? load_->mean_holding()
+        : assumed_holding;
+    auto const rate = trusted_slots_ == 0
+        ? 0
+        : std::max(load_->trusted_ends(now_),
+              busy_trusted_ / to_seconds(holding) * service_.share);
+    auto const taken = request.is_starved
+        ? 0
+        : load_->more_urgent_arrivals(request.priority, now_);
+    return std::max(rate - taken, rate * min_slots_share);
+}
+
+wait_estimate deadline_choice::wait_of(request_view const& request) const
+{
+    return {slots_per_second(request), request.ahead};
+}
+
+time_point deadline_choice::latest_start(
+    request_view const& request, time_point at) const
+{
+    return at - load_->holding(request.route).median();
+}
+
+double deadline_choice::chance_within(
+    request_view const& request, time_point at) const
+{
+    return (1 - trusted_failure_) *
+        wait_of(request).chance_within(latest_start(request, at) - now_);
+}
+
+double deadline_choice::chance_of_waiting(request_view const& request) const
+{
+    auto const in_goal = chance_within(request, request.goal_at);
+    auto const in_time = chance_within(request, request.deadline_at);
+    return in_goal + late_weight * std::max(0.0, in_time - in_goal);
+}
+
+/// While a service is overloaded, requests that can reach their goal go first,
+/// so one that misses it in the queue is hardly served any more.
+double deadline_choice::chance_in_time(request_view const& request) const
+{
+    bool const can_reach_goal = now_ < latest_start(request, request.goal_at);
+    auto const waiting = chance_within(
+        request, can_reach_goal ? request.goal_at : request.deadline_at);
+    auto const at_once =
+        untrusted_ ? success_chance(targets_[*untrusted_]) : 0.0;
+    return std::max(waiting, at_once);
+}
+
+duration deadline_choice::expected_wait(request_view const& request) const
+{
+    return wait_of(request).expected();
+}
+
+std::optional<target_choice> deadline_choice::choose_better_than_waiting(
+    request_view const& request, excluded_targets const& excluded) const
+{
+    if (!untrusted_ || contains(excluded, *untrusted_) ||
+        !(targets_[*untrusted_].local || trusted_slots_ == 0) ||
+        (is_crowded() &&
+            own_untrusted_ + rounding > own_part(untrusted_slots_)) ||
+        success_chance(targets_[*untrusted_]) <= chance_of_waiting(request))
+        return std::nullopt;
+    return target_choice{*untrusted_, choice_cause::better_than_waiting};
+}
+
+/// Expected cost of a target whose slots all know to be free: others may take
+/// them before requests from here are known there. Slots that came free here
+/// are not known to the others yet.
+double deadline_choice::collision_cost(target_view const& it) const
+{
+    bool const is_known = it.free_slots <= it.free_slots_known_elsewhere;
+    return is_known ? max_collision_cost * std::min(1.0, crowding_) : 0;
+}
+
+double deadline_choice::cost_of(target_view const& it,
+    request_view const& request, std::mt19937_64& random) const
+{
+    std::uniform_real_distribution<double> draw(
+        0, min_noise + std::min(1.0, crowding_));
+    bool const probes =
+        request.retryable && it.failure_probability < probe_threshold;
+    return it.load + collision_cost(it) + (it.local ? 0 : distance_cost) +
+        (probes ? -it.failure_probability
+                : failure_cost * it.failure_probability) +
+        draw(random);
+}
+
+bool deadline_choice::contains(excluded_targets const& excluded, std::size_t at)
+{
+    return std::find(excluded.begin(), excluded.end(), at) != excluded.end();
+}
+
+} // namespace pomelohinge
--- /dev/null
+++ b/servers/queueing/placement_rules.hpp
@@ -0,0 +1,34 @@
+#ifndef POMELOHINGE_SERVERS_QUEUEING_PLACEMENT_RULES_HPP
+#define POMELOHINGE_SERVERS_QUEUEING_PLACEMENT_RULES_HPP
+
+#include "core/clock.hpp"
+
+#include <concepts>
+
+namespace pomelohinge {
+
+/// The rules by which a dispatcher chooses targets, admits requests to its
+/// queues and serves them; one type for each `placement_mode`. `choose` returns
+/// a target or none, `admit` queues a request without a target or rejects it,
+/// and `serve` gives targets to the queued requests of a service.
+template <class Rules, class Dispatcher, class Service, class Request,
+    class Choice, class Admission>
+concept PlacementRules = requires(Rules& rules, Dispatcher& dispatcher,
+    Service& service, Request const& request, time_point now)
+{
+    rules.arrived(service, request, now);
+    {
+        rules.is_first(service, request, now)
+        } -> std::same_as<bool>;
+    {
+        rules.choose(dispatcher, service, request, now)
+        } -> std::same_as<Choice>;
+    {
+        rules.admit(dispatcher, service, request, now)
+        } -> std::same_as<Admission>;
+    rules.serve(dispatcher, service, now);
+};
+
+} // namespace pomelohinge
+
+#endif
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -335,7 +335,8 @@
         return {admitted_.service, admitted_.priority, is_retryable(),
             progress_.tried,
             times_.start_deadline(
-                state().targets.median_latency(admitted_.service))};
+                state().targets.median_latency(admitted_.service)),
+            admitted_.route, times_.received_at + times_.goal, times_.deadline};
     }
 
     void request_placement()
@@ -480,6 +481,9 @@
         if (shows_latency(result))
             state().latencies.add(admitted_.route, admitted_.service,
                 now - progress_.sent_at, now);
+        if (result == attempt_result::answered)
+            state().targets.add_holding_time(
+                admitted_.service, admitted_.route, now - progress_.sent_at);
         state().targets.attempt_ended(
             target_, result, now - progress_.sent_at, now, notice);
     }
--- a/servers/requests/entry_state.hpp
+++ b/servers/requests/entry_state.hpp
@@ -32,12 +32,14 @@
 {
     entry_state(target_charts const& charts, vm_id const& self,
         data_centre_id const& data_centre, std::uint64_t seed,
-        dispatcher::connected_check connected, fleet_bounds configured)
+        dispatcher::connected_check connected, fleet_bounds configured,
+        placement_settings const& placement = {})
         : bounds(configured),
           targets(charts, self, data_centre, seed, std::move(connected)),
           retries(configured), random(seed)
     {
         targets.set_floor(configured.floor);
+        targets.set_placement(placement);
     }
 
     /// Applies a new policy.
--- /dev/null
+++ b/tests/servers/placement_load_test.cpp
@@ -0,0 +1,109 @@
+#include "tests/servers/placement_world.hpp"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace pomelohinge {
+namespace {
+
+/// The load of docs/design/hard-load.md, Part 5.
+request_kind settle(double factor = 1)
+{
+    return {"credit-settle", 80.4 * factor, 320ms, 1s, 2500ms, 0, false};
+}
+
+request_kind query(double factor = 1)
+{
+    return {"credit-query", 51.3 * factor, 1900ms, 8s, 12s, 3, true};
+}
+
+struct load_case
+{
+    std::size_t vms;
+    std::uint64_t seed;
+};
+
+class placement_load_test : public testing::TestWithParam<load_case>
+{
+protected:
+    placement_world make(placement_mode mode, duration failing_for = 6s) const
+    {
+        placement_world_settings settings;
+        settings.mode = mode;
+        settings.seed = GetParam().seed;
+        settings.vms = GetParam().vms;
+        settings.failing_for = failing_for;
+        return placement_world(settings);
+    }
+
+    /// Runs the ordinary load and then the loaded day.
+    placement_world run_loaded_day(
+        placement_mode mode, duration failing_for = 6s) const
+    {
+        auto world = make(mode, failing_for);
+        world.run({settle(), query()}, 10s);
+        world.forget_results();
+        world.run({settle(2.5), query(4)}, 30s);
+        return world;
+    }
+
+    static std::string describe(placement_world const& world)
+    {
+        std::string text;
+        for (auto const* route : {"credit-settle", "credit-query"}) {
+            auto const it = world.result(route);
+            text += fmt::format("{}: sent {:.0f}, in goal {:.3f}, late {:.3f}, "
+                                "failed {:.3f}, refused {:.3f} ({:.3f} late), "
+                                "attempts {:.0f}, untrusted {:.3f}, shed "
+                                "{:.3f}\n",
+                route, it.sent, it.in_goal / it.sent, it.late / it.sent,
+                it.failed / it.sent, it.refused / it.sent,
+                it.late_refusals / it.sent, it.attempts, it.untrusted_share(),
+                it.shed / it.attempts);
+        }
+        return text;
+    }
+};
+
+/// Requests that must run once went to targets known to fail, because no
+/// request waits while those have a free slot, and long requests held the slots
+/// of the others.
+TEST_P(placement_load_test,
+    urgent_requests_on_a_loaded_day_are_served_better_than_by_earliest)
+{
+    auto const earliest = run_loaded_day(placement_mode::earliest);
+    auto const by_deadline = run_loaded_day(placement_mode::by_deadline);
+    auto const text = describe(earliest) + describe(by_deadline);
+    RecordProperty("results", text);
+    EXPECT_GE(by_deadline.result("credit-settle").goal_share(),
+        earliest.result("credit-settle").goal_share() + 0.25)
+        << text;
+    EXPECT_GE(by_deadline.result("credit-query").goal_share(),
+        earliest.result("credit-query").goal_share() - 0.03)
+        << text;
+}
+
+TEST_P(placement_load_test, once_only_requests_rarely_go_to_failing_targets)
+{
+    auto const world = run_loaded_day(placement_mode::by_deadline);
+    EXPECT_LE(world.result("credit-settle").untrusted_share(), 0.05)
+        << describe(world);
+}
+
+/// Waiting for trusted targets must not keep those that have recovered unused.
+TEST_P(placement_load_test, working_targets_on_a_loaded_day_stay_in_use)
+{
+    auto world = make(placement_mode::by_deadline);
+    world.run({settle(), query()}, 10s);
+    auto const from = world.now();
+    world.run({settle(2.5), query(4)}, 30s);
+    EXPECT_GE(world.min_share_of_working_in_use(from, from + 30s),
+        placement_world::floor);
+}
+
+INSTANTIATE_TEST_SUITE_P(fleets, placement_load_test,
+    testing::Values(load_case{12, 1}, load_case{34, 2}),
+    [](auto const& it) { return fmt::format("vms_{}", it.param.vms); });
+
+} // namespace
+} // namespace pomelohinge
