Let threads prefer different targets while free slots are crowded

Each thread now prefers targets near its place on a circle. A target that isn't trusted counts as less likely to succeed the more requests are in flight to it, so that not all go to the same one.

--- a/servers/dispatch/deadline_placement.cpp
+++ b/servers/dispatch/deadline_placement.cpp
@@ -27,10 +27,6 @@
 constexpr duration report_period = std::chrono::milliseconds(200);
 constexpr duration max_spread = std::chrono::milliseconds(2000);
 
-/// Range of the addition to a chance of success that makes threads choose
-/// different targets among about equal ones.
-constexpr double max_chance_spread = 0.2;
-
 /// A value in [0, 1) that differs between threads and targets, and changes with
 /// each observation of the target. The constants are those of SplitMix64.
 double spread_of(std::uint64_t seed, time_point at)
@@ -71,6 +67,23 @@
 
 } // namespace
 
+/// The place of this thread among the entries of its data centre in order of
+/// their names; the threads of a VM stand at random places of its part.
+void dispatcher::set_circle_position()
+{
+    std::size_t entries = 0;
+    std::size_t before = 0;
+    for (auto const& it : *policy_->members) {
+        if (!it.entry || !it.alive || it.record.data_centre != data_centre_)
+            continue;
+        ++entries;
+        before += it.record.vm < self_ ? 1 : 0;
+    }
+    circle_position_ =
+        (static_cast<double>(before) + spread_of(spread_seed_, {})) /
+        static_cast<double>(std::max<std::size_t>(entries, 1));
+}
+
 void dispatcher::deadline_rules::arrived(
     service_state& service, placement_request const& request, time_point now)
 {
@@ -130,7 +143,6 @@
     it.recovery_delay = health.recovery_delay(baseline);
     it.unobserved_for = reduced(health.last_observed_at());
     it.unused_for = reduced(target.last_reached_at());
-    it.spread = max_chance_spread * spread_of(seed, target.last_started_at());
     return it;
 }
 
@@ -146,7 +158,7 @@
     }
     decision_.set_targets(views_, service.load,
         {owner.floor_, service.failure_rate > failing_service_threshold,
-            service.failing_share, owner.share_.at(now),
+            service.failing_share, owner.share_.at(now), owner.circle_position_,
             owner.local_entries_ == 0},
         now);
 }
--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -109,6 +109,7 @@
             return it.entry && it.alive &&
                 it.record.data_centre == data_centre_;
         }));
+    set_circle_position();
     set_cold_rates(now);
     serve_queues(now);
     deliver_decisions();
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -282,6 +282,7 @@
     void rebuild_services();
     void count_ends_elsewhere(traffic_report const& others, time_point now);
     void set_cold_rates(time_point now);
+    void set_circle_position();
     void record_observation(
         traffic_target& target, target_event event, time_point now);
     void record_path(traffic_target& target, attempt_result result,
@@ -414,6 +415,8 @@
     /// Makes the threads' choices of targets to probe differ.
     std::uint64_t spread_seed_ = 0;
     load_share share_;
+    /// Place of this thread among the entries of its data centre, 0 to 1.
+    double circle_position_ = 0;
     double floor_ = 0;
     bool report_due_ = false;
     policy_pointer policy_;
--- a/servers/queueing/deadline_choice.cpp
+++ b/servers/queueing/deadline_choice.cpp
@@ -19,6 +19,15 @@
 /// and sent again.
 constexpr double max_collision_cost = 2;
 
+/// Range of the cost by which each thread prefers other targets than the others
+/// do, while free slots are crowded. It then mostly takes slots that it has
+/// freed itself. With random costs instead, more requests were shed.
+constexpr double max_affinity_cost = 2;
+
+/// The same, as a part of the chance of success at targets that are not
+/// trusted.
+constexpr double max_affinity_chance = 0.5;
+
 /// Assumed holding time of a service until one is measured.
 constexpr duration assumed_holding = std::chrono::milliseconds(250);
 
@@ -46,14 +55,14 @@
 
 /// Part of the trusted slots that is divided among the threads. The rest lets
 /// those find a free slot that have less than their part.
-constexpr double divided_part = 0.95;
+constexpr double divided_part = 0.9;
 
 /// A thread may exceed its part of the slots by a fraction of one.
 constexpr double rounding = 0.5;
 
 /// Standard deviations of the number of slots that more urgent requests need
 /// which are kept free for them.
-constexpr double kept_deviations = 1.5;
+constexpr double kept_deviations = 1;
 
 /// Largest part of the trusted slots that is kept free.
 constexpr double max_kept_share = 0.5;
@@ -70,6 +79,14 @@
     return is_recovering ? std::min(chance, recovering_chance) : chance;
 }
 
+/// Chance of success at a target that is not trusted, of which the requests in
+/// flight to it have not told more yet: it is more likely to fail them all.
+double first_success_chance(target_view const& it)
+{
+    auto const in_flight = std::max<std::int64_t>(it.slots - it.free_slots, 0);
+    return success_chance(it) / static_cast<double>(1 + in_flight);
+}
+
 } // namespace
 
 bool target_view::is_trusted() const
@@ -135,10 +152,32 @@
     }
     if (trusted_slots_ > 0)
         trusted_failure_ /= trusted_slots_;
+    set_affinities();
     crowding_ = load_->starts_elsewhere(now_) * to_seconds(report_period) /
         std::max(free_known_elsewhere_, 1.0);
 }
 
+/// Threads and targets stand evenly on a circle, trusted targets on one and the
+/// others on another. A thread prefers targets that are near it.
+void deadline_choice::set_affinities()
+{
+    for (bool const trusted : {true, false}) {
+        auto const is_on_circle = [&](target_view const& it) {
+            return it.accepts_requests && it.is_trusted() == trusted;
+        };
+        auto const n = static_cast<double>(
+            std::count_if(targets_.begin(), targets_.end(), is_on_circle));
+        double rank = 0.5;
+        for (auto& it : targets_) {
+            if (!is_on_circle(it))
+                continue;
+            auto const distance =
+                std::abs(rank++ / n - service_.circle_position);
+            it.affinity_cost = 2 * std::min(distance, 1 - distance);
+        }
+    }
+}
+
 /// Whether the others are expected to take a large part of the free slots that
 /// are known here before their next report.
 bool deadline_choice::is_crowded() const
@@ -226,7 +265,9 @@
         return targets_[at].unused_for;
     };
     auto const chance = [&](std::size_t at) {
-        return success_chance(targets_[at]) + targets_[at].spread -
+        return first_success_chance(targets_[at]) -
+            max_affinity_chance * std::min(1.0, crowding_ / crowded) *
+            targets_[at].affinity_cost -
             (targets_[at].local ? 0 : distance_cost);
     };
     for (std::size_t at = 0; at < targets_.size(); ++at) {
@@ -359,7 +400,7 @@
     auto const waiting = chance_within(
         request, can_reach_goal ? request.goal_at : request.deadline_at);
     auto const at_once =
-        untrusted_ ? success_chance(targets_[*untrusted_]) : 0.0;
+        untrusted_ ? first_success_chance(targets_[*untrusted_]) : 0.0;
     return std::max(waiting, at_once);
 }
 
@@ -375,7 +416,8 @@
         !(targets_[*untrusted_].local || trusted_slots_ == 0) ||
         (is_crowded() &&
             own_untrusted_ + rounding > own_part(untrusted_slots_)) ||
-        success_chance(targets_[*untrusted_]) <= chance_of_waiting(request))
+        first_success_chance(targets_[*untrusted_]) <=
+            chance_of_waiting(request))
         return std::nullopt;
     return target_choice{*untrusted_, choice_cause::better_than_waiting};
 }
@@ -392,11 +434,13 @@
 double deadline_choice::cost_of(target_view const& it,
     request_view const& request, std::mt19937_64& random) const
 {
-    std::uniform_real_distribution<double> draw(
-        0, min_noise + std::min(1.0, crowding_));
+    std::uniform_real_distribution<double> draw(0, min_noise);
     bool const probes =
         request.retryable && it.failure_probability < probe_threshold;
-    return it.load + collision_cost(it) + (it.local ? 0 : distance_cost) +
+    return it.load + collision_cost(it) +
+        max_affinity_cost * std::min(1.0, crowding_ / crowded) *
+        it.affinity_cost +
+        (it.local ? 0 : distance_cost) +
         (probes ? -it.failure_probability
                 : failure_cost * it.failure_probability) +
         draw(random);
--- a/servers/queueing/deadline_choice.hpp
+++ b/servers/queueing/deadline_choice.hpp
@@ -46,8 +46,8 @@
     /// choose the same target before they have heard of each other.
     duration unobserved_for{};
     duration unused_for{};
-    /// A small addition to the chance of success that differs between VMs.
-    double spread = 0;
+    /// 0 to 1; the lower, the more this thread prefers the target to others.
+    double affinity_cost = 0;
 
     /// Whether requests that must succeed go there: it is trusted, or has
     /// recovered as far as its latest answer shows.
@@ -65,6 +65,8 @@
     double failing_share = 0;
     /// This thread's part of the fleet's requests, 0 to 1.
     double share = 1;
+    /// Place of this thread among those that send to the same targets, 0 to 1.
+    double circle_position = 0;
     /// No VM of this data centre takes requests, so those of others probe.
     bool probes_elsewhere = false;
 };
@@ -172,6 +174,7 @@
     bool may_probe(request_view const& request) const;
     bool is_probe_due(target_view const& it, bool retryable) const;
     bool may_take_trusted(request_view const& request) const;
+    void set_affinities();
     bool is_crowded() const;
     double own_part(double slots) const;
     double kept_free(
--- a/tests/servers/placement_load_test.cpp
+++ b/tests/servers/placement_load_test.cpp
@@ -52,14 +52,16 @@
         std::string text;
         for (auto const* route : {"credit-settle", "credit-query"}) {
             auto const it = world.result(route);
-            text += fmt::format("{}: sent {:.0f}, in goal {:.3f}, late {:.3f}, "
-                                "failed {:.3f}, refused {:.3f} ({:.3f} late), "
-                                "attempts {:.0f}, untrusted {:.3f}, shed "
-                                "{:.3f}\n",
+            text += fmt::format(
+                "{}: sent {:.0f}, in goal {:.3f}, late {:.3f}, "
+                "failed {:.3f}, refused {:.3f} ({:.3f} late), "
+                "attempts {:.0f}, untrusted {:.3f}, shed "
+                "{:.3f} ({:.3f} untrusted), unexpected faults {:.3f}\n",
                 route, it.sent, it.in_goal / it.sent, it.late / it.sent,
                 it.failed / it.sent, it.refused / it.sent,
                 it.late_refusals / it.sent, it.attempts, it.untrusted_share(),
-                it.shed / it.attempts);
+                it.shed / it.attempts, it.untrusted_shed / it.attempts,
+                it.unexpected_faults / it.sent);
         }
         return text;
     }
--- a/tests/servers/placement_world.hpp
+++ b/tests/servers/placement_world.hpp
@@ -37,6 +37,9 @@
     double untrusted_attempts = 0;
     /// Attempts that found all slots of the target taken.
     double shed = 0;
+    double untrusted_shed = 0;
+    /// Attempts that failed at targets that were not known to fail.
+    double unexpected_faults = 0;
     /// Refusals that came later than an eighth of the goal.
     double late_refusals = 0;
 
@@ -206,6 +209,8 @@
     {
         if (settings_.failing_for == duration::zero())
             return it.phase < settings_.failing_share;
+        if (settings_.failing_share <= 0)
+            return false;
         auto const cycle =
             to_seconds(settings_.failing_for) / settings_.failing_share;
         auto const passed =
@@ -311,6 +316,8 @@
             next.result = attempt_result::shed;
             next.ends_at = now + step_length;
             ++result.shed;
+            if (it->reason.state != target_state::trusted)
+                ++result.untrusted_shed;
         } else {
             std::uniform_real_distribution<double> draw(0, 1);
             auto const work =
@@ -358,6 +365,8 @@
                                                     : result.failed);
         }
         bool const has_run = it.result != attempt_result::shed;
+        if (has_run && request.last_state == target_state::trusted)
+            ++result.unexpected_faults;
         request.may_have_run = request.may_have_run || has_run;
         bool const is_safe = !has_run || request.kind.idempotent;
         if (!is_safe || request.tried.size() >= max_attempts ||
