Bound the calls to a store that does not answer

While no hub had recent data, each VM read the store for itself: with the store away, 120 VMs made 368 calls in the first second and 120 a second after.

A VM that reads and is no hub notifies the others of its data centre, which ask it for what they lack. A VM that hears from no other one does not wait. A VM that is its own hub only because it reaches no candidate no longer reads as one.

--- a/drivers/peers/codec.cpp
+++ b/drivers/peers/codec.cpp
@@ -200,6 +200,7 @@
     to.set_targets_listed(question.targets.listed);
     to.set_targets_digest(question.targets.digest);
     to.set_closures_revision(question.closures_revision);
+    to.set_read_age_us(age_to_wire(question.read_age));
     to.set_members_source(question.members_source);
     to.set_members_sequence(question.members_sequence);
     to.set_is_idle(question.is_idle);
@@ -218,6 +219,7 @@
     question.targets = {
         from.targets_revision(), from.targets_listed(), from.targets_digest()};
     question.closures_revision = from.closures_revision();
+    question.read_age = age_from_wire(from.read_age_us());
     question.members_source = from.members_source();
     question.members_sequence = from.members_sequence();
     question.is_idle = from.is_idle();
--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -6,10 +6,9 @@
 #include "servers/control/control_status.hpp"
 #include "servers/control/hub_selector.hpp"
 #include "servers/control/member_list_position.hpp"
-#include "servers/control/reading_decision.hpp"
 #include "servers/control/registration.hpp"
 #include "servers/control/returned_hub.hpp"
-#include "servers/control/store_reader.hpp"
+#include "servers/control/store_access.hpp"
 #include "servers/control/sync_server.hpp"
 
 #include <algorithm>
@@ -29,8 +28,13 @@
         Environment& environment, timer_service& timers)
         : environment_(environment), timers_(timers), self_(std::move(self)),
           members_(self_), sync_server_(self_, fleet_state_, members_),
-          reader_(
-              environment, timers, fleet_state_, [this] { state_changed(); }),
+          store_access_(environment, timers, fleet_state_, members_,
+              {[this] { state_changed(); },
+                  [this](sync_relation it) { return make_question(it); },
+                  [this](sync_reply it, time_point requested_at) {
+                      apply_reply(std::move(it), requested_at);
+                      answer_long_polls();
+                  }}),
           registration_(environment, timers, self_, members_, std::move(seeds)),
           returned_hub_(environment, hub_selector_)
     {
@@ -42,7 +46,7 @@
     {
         auto const now = environment_.now();
         started_at_ = now;
-        reading_decision_.start(now);
+        store_access_.start(now);
         log(log_event::control_started,
             {{"vm", self_.vm.text()},
                 {"data_centre", self_.data_centre.text()}});
@@ -101,7 +105,12 @@
         sync_question question, std::function<void(sync_reply)> reply)
     {
         auto const now = environment_.now();
+        if (question.relation == sync_relation::read_notice)
+            return store_access_.answer_notice(std::move(question), reply);
+        if (question.relation == sync_relation::read_request)
+            return reply(sync_server_.make_store_reply(question, now));
         auto const sequence = members_.sequence();
+        store_access_.note_contact(now);
         sync_server_.answer(std::move(question), now, std::move(reply));
         if (members_.sequence() != sequence)
             members_changed();
@@ -119,7 +128,7 @@
         it.targets = fleet_state_.targets().size();
         it.read_age = fleet_state_.read_age(environment_.now());
         it.hub = hub_.text();
-        it.reads_store = reader_.active();
+        it.reads_store = store_access_.active();
         it.members = members_.members();
         return it;
     }
@@ -194,8 +203,9 @@
             hub_ = hub;
             hub_chosen_ = true;
         }
-        reader_.set_active(must_read_store(now));
-        sync_server_.set_store_reached(!reader_.active() || reader_.reached());
+        store_access_.update(self_, find_reading_conditions(now));
+        sync_server_.set_store_reached(
+            !store_access_.active() || store_access_.reached());
         if (!sync_in_flight_ && !sync_scheduled_)
             sync_now();
         exchange_with_hubs();
@@ -206,15 +216,17 @@
                 });
     }
 
-    bool must_read_store(time_point now)
+    reading_conditions find_reading_conditions(time_point now) const
     {
         reading_conditions it;
-        it.ready = fleet_state_.ready();
-        it.reads_for_fleet = is_hub() && is_first_hub();
+        // A VM that reaches no candidate is its own hub as well, but has no
+        // members.
+        it.is_hub = is_hub() &&
+            is_hub_candidate(members_.members(), self_.data_centre, self_.vm);
+        it.reads_for_fleet = it.is_hub && is_first_hub();
         it.serves_members =
-            is_hub() || sync_server_.was_asked_within(max_question_age, now);
-        it.read_age = fleet_state_.read_age(now);
-        return reading_decision_.must_read(it, now);
+            it.is_hub || sync_server_.was_asked_within(max_question_age, now);
+        return it;
     }
 
     /// Whether this is the first data centre by name that has a live VM.
@@ -232,11 +244,11 @@
     void record_own_read_age(time_point now)
     {
         bool const has_tried =
-            reader_.active() && now - started_at_ > max_fresh_read_age;
+            store_access_.active() && now - started_at_ > max_fresh_read_age;
         if (has_tried)
             hub_selector_.note_answer(self_.vm,
-                reader_.reached() ? duration::zero()
-                                  : fleet_state_.read_age(now),
+                store_access_.reached() ? duration::zero()
+                                        : fleet_state_.read_age(now),
                 now);
     }
 
@@ -286,6 +298,7 @@
         question.configuration_version = fleet_state_.document().version;
         question.targets = fleet_state_.targets().position();
         question.closures_revision = fleet_state_.closures().revision;
+        question.read_age = fleet_state_.read_age(environment_.now());
         return question;
     }
 
@@ -315,7 +328,8 @@
             [this, asked_hub = hub_, requested_at = environment_.now(),
                 due = environment_.now() + question.long_poll_timeout +
                     tick_period](sync_reply reply) {
-                note_reply(reply, std::min(due, environment_.now()));
+                store_access_.note_reply(
+                    reply, std::min(due, environment_.now()));
                 handle_hub_reply(asked_hub, std::move(reply), requested_at);
             });
     }
@@ -331,7 +345,7 @@
             schedule_sync(sync_retry_delay);
             return update_hub();
         }
-        reading_decision_.note_hub_contact(now);
+        store_access_.note_hub_contact(now);
         hub_selector_.note_answer(asked_hub, reply.read_age, now);
         if (reply.members)
             hub_members_.advance(reply);
@@ -346,12 +360,6 @@
         update_hub();
     }
 
-    void note_reply(sync_reply const& reply, time_point replied_at)
-    {
-        reading_decision_.note_reply(
-            reply, fleet_state_.document().version, replied_at);
-    }
-
     void apply_reply(sync_reply reply, time_point requested_at)
     {
         bool any_changed = false;
@@ -446,7 +454,7 @@
         } else if (remote_members_[data_centre].is_confirmed_by(reply))
             members_.confirm_listed(data_centre, now);
         sync_server_.add_remote_report(data_centre, reply.others, now);
-        note_reply(reply, requested_at);
+        store_access_.note_reply(reply, requested_at);
         apply_reply(std::move(reply), requested_at);
         answer_long_polls();
     }
@@ -555,11 +563,10 @@
     fleet_state fleet_state_;
     member_table members_;
     sync_server sync_server_;
-    store_reader<Environment> reader_;
+    store_access<Environment> store_access_;
     registration<Environment> registration_;
     hub_selector hub_selector_;
     returned_hub<Environment> returned_hub_;
-    reading_decision reading_decision_;
 
     /// The hub that this VM sends its questions to; empty if it is the hub.
     vm_id hub_;
--- a/servers/control/reading_decision.hpp
+++ b/servers/control/reading_decision.hpp
@@ -2,6 +2,7 @@
 #define POMELOHINGE_SERVERS_CONTROL_READING_DECISION_HPP
 
 #include "servers/control/hub_selector.hpp"
+#include "servers/control/store_turns.hpp"
 #include "servers/exchange/sync.hpp"
 
 namespace pomelohinge {
@@ -11,26 +12,44 @@
 {
     /// It has a configuration and targets.
     bool ready = false;
+    /// It is the hub of its data centre.
+    bool is_hub = false;
     /// It is the hub of the first data centre.
     bool reads_for_fleet = false;
     /// It is a hub, or members have sent it questions recently.
     bool serves_members = false;
     /// Age of the configuration that it holds.
     duration read_age{};
+    /// Used only if `reading_decision::lacks_reads`.
+    turn_place place;
+    read_outcome outcome = read_outcome::pending;
 };
 
 /// Decides whether a VM reads the store: for the whole fleet if it is the hub
 /// of the first data centre, for the VMs that send it questions if the data of
-/// other hubs is stale, and for itself if no hub provides a configuration or
-/// recent data. Thus no VM that reaches the store depends on others for what is
-/// in force.
+/// other hubs is stale, and in turn with the others of its data centre if no
+/// hub provides recent data. A VM that is cut off from all others, or lacks a
+/// configuration, does not wait for its turn.
 class reading_decision
 {
 public:
     void start(time_point now) { hubs_read_at_ = now; }
 
     /// Records that this VM's hub has replied.
-    void note_hub_contact(time_point now) { hub_contact_at_ = now; }
+    void note_hub_contact(time_point now)
+    {
+        hub_contact_at_ = now;
+        turns_.note_contact(now);
+    }
+
+    /// Records that a VM other than this VM's hub has been heard of.
+    void note_contact(time_point now) { turns_.note_contact(now); }
+
+    /// Whether this VM's hub has replied recently.
+    bool has_hub(time_point now) const;
+
+    /// Whether no hub has sent recent data.
+    bool lacks_reads(time_point now) const;
 
     /// Records the reply of a hub to a VM that holds `version`. `replied_at` is
     /// when the hub replied: when its reply arrived, or, if that was late, when
@@ -49,6 +68,7 @@
     /// `store_reached` in the last reply of any hub.
     bool hubs_reach_store_ = true;
     time_point read_until_{};
+    store_turns turns_;
 };
 
 } // namespace pomelohinge
--- a/servers/control/store_reader.hpp
+++ b/servers/control/store_reader.hpp
@@ -5,6 +5,7 @@
 #include "core/timer_service.hpp"
 #include "servers/control/control_environment.hpp"
 #include "servers/control/fleet_state.hpp"
+#include "servers/control/store_turns.hpp"
 
 #include <algorithm>
 
@@ -36,9 +37,9 @@
         if (!active)
             return;
         configuration_.retry_delay = min_retry_delay;
+        outcome_ = read_outcome::pending;
+        lists_due_ = true;
         read_configuration();
-        list_targets();
-        list_closures();
     }
 
     bool active() const { return active_; }
@@ -46,6 +47,9 @@
     /// Whether the last call to the store succeeded.
     bool reached() const { return reached_; }
 
+    /// The result of the last call since this reader became active.
+    read_outcome outcome() const { return outcome_; }
+
 private:
     /// A change must reach all VMs within two seconds, of which up to half a
     /// second passes between the read and the last VM.
@@ -121,13 +125,18 @@
 
     void set_reached(bool reached, store_status status)
     {
-        if (std::exchange(reached_, reached) == reached)
-            return;
-        if (!reached) {
-            log(log_event::store_unreachable, {{"status", to_name(status)}});
-            return;
+        outcome_ = reached ? read_outcome::succeeded : read_outcome::failed;
+        if (std::exchange(reached_, reached) != reached) {
+            if (reached)
+                log(log_event::store_reached);
+            else
+                log(log_event::store_unreachable,
+                    {{"status", to_name(status)}});
         }
-        log(log_event::store_reached);
+        lists_due_ |= !reached;
+        // A call to a store that does not answer is not made three times over.
+        if (!reached || !std::exchange(lists_due_, false))
+            return;
         list_targets();
         list_closures();
     }
@@ -271,6 +280,9 @@
     std::function<void()> on_change_;
     bool active_ = false;
     bool reached_ = true;
+    read_outcome outcome_ = read_outcome::pending;
+    /// Targets and closed data centres are listed when a call succeeds.
+    bool lists_due_ = false;
     /// The last configuration that could not be decoded.
     configuration_document refused_;
     call_state configuration_;
--- a/servers/control/sync_server.cpp
+++ b/servers/control/sync_server.cpp
@@ -66,26 +66,33 @@
         fleet_state_.read_at() - it->second > min_read_interval;
 }
 
-sync_reply sync_server::make_reply(
-    sync_question const& question, time_point now)
+sync_reply sync_server::make_store_reply(
+    sync_question const& question, time_point now) const
 {
     sync_reply reply;
     reply.reached = true;
-    reply.members_source = self_.incarnation;
-    reply.members_sequence = members_.sequence();
-    if (question.members_source != self_.incarnation ||
-        question.members_sequence < members_.sequence())
-        reply.members = members_.members();
     auto const& document = fleet_state_.document();
     reply.configuration.version = document.version;
     if (question.configuration_version < document.version)
         reply.configuration.text = document.text;
     reply.read_age = fleet_state_.read_age(now);
-    replied_reads_[question.from.vm] = fleet_state_.read_at();
     reply.store_reached = store_reached_;
     reply.targets = fleet_state_.targets().changes_after(question.targets);
     if (question.closures_revision < fleet_state_.closures().revision)
         reply.closures = fleet_state_.closures();
+    return reply;
+}
+
+sync_reply sync_server::make_reply(
+    sync_question const& question, time_point now)
+{
+    auto reply = make_store_reply(question, now);
+    reply.members_source = self_.incarnation;
+    reply.members_sequence = members_.sequence();
+    if (question.members_source != self_.incarnation ||
+        question.members_sequence < members_.sequence())
+        reply.members = members_.members();
+    replied_reads_[question.from.vm] = fleet_state_.read_at();
     reply.others =
         reports_.report_for(source_of(question), is_remote(question.relation));
     // A VM without traffic does not use observations of targets.
--- a/servers/control/sync_server.hpp
+++ b/servers/control/sync_server.hpp
@@ -35,6 +35,10 @@
     /// their data ages no further than that of this VM.
     void answer_long_polls(time_point now);
 
+    /// The store's data that the sender of `question` lacks.
+    sync_reply make_store_reply(
+        sync_question const& question, time_point now) const;
+
     /// Stores this VM's own report and returns the sum of the others.
     traffic_report exchange_own_report(traffic_report report, time_point now);
 
--- a/servers/exchange/sync.hpp
+++ b/servers/exchange/sync.hpp
@@ -36,6 +36,12 @@
     member,
     /// A hub to the hub of another data centre.
     hub,
+    /// A VM that reads or tries to read the store, since no hub has recent
+    /// data, to the others of its data centre. Only says what it has.
+    read_notice,
+    /// A VM that lacks what a `read_notice` offers to its sender. The reply has
+    /// the store's data only.
+    read_request,
 };
 
 template <>
@@ -43,6 +49,8 @@
     name_table<sync_relation> = make_name_table<sync_relation>({
         {sync_relation::member, "member"},
         {sync_relation::hub, "hub"},
+        {sync_relation::read_notice, "read_notice"},
+        {sync_relation::read_request, "read_request"},
     });
 static_assert(is_ordered<sync_relation>());
 
@@ -55,6 +63,9 @@
     std::uint64_t configuration_version = 0;
     target_position targets;
     std::uint64_t closures_revision = 0;
+    /// Time since the read of the store that returned this configuration;
+    /// `duration::max()` if there was none.
+    duration read_age = duration::max();
     /// Member list that the sender holds: the incarnation of the hub that sent
     /// it and its sequence number there.
     std::uint64_t members_source = 0;
--- a/servers/membership/hub_order.cpp
+++ b/servers/membership/hub_order.cpp
@@ -32,4 +32,14 @@
     return order;
 }
 
+bool is_hub_candidate(fleet_members const& members,
+    data_centre_id const& data_centre, vm_id const& vm)
+{
+    auto const order = hub_order(members, data_centre);
+    auto const count = std::min(order.size(), max_hub_candidates);
+    return std::any_of(order.begin(),
+        order.begin() + static_cast<std::ptrdiff_t>(count),
+        [&](auto const* it) { return it->record.vm == vm; });
+}
+
 } // namespace pomelohinge
--- a/servers/membership/hub_order.hpp
+++ b/servers/membership/hub_order.hpp
@@ -15,6 +15,10 @@
 std::vector<fleet_member const*> hub_order(
     fleet_members const& members, data_centre_id const& data_centre);
 
+/// Whether `vm` may become the hub of `data_centre`.
+bool is_hub_candidate(fleet_members const& members,
+    data_centre_id const& data_centre, vm_id const& vm);
+
 } // namespace pomelohinge
 
 #endif
