Keep the turn of a VM that has found the store

A VM that had found the store in its turn was often told of its own read by its hub before it checked the outcome. It then stopped after one read, and forgot after 10 s that it reached the store: at 300 VMs, a change missed its 2 s. The outcome is now recorded before the turn ends.

store_load_test passes at 12, 120 and 300 VMs with one bound of 45 calls for every second.

--- a/servers/control/reading_decision.cpp
+++ b/servers/control/reading_decision.cpp
@@ -52,15 +52,14 @@
         !it.ready && now - hub_contact_at_ > initial_hub_timeout;
     bool const is_stale =
         it.read_age > max_fresh_read_age || !hubs_reach_store_;
+    // The data may be recent by now only because of this VM's turn, which must
+    // not end its reads at once.
+    bool const has_found_store = turns_.note_outcome(it.outcome, now);
     bool is_turn = false;
     if (lacks_reads(now))
         is_turn = turns_.must_read(it.place, it.outcome, now);
     else
         turns_.end();
-    // The VMs that this one notifies of its reads make the hubs' data recent,
-    // which must not end the reads at once.
-    bool const has_found_store =
-        is_turn && it.outcome == read_outcome::succeeded;
     if ((it.serves_members && is_stale) || has_found_store)
         read_until_ = now + min_reading_period;
     return lacks_hub || is_turn || now < read_until_ || it.reads_for_fleet;
--- a/servers/control/store_turns.cpp
+++ b/servers/control/store_turns.cpp
@@ -82,6 +82,14 @@
     has_turn_ = false;
 }
 
+bool store_turns::note_outcome(read_outcome outcome, time_point now)
+{
+    bool const has_succeeded = has_turn_ && outcome == read_outcome::succeeded;
+    if (has_succeeded)
+        succeeded_at_ = now;
+    return has_succeeded;
+}
+
 bool store_turns::must_read(
     turn_place const& place, read_outcome outcome, time_point now)
 {
@@ -100,8 +108,7 @@
         succeeded_at_ = {};
         next_turn_ =
             now + std::max(multiply(interval, place.vms), min_turn_period);
-    } else if (has_turn_ && outcome == read_outcome::succeeded)
-        succeeded_at_ = now;
+    }
     has_turn_ = has_turn_ || now >= next_turn_;
     bool const is_cut_off =
         now - began_at_ >= notice_timeout && !has_contact(now);
--- a/servers/control/store_turns.hpp
+++ b/servers/control/store_turns.hpp
@@ -57,6 +57,10 @@
     /// Whether another VM has been heard of recently.
     bool has_contact(time_point now) const;
 
+    /// Records the outcome of the reads of this VM. Returns whether it has its
+    /// turn and has reached the store.
+    bool note_outcome(read_outcome outcome, time_point now);
+
     /// Ends the need to read: a hub has sent recent data.
     void end();
 
--- a/tests/servers/store_turns_test.cpp
+++ b/tests/servers/store_turns_test.cpp
@@ -69,6 +69,7 @@
     for (int n = 0; n < 50; ++n) {
         clock_.advance(100ms);
         turns_.note_contact(clock_.now());
+        EXPECT_TRUE(turns_.note_outcome(read_outcome::succeeded, clock_.now()));
         EXPECT_TRUE(turns_.must_read(
             {12, vms, 1}, read_outcome::succeeded, clock_.now()));
     }
--- a/tests/simulation/store_load_test.cpp
+++ b/tests/simulation/store_load_test.cpp
@@ -11,9 +11,8 @@
 constexpr std::array<char const*, 3> data_centres{"east", "north", "west"};
 /// Time within which a VM that reaches the store must have a new version.
 constexpr duration max_delay = 2s;
-/// Bounds on the calls of the whole fleet to a store that does not answer. They
-/// are the same for each size of the fleet.
-constexpr std::uint64_t max_calls_in_first_second = 80;
+/// Bound on the calls of the whole fleet to a store that does not answer, for
+/// each second and each size of the fleet. Measured: up to 35.
 constexpr std::uint64_t max_calls_per_second = 45;
 
 chart_list load_embedded_charts()
@@ -126,14 +125,12 @@
         return counts;
     }
 
-    /// Expects few calls in each second of an outage. Its first second of calls
-    /// without an answer is that in which VMs find out, the second or third.
+    /// Expects few calls in each second of an outage.
     void expect_few_calls(std::vector<std::uint64_t> const& counts)
     {
         auto const text = testing::PrintToString(counts);
         for (std::size_t n = 0; n < counts.size(); ++n)
-            EXPECT_LE(counts[n],
-                n < 4 ? max_calls_in_first_second : max_calls_per_second)
+            EXPECT_LE(counts[n], max_calls_per_second)
                 << "second " << n << " of " << text;
         RecordProperty("calls", text);
     }
