Order the store's data by era, then revision

The store may be restored from a copy some seconds old: revisions go back and are used again, watches get 410, and what the system wrote is lost. The copy of targets ignored everything until the revisions had caught up, and a VM that started took back what was in force.

The header Store-Era gives the era. VMs tell each other the era with their positions. Hubs register lost VMs again. An answer of an earlier era leaves a write uncertain. A store without the header is used as before. The stand-in store takes back its latest writes and raises the era on POST /restore.

--- a/drivers/peers/codec.cpp
+++ b/drivers/peers/codec.cpp
@@ -144,6 +144,17 @@
     return report;
 }
 
+void fill(wire::Era& to, store_era const& from)
+{
+    to.set_number(from.number);
+    to.set_is_settling(!from.is_settled);
+}
+
+store_era from_wire(wire::Era const& from)
+{
+    return {from.number(), !from.is_settling()};
+}
+
 void fill(wire::Target& to, target_record const& from, time_point now)
 {
     to.set_id(from.id.text());
@@ -181,6 +192,7 @@
     changes.revision = from.revision();
     changes.whole = from.whole();
     changes.listed = from.listed();
+    changes.era = from_wire(from.era());
     for (auto const& it : from.put())
         changes.put.push_back(from_wire(it, now));
     for (auto const& it : from.removed())
@@ -199,7 +211,9 @@
     to.set_targets_revision(question.targets.revision);
     to.set_targets_listed(question.targets.listed);
     to.set_targets_digest(question.targets.digest);
-    to.set_closures_revision(question.closures_revision);
+    fill(*to.mutable_targets_era(), question.targets.era);
+    to.set_closures_revision(question.closures.revision);
+    fill(*to.mutable_closures_era(), question.closures.era);
     to.set_read_age_us(age_to_wire(question.read_age));
     to.set_members_source(question.members_source);
     to.set_members_sequence(question.members_sequence);
@@ -216,9 +230,10 @@
     question.from = from_wire(from.from());
     question.relation = enum_from_wire(from.relation(), sync_relation::member);
     question.configuration_version = from.configuration_version();
-    question.targets = {
-        from.targets_revision(), from.targets_listed(), from.targets_digest()};
-    question.closures_revision = from.closures_revision();
+    question.targets = {from.targets_revision(), from.targets_listed(),
+        from.targets_digest(), from_wire(from.targets_era())};
+    question.closures = {
+        from.closures_revision(), {}, from_wire(from.closures_era())};
     question.read_age = age_from_wire(from.read_age_us());
     question.members_source = from.members_source();
     question.members_sequence = from.members_sequence();
@@ -253,6 +268,7 @@
         changes.set_revision(reply.targets->revision);
         changes.set_whole(reply.targets->whole);
         changes.set_listed(reply.targets->listed);
+        fill(*changes.mutable_era(), reply.targets->era);
         for (auto const& it : reply.targets->put)
             fill(*changes.add_put(), it, now);
         for (auto const& it : reply.targets->removed)
@@ -261,6 +277,7 @@
     if (reply.closures) {
         auto& closures = *to.mutable_closures();
         closures.set_revision(reply.closures->revision);
+        fill(*closures.mutable_era(), reply.closures->era);
         for (auto const& it : reply.closures->closed)
             closures.add_closed(it.text());
     }
@@ -291,6 +308,7 @@
     if (from.has_closures()) {
         reply.closures.emplace();
         reply.closures->revision = from.closures().revision();
+        reply.closures->era = from_wire(from.closures().era());
         for (auto const& it : from.closures().closed())
             reply.closures->closed.emplace_back(it);
     }
--- a/drivers/platform/http_object_store.cpp
+++ b/drivers/platform/http_object_store.cpp
@@ -2,6 +2,7 @@
 
 #include "core/foreign_json.hpp"
 #include "core/log.hpp"
+#include "drivers/http/store_era_header.hpp"
 
 #include <charconv>
 #include <optional>
@@ -94,10 +95,12 @@
     std::string const& name, std::function<void(get_reply)> done)
 {
     http_.start(make_own_call(url_of(name), call_timeout),
-        [name, done = std::move(done)](http_result result) {
+        [this, name, done = std::move(done)](http_result result) {
             get_reply reply;
-            reply.status = status_of(result);
             reply.object.name = name;
+            if (!note_store_era(result, era_))
+                return done(std::move(reply));
+            reply.status = status_of(result);
             bool const absent = result.end == http_end::answered &&
                 result.status == status_not_found;
             if (absent)
@@ -127,7 +130,8 @@
                 return done({store_status::unavailable, 0});
             auto const version =
                 parse_number(find_header(result.headers, version_header));
-            bool const is_uncertain = status == store_status::unavailable ||
+            bool const is_uncertain = !note_store_era(result, era_) ||
+                status == store_status::unavailable ||
                 (status == store_status::done && version == 0);
             if (is_uncertain)
                 return read_back(name, value, expected_version, done);
@@ -159,9 +163,11 @@
     call.method = "DELETE";
     call.headers.push_back({std::string(expected_version_header),
         std::to_string(expected_version)});
-    http_.start(
-        std::move(call), [done = std::move(done)](http_result const& result) {
-            done({status_of(result), 0});
+    http_.start(std::move(call),
+        [this, done = std::move(done)](http_result const& result) {
+            bool const is_current = note_store_era(result, era_);
+            done({is_current ? status_of(result) : store_status::unavailable,
+                0});
         });
 }
 
@@ -172,9 +178,10 @@
             "?since=" + std::to_string(since) +
             "&wait_ms=" + std::to_string(to_milliseconds_rounded_up(wait)),
         wait + watch_timeout_margin);
-    http_.start(
-        std::move(call), [done = std::move(done)](http_result const& result) {
-            done(parse_watch(result));
+    http_.start(std::move(call),
+        [this, done = std::move(done)](http_result const& result) {
+            bool const is_current = note_store_era(result, era_);
+            done(is_current ? parse_watch(result) : watch_reply());
         });
 }
 
--- a/drivers/platform/http_object_store.hpp
+++ b/drivers/platform/http_object_store.hpp
@@ -35,6 +35,9 @@
     void watch(std::string const& prefix, std::uint64_t since, duration wait,
         std::function<void(watch_reply)> done);
 
+    /// The latest era that the store has answered in; 0 if it does not tell.
+    std::uint64_t era() const { return era_; }
+
 private:
     std::string url_of(std::string const& name) const;
     void read_back(std::string const& name, std::string const& value,
@@ -42,6 +45,7 @@
 
     curl_loop& http_;
     std::string address_;
+    std::uint64_t era_ = 0;
 };
 
 static_assert(ObjectStore<http_object_store>);
--- a/drivers/platform/native_store.cpp
+++ b/drivers/platform/native_store.cpp
@@ -47,7 +47,17 @@
 {
     journal_.entries_after(
         revision_, wait, [this, done = std::move(done)](journal_reading it) {
-            done(apply(std::move(it)));
+            auto status = apply(std::move(it));
+            // The revisions of a new era begin anew, so the journal is read
+            // from its start.
+            bool const is_new = revision_era_ < store_.era();
+            bool const has_read = revision_ > 0;
+            revision_era_ = store_.era();
+            if (is_new && has_read && status == store_status::done) {
+                revision_ = 0;
+                return update(duration::zero(), done);
+            }
+            done(status);
         });
 }
 
@@ -57,6 +67,7 @@
     update(duration::zero(), [this, done = std::move(done)](store_status it) {
         configuration_result result;
         result.status = it;
+        result.era = store_.era();
         if (it == store_status::done) {
             result.document = {version_, configuration_text_};
         }
@@ -100,7 +111,7 @@
 {
     update(duration::zero(), [this, done = std::move(done)](store_status it) {
         targets_version_ = version_;
-        done({it, configured_targets()});
+        done({it, configured_targets(), store_.era()});
     });
 }
 
@@ -112,17 +123,17 @@
         [this, returned_version, done = std::move(done)](store_status it) {
             targets_version_ = version_;
             if (returned_version < version_)
-                return done({it, configured_targets()});
+                return done({it, configured_targets(), store_.era()});
             target_changes unchanged;
             unchanged.revision = version_;
-            done({it, std::move(unchanged)});
+            done({it, std::move(unchanged), store_.era()});
         });
 }
 
 void native_store::list_closures(std::function<void(closures_result)> done)
 {
     update(duration::zero(), [this, done = std::move(done)](store_status it) {
-        done({it, configured_closures()});
+        done({it, configured_closures(), store_.era()});
     });
 }
 
--- a/drivers/platform/native_store.hpp
+++ b/drivers/platform/native_store.hpp
@@ -46,6 +46,8 @@
     std::uint64_t version_ = 0;
     /// The store revision up to which the journal has been read.
     std::uint64_t revision_ = 0;
+    /// The era of the store that `revision_` belongs to.
+    std::uint64_t revision_era_ = 0;
     /// The text of `configuration_`; null until the journal has been read.
     std::shared_ptr<std::string const> configuration_text_;
     /// The version of the configuration whose targets were returned last.
@@ -69,6 +71,9 @@
     void write(idempotency_record const& record);
     void remove(idempotency_record const& record);
 
+    /// The latest era that the store has answered in; 0 if it does not tell.
+    std::uint64_t era() const { return store_.era(); }
+
 private:
     void find(std::string const& name,
         std::function<void(record_outcome, idempotency_record)> done);
--- a/main/fleet_platform.hpp
+++ b/main/fleet_platform.hpp
@@ -21,6 +21,9 @@
         record, std::function<void(record_outcome, idempotency_record)>());
     records.write(record);
     records.remove(record);
+    {
+        records.era()
+        } -> std::same_as<std::uint64_t>;
 };
 
 /// The parts that differ between the environments in which the fleet runs:
--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -8,6 +8,7 @@
 #include "drivers/upstream/upstream_client.hpp"
 #include "main/fleet_platform.hpp"
 #include "main/traffic_metrics.hpp"
+#include "servers/idempotency/remembered_records.hpp"
 #include "servers/requests/entry_request.hpp"
 
 #include <asio/executor_work_guard.hpp>
@@ -93,6 +94,8 @@
     {
         policy_ = std::move(next);
         entry_state_.adopt(policy_, now());
+        if (record_client_ != nullptr)
+            record_client_->remembered.set_era(policy_->store);
     }
     void set_read_at(time_point at) { read_at_ = at; }
     /// Records what a target has said of itself to another thread.
@@ -212,20 +215,25 @@
     struct record_client
     {
         record_client(asio::io_context& context, std::string const& address)
-            : http(context), records(http, address)
+            : http(context), records(http, address),
+              remembered(records, [] { return boottime_clock::now(); })
         {
         }
 
         curl_loop http;
         typename Platform::records records;
+        remembered_records<typename Platform::records> remembered;
     };
 
-    typename Platform::records& records()
+    remembered_records<typename Platform::records>& records()
     {
-        if (record_client_ == nullptr)
+        if (record_client_ == nullptr) {
             record_client_ = std::make_unique<record_client>(
                 context_, settings_.platform_address);
-        return record_client_->records;
+            if (policy_ != nullptr)
+                record_client_->remembered.set_era(policy_->store);
+        }
+        return record_client_->remembered;
     }
 
     /// Callers' connections per thread. The rest of the descriptors that the
@@ -360,6 +368,8 @@
         entry_state_.tick(at);
         server_.check_accepting();
         notify_if_report_due();
+        if (record_client_ != nullptr)
+            record_client_->remembered.tick();
         if (at - last_connection_cleanup_at_ >= connection_cleanup_period) {
             last_connection_cleanup_at_ = at;
             upstreams_.close_expired();
--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -297,7 +297,8 @@
         question.relation = relation;
         question.configuration_version = fleet_state_.document().version;
         question.targets = fleet_state_.targets().position();
-        question.closures_revision = fleet_state_.closures().revision;
+        question.closures = {
+            fleet_state_.closures().revision, {}, fleet_state_.closures().era};
         question.read_age = fleet_state_.read_age(environment_.now());
         return question;
     }
@@ -507,6 +508,7 @@
             auto const& closed = fleet_state_.closures().closed;
             next->closed = {closed.begin(), closed.end()};
             next->ready = fleet_state_.ready();
+            next->store = fleet_state_.era();
             next->leaving = self_.standing == vm_standing::leaving;
             next->sequence = policy_ == nullptr ? 1 : policy_->sequence + 1;
             policy_ = next;
@@ -543,6 +545,7 @@
             members_changed();
         remove_unreachable(now);
         registration_.refresh();
+        registration_.restore(fleet_state_.era());
     }
 
     void remove_unreachable(time_point now)
--- a/servers/control/fleet_state.cpp
+++ b/servers/control/fleet_state.cpp
@@ -2,6 +2,7 @@
 
 #include "core/invariant.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace pomelohinge {
@@ -35,8 +36,13 @@
 
 bool fleet_state::apply_closures(data_centre_closures closures)
 {
-    if (closures.revision < closures_.revision)
+    if (closures.is_before(closures_))
         return false;
+    // The store may have lost the closing of a data centre.
+    if (!closures.era.is_settled)
+        for (auto const& it : closures_.closed)
+            if (!std::count(closures.closed.begin(), closures.closed.end(), it))
+                closures.closed.push_back(it);
     bool const changed = closures.closed != closures_.closed;
     closures_ = std::move(closures);
     return changed;
--- a/servers/control/fleet_state.hpp
+++ b/servers/control/fleet_state.hpp
@@ -49,6 +49,8 @@
         return catalogue_;
     }
     data_centre_closures const& closures() const { return closures_; }
+    /// The era of the store that the targets were read in.
+    store_era const& era() const { return targets_.position().era; }
 
     /// Whether the VM can serve requests: it has a configuration and targets.
     bool ready() const { return document_.version > 0 && targets_.has_list(); }
--- a/servers/control/read_notices.hpp
+++ b/servers/control/read_notices.hpp
@@ -73,8 +73,8 @@
     {
         auto const age = fleet_state_.read_age(environment_.now());
         return fleet_state_.lacks_configuration(notice.configuration_version) ||
-            notice.targets.revision > fleet_state_.targets().revision() ||
-            notice.closures_revision > fleet_state_.closures().revision ||
+            fleet_state_.targets().position().is_before(notice.targets) ||
+            fleet_state_.closures().is_before(notice.closures) ||
             (notice.read_age < age && age > max_read_age);
     }
 
--- a/servers/control/registration.hpp
+++ b/servers/control/registration.hpp
@@ -47,6 +47,34 @@
             list_vms();
     }
 
+    /// Registers the live VMs of this data centre again that the store has lost
+    /// in a restore. `era` is the store's era.
+    void restore(store_era const& era)
+    {
+        if (!members_known_ || !era.is_settled || era.number <= restored_era_ ||
+            is_restoring_)
+            return;
+        is_restoring_ = true;
+        environment_.list_vms([this, era](vms_result const& listing) {
+            is_restoring_ = false;
+            if (listing.status != store_status::done)
+                return;
+            restored_era_ = era.number;
+            for (auto const& it : members_.members()) {
+                bool const is_lost = it.alive &&
+                    it.record.data_centre == self_.data_centre &&
+                    !is_listed(listing.vms, it.record);
+                if (is_lost)
+                    environment_.register_vm(
+                        it.record, [this](store_status status) {
+                            // The next call finds what is still missing.
+                            if (status != store_status::done)
+                                restored_era_ = 0;
+                        });
+            }
+        });
+    }
+
 private:
     static constexpr duration min_retry_delay = std::chrono::milliseconds(300);
     static constexpr duration max_retry_delay = std::chrono::milliseconds(2000);
@@ -70,18 +98,19 @@
             if (listing.status != store_status::done)
                 return retry();
             members_.add_listed(listing.vms, environment_.now());
-            if (!is_listed(listing.vms))
+            if (!is_listed(listing.vms, self_))
                 return register_self();
             set_members_known();
         });
     }
 
-    bool is_listed(std::vector<vm_record> const& vms) const
+    static bool is_listed(
+        std::vector<vm_record> const& vms, vm_record const& vm)
     {
         return std::any_of(vms.begin(), vms.end(), [&](auto const& it) {
-            return it.vm == self_.vm && it.data_centre == self_.data_centre &&
-                it.peers_address == self_.peers_address &&
-                it.callers_address == self_.callers_address;
+            return it.vm == vm.vm && it.data_centre == vm.data_centre &&
+                it.peers_address == vm.peers_address &&
+                it.callers_address == vm.callers_address;
         });
     }
 
@@ -150,6 +179,9 @@
     std::function<void()> on_members_known_;
     bool members_known_ = false;
     time_point next_refresh_{};
+    /// Number of the latest era in which the registrations were checked.
+    std::uint64_t restored_era_ = 0;
+    bool is_restoring_ = false;
     duration retry_delay_ = min_retry_delay;
     timer_service::subscription list_timer_;
     timer_service::subscription seeds_timer_;
--- a/servers/control/store_reader.hpp
+++ b/servers/control/store_reader.hpp
@@ -141,6 +141,20 @@
         list_closures();
     }
 
+    /// Lists everything again if the answer is the first one of a new era.
+    bool note_era(store_status status, std::uint64_t number)
+    {
+        bool const is_new = status == store_status::done &&
+            eras_.note(number, fleet_state_.era(), environment_.now());
+        if (!is_new)
+            return false;
+        log(log_event::store_era_changed, {{"era", number}});
+        // A watch in flight ends with a list.
+        next_list_ = environment_.now();
+        lists_due_ = true;
+        return true;
+    }
+
     // The configuration.
 
     void read_configuration()
@@ -150,6 +164,7 @@
         environment_.read_configuration(
             [this, requested_at = environment_.now()](
                 configuration_result result) {
+                note_era(result.status, result.era);
                 if (!end(configuration_, result.status)) {
                     retry_configuration();
                     return on_change_();
@@ -197,13 +212,23 @@
     {
         if (!begin(targets_))
             return;
-        environment_.list_targets([this](targets_result result) {
+        auto const requested_at = environment_.now();
+        environment_.list_targets([this, requested_at](targets_result result) {
             if (!end(targets_, result.status))
                 return;
+            note_era(result.status, result.era);
             auto const pages = 1 + result.changes.put.size() / targets_per_page;
             next_list_ = environment_.now() +
                 list_period * static_cast<duration::rep>(pages);
+            if (requested_at < eras_.settles_at())
+                next_list_ = std::min(next_list_, eras_.settles_at());
+            result.changes.era = eras_.era_of(result.era, requested_at);
+            bool const is_old = result.era < fleet_state_.era().number;
             apply_targets(std::move(result.changes));
+            // Another VM reads a later era, whose revisions mean nothing here.
+            if (is_old)
+                return schedule(
+                    targets_, list_period, [this] { list_targets(); });
             watch_targets();
         });
     }
@@ -245,9 +270,15 @@
         }
         if (!end(targets_, result.status))
             return;
+        // Changes since a revision of another era say nothing of the rest.
+        if (note_era(result.status, result.era) ||
+            result.era > fleet_state_.era().number)
+            return list_targets();
         bool const changed =
             !result.changes.put.empty() || !result.changes.removed.empty();
-        apply_targets(std::move(result.changes));
+        result.changes.era = fleet_state_.era();
+        if (result.era == fleet_state_.era().number)
+            apply_targets(std::move(result.changes));
         if (changed)
             return schedule(
                 targets_, batching_delay, [this] { watch_targets(); });
@@ -260,18 +291,25 @@
     {
         if (!begin(closures_))
             return;
-        environment_.list_closures([this](closures_result result) {
-            if (!end(closures_, result.status))
-                return;
-            schedule(closures_, closures_period, [this] { list_closures(); });
-            auto const revision = result.closures.revision;
-            if (!fleet_state_.apply_closures(std::move(result.closures)))
-                return;
-            log(log_event::closures_changed,
-                {{"revision", revision},
-                    {"closed", fleet_state_.closures().closed.size()}});
-            on_change_();
-        });
+        auto const requested_at = environment_.now();
+        environment_.list_closures(
+            [this, requested_at](closures_result result) {
+                if (!end(closures_, result.status))
+                    return;
+                note_era(result.status, result.era);
+                auto delay = closures_period;
+                if (requested_at < eras_.settles_at())
+                    delay = std::min(delay, eras_.settles_at() - requested_at);
+                schedule(closures_, delay, [this] { list_closures(); });
+                result.closures.era = eras_.era_of(result.era, requested_at);
+                auto const revision = result.closures.revision;
+                if (!fleet_state_.apply_closures(std::move(result.closures)))
+                    return;
+                log(log_event::closures_changed,
+                    {{"revision", revision},
+                        {"closed", fleet_state_.closures().closed.size()}});
+                on_change_();
+            });
     }
 
     Environment& environment_;
@@ -288,6 +326,7 @@
     call_state configuration_;
     call_state targets_;
     call_state closures_;
+    era_tracker eras_;
     /// When the next list of targets is due.
     time_point next_list_{};
 };
--- a/servers/control/store_results.hpp
+++ b/servers/control/store_results.hpp
@@ -34,18 +34,22 @@
 {
     store_status status = store_status::unavailable;
     configuration_document document;
+    /// Number of the store's era; 0 if it is not known.
+    std::uint64_t era = 0;
 };
 
 struct targets_result
 {
     store_status status = store_status::unavailable;
     target_changes changes;
+    std::uint64_t era = 0;
 };
 
 struct closures_result
 {
     store_status status = store_status::unavailable;
     data_centre_closures closures;
+    std::uint64_t era = 0;
 };
 
 struct vms_result
--- a/servers/control/sync_server.cpp
+++ b/servers/control/sync_server.cpp
@@ -52,7 +52,7 @@
 {
     return question.configuration_version < fleet_state_.document().version ||
         fleet_state_.targets().has_changes_after(question.targets) ||
-        question.closures_revision < fleet_state_.closures().revision ||
+        question.closures.is_before(fleet_state_.closures()) ||
         question.members_source != self_.incarnation ||
         question.members_sequence < members_.sequence() ||
         (question.is_idle ? has_newer_read(question)
@@ -78,7 +78,7 @@
     reply.read_age = fleet_state_.read_age(now);
     reply.store_reached = store_reached_;
     reply.targets = fleet_state_.targets().changes_after(question.targets);
-    if (question.closures_revision < fleet_state_.closures().revision)
+    if (question.closures.is_before(fleet_state_.closures()))
         reply.closures = fleet_state_.closures();
     return reply;
 }
--- a/servers/exchange/sync.hpp
+++ b/servers/exchange/sync.hpp
@@ -25,6 +25,12 @@
 {
     std::uint64_t revision = 0;
     std::vector<data_centre_id> closed;
+    store_era era;
+
+    bool is_before(data_centre_closures const& other) const
+    {
+        return std::tie(era, revision) < std::tie(other.era, other.revision);
+    }
 
     friend bool operator==(
         data_centre_closures const&, data_centre_closures const&) = default;
@@ -62,7 +68,8 @@
     sync_relation relation = sync_relation::member;
     std::uint64_t configuration_version = 0;
     target_position targets;
-    std::uint64_t closures_revision = 0;
+    /// Position of its copy of the closed data centres, which are not sent.
+    data_centre_closures closures;
     /// Time since the read of the store that returned this configuration;
     /// `duration::max()` if there was none.
     duration read_age = duration::max();
--- a/servers/requests/policy.hpp
+++ b/servers/requests/policy.hpp
@@ -4,6 +4,7 @@
 #include "config/configuration.hpp"
 #include "servers/membership/vm_record.hpp"
 #include "servers/routing/router.hpp"
+#include "servers/targets/store_era.hpp"
 #include "servers/targets/target_catalogue.hpp"
 
 #include <cstdint>
@@ -39,6 +40,8 @@
     bool ready = false;
     /// The VM is shutting down.
     bool leaving = false;
+    /// The era of the store that the targets were read in.
+    store_era store;
     /// Increases with each snapshot.
     std::uint64_t sequence = 0;
 
--- a/servers/targets/target_mirror.cpp
+++ b/servers/targets/target_mirror.cpp
@@ -15,29 +15,70 @@
 
 bool target_mirror::apply(target_changes changes)
 {
-    if (has_list_ && changes.revision < position_.revision)
-        return false;
-    if (!has_list_ && !changes.whole)
+    if (!has_list_ || position_.era < changes.era)
+        return changes.whole && begin_era(std::move(changes));
+    if (changes.era < position_.era || changes.revision < position_.revision)
         return false;
+    bool const is_settled = position_.era.is_settled;
     auto const listed = changes.listed == 0 ? changes.revision : changes.listed;
-    bool changed = !has_list_;
+    bool changed = false;
     if (changes.whole && listed >= position_.listed) {
-        changed |= remove_unlisted(changes);
+        changed |= is_settled && remove_unlisted(changes);
         position_.listed = listed;
-        if (!has_list_)
-            removals_complete_since_ = changes.revision;
     }
     for (auto& it : changes.put)
-        changed |= put(std::move(it));
+        changed |= changes.whole && !is_settled ? put_unsettled(std::move(it))
+                                                : put(std::move(it));
     for (auto const& it : changes.removed)
         changed |= remove(it, changes.revision);
-    has_list_ = true;
     position_.revision = changes.revision;
     if (changed)
         position_.digest = make_digest();
     return changed;
 }
 
+bool target_mirror::begin_era(target_changes list)
+{
+    bool const undoes_nothing = has_list_ && !list.era.is_settled;
+    if (undoes_nothing)
+        // Any change in the new era is newer.
+        for (auto& [id, it] : records_)
+            it.revision = 0;
+    else
+        records_.clear();
+    removals_.clear();
+    removals_complete_since_ = list.revision;
+    for (auto& it : list.put)
+        if (undoes_nothing)
+            put_unsettled(std::move(it));
+        else
+            put(std::move(it));
+    has_list_ = true;
+    position_.era = list.era;
+    position_.revision = list.revision;
+    position_.listed = list.listed == 0 ? list.revision : list.listed;
+    position_.digest = make_digest();
+    return true;
+}
+
+bool target_mirror::put_unsettled(target_record record)
+{
+    auto const existing = records_.find(record.id);
+    if (existing == records_.end())
+        return false;
+    auto const& held = existing->second;
+    bool const was_written_in_era = held.revision > 0;
+    bool const begins_drain = record.standing == target_standing::draining &&
+        held.standing != target_standing::draining &&
+        record.incarnation >= held.incarnation;
+    bool const is_newer = begins_drain ||
+        record.incarnation > held.incarnation ||
+        (was_written_in_era && record.revision > held.revision);
+    if (is_newer)
+        existing->second = std::move(record);
+    return is_newer;
+}
+
 bool target_mirror::was_removed_after(target_record const& record) const
 {
     return std::any_of(
@@ -100,7 +141,8 @@
 
 bool target_mirror::has_diverged(target_position const& position) const
 {
-    return position.revision == position_.revision &&
+    return position.era == position_.era &&
+        position.revision == position_.revision &&
         position.listed < position_.listed &&
         position.digest != position_.digest;
 }
@@ -108,7 +150,7 @@
 bool target_mirror::has_changes_after(target_position const& position) const
 {
     return has_list_ &&
-        (position.revision < position_.revision || has_diverged(position));
+        (position.is_before(position_) || has_diverged(position));
 }
 
 std::optional<target_changes> target_mirror::changes_after(
@@ -120,7 +162,9 @@
     target_changes changes;
     changes.revision = position_.revision;
     changes.listed = position_.listed;
-    changes.whole = revision < removals_complete_since_ || revision == 0 ||
+    changes.era = position_.era;
+    changes.whole = position.era < position_.era ||
+        revision < removals_complete_since_ || revision == 0 ||
         has_diverged(position);
     for (auto const& [id, it] : records_)
         if (changes.whole || it.revision > revision)
--- a/servers/targets/target_mirror.hpp
+++ b/servers/targets/target_mirror.hpp
@@ -1,11 +1,13 @@
 #ifndef POMELOHINGE_SERVERS_TARGETS_TARGET_MIRROR_HPP
 #define POMELOHINGE_SERVERS_TARGETS_TARGET_MIRROR_HPP
 
+#include "servers/targets/store_era.hpp"
 #include "servers/targets/target_catalogue.hpp"
 
 #include <deque>
 #include <map>
 #include <optional>
+#include <tuple>
 
 namespace pomelohinge {
 
@@ -19,6 +21,13 @@
     std::uint64_t listed = 0;
     /// Hash over all records, independent of their order.
     std::uint64_t digest = 0;
+    /// Positions are ordered by era, then revision.
+    store_era era;
+
+    bool is_before(target_position const& other) const
+    {
+        return std::tie(era, revision) < std::tie(other.era, other.revision);
+    }
 
     friend bool operator==(
         target_position const&, target_position const&) = default;
@@ -36,11 +45,14 @@
     /// For a full list from another VM: the revision at which the store
     /// returned it. Zero for a list read from the store itself.
     std::uint64_t listed = 0;
+    store_era era;
 };
 
 /// This VM's copy of the targets in the store. It is built from a full list and
 /// the changes after it, and computes the changes that another VM lacks. Lists
-/// and changes older than the copy are ignored, so it never reverts.
+/// and changes older than the copy are ignored, so it never reverts. A list of
+/// a later era that has not settled undoes nothing: it neither adds nor removes
+/// targets, and of the others it only tells that they drain or have restarted.
 class target_mirror
 {
 public:
@@ -72,7 +84,11 @@
         target_id id;
     };
 
+    /// Replaces the copy by the list of a later era, or merges both.
+    bool begin_era(target_changes list);
     bool put(target_record record);
+    /// Applies a record of a list of an era that has not settled.
+    bool put_unsettled(target_record record);
     bool remove(target_id const& id, std::uint64_t revision);
     bool remove_unlisted(target_changes const& list);
 
--- a/stand_ins/platform.cpp
+++ b/stand_ins/platform.cpp
@@ -31,7 +31,11 @@
 class platform_server
 {
 public:
-    platform_server(asio::io_context& context) : context_(context) {}
+    /// With `era` 0, answers do not tell the era.
+    platform_server(asio::io_context& context, std::uint64_t era)
+        : context_(context), era_(era)
+    {
+    }
 
     restinio::request_handling_status_t handle(request_handle request)
     {
@@ -39,6 +43,8 @@
         std::string const path(request->header().path());
         if (path == "/fault")
             return set_fault(*request);
+        if (path == "/restore")
+            return restore(*request);
         if (path == "/calls")
             return answer(*request, 200, std::to_string(calls_));
         if (fault_ == platform_fault::absent)
@@ -68,6 +74,8 @@
             restinio::http_status_code_t(static_cast<std::uint16_t>(status)),
             "Status"));
         response.append_header("Object-Version", std::to_string(version));
+        if (era_ > 0)
+            response.append_header("Store-Era", std::to_string(era_));
         return response.set_body(std::move(body)).done();
     }
 
@@ -89,6 +97,17 @@
         return answer(request, 200, "ok");
     }
 
+    /// Restores the objects from a copy whose age in milliseconds is the body
+    /// of the request.
+    restinio::request_handling_status_t restore(restinio::request_t& request)
+    {
+        auto const age = std::chrono::milliseconds(std::stoull(request.body()));
+        state_.restore(std::chrono::steady_clock::now() - age);
+        ++era_;
+        answer_watches();
+        return answer(request, 200, "ok");
+    }
+
     void serve(request_handle request, std::string const& path)
     {
         constexpr std::string_view objects = "/objects/";
@@ -207,6 +226,8 @@
 
     asio::io_context& context_;
     platform_state state_;
+    /// How often the objects have been restored, plus the first era.
+    std::uint64_t era_;
     platform_fault fault_ = platform_fault::none;
     std::uint64_t calls_ = 0;
     std::uint64_t last_watch_ = 0;
@@ -214,11 +235,11 @@
     std::vector<restinio::request_handle_t> unanswered_;
 };
 
-int run(std::string const& address)
+int run(std::string const& address, std::uint64_t era)
 {
     auto const colon = address.rfind(':');
     asio::io_context context(1);
-    platform_server handler(context);
+    platform_server handler(context, era);
     restinio::server_settings_t<server_traits> settings;
     settings.address(address.substr(0, colon))
         .port(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))))
@@ -244,7 +265,10 @@
         "stand_in_platform", "Stand-in for the platform's object service");
     options.add_options()("address", "Address to listen on",
         cxxopts::value<std::string>()->default_value("127.0.0.1:9000"),
-        "IP:PORT");
+        "IP:PORT")("era",
+        "First value of the header Store-Era; 0 sends none until a restore",
+        cxxopts::value<std::uint64_t>()->default_value("0"), "N");
     auto const parsed = options.parse(argc, argv);
-    return pomelohinge::stand_ins::run(parsed["address"].as<std::string>());
+    return pomelohinge::stand_ins::run(
+        parsed["address"].as<std::string>(), parsed["era"].as<std::uint64_t>());
 }
--- a/stand_ins/platform_state.hpp
+++ b/stand_ins/platform_state.hpp
@@ -3,7 +3,9 @@
 
 #include "core/name_table.hpp"
 
+#include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -67,6 +69,7 @@
         auto const current = it == objects_.end() ? 0 : it->second.version;
         if (current != expected)
             return std::nullopt;
+        record_write(name);
         objects_[name] = {++revision_, std::move(value)};
         return revision_;
     }
@@ -78,6 +81,7 @@
         auto const it = objects_.find(name);
         if (it == objects_.end() || it->second.version != expected)
             return false;
+        record_write(name);
         objects_.erase(it);
         ++revision_;
         return true;
@@ -105,9 +109,48 @@
 
     std::uint64_t revision() const { return revision_; }
 
+    /// Takes back all writes since `time`, as a restore from a copy of that age
+    /// does. The revision goes back and is used again.
+    void restore(std::chrono::steady_clock::time_point time)
+    {
+        while (!writes_.empty() && writes_.back().at >= time) {
+            auto& it = writes_.back();
+            if (it.previous)
+                objects_[it.name] = std::move(*it.previous);
+            else
+                objects_.erase(it.name);
+            revision_ = it.revision;
+            writes_.pop_back();
+        }
+    }
+
 private:
+    /// What a write has replaced.
+    struct past_write
+    {
+        std::chrono::steady_clock::time_point at;
+        std::string name;
+        std::optional<object> previous;
+        std::uint64_t revision = 0;
+    };
+
+    /// Age up to which writes can be taken back.
+    static constexpr std::chrono::seconds max_write_age{60};
+
+    void record_write(std::string const& name)
+    {
+        auto const now = std::chrono::steady_clock::now();
+        while (!writes_.empty() && now - writes_.front().at > max_write_age)
+            writes_.pop_front();
+        auto const it = objects_.find(name);
+        writes_.push_back({now, name,
+            it == objects_.end() ? std::nullopt : std::optional(it->second),
+            revision_});
+    }
+
     std::map<std::string, object> objects_;
     std::uint64_t revision_ = 0;
+    std::deque<past_write> writes_;
 };
 
 } // namespace pomelohinge::stand_ins
--- a/tests/drivers/codec_test.cpp
+++ b/tests/drivers/codec_test.cpp
@@ -211,6 +211,27 @@
     EXPECT_EQ(it.report.suspects.front().age, std::chrono::milliseconds(30));
 }
 
+/// Guards against a VM that takes data of an earlier era for the latest one.
+TEST_F(codec_test, eras_of_targets_and_closures_are_read_back)
+{
+    auto asked = question();
+    asked.targets.era = {7, false};
+    asked.closures = {12, {}, {6, true}};
+    asked.read_age = std::chrono::milliseconds(40);
+    auto const it = from_wire(to_wire(asked));
+    EXPECT_EQ(it.targets, asked.targets);
+    EXPECT_EQ(it.closures, asked.closures);
+    EXPECT_EQ(it.read_age, asked.read_age);
+    auto replied = reply();
+    replied.targets->era = {7, true};
+    replied.closures->era = {8, false};
+    auto const read = from_wire(to_wire(replied, now_), now_);
+    EXPECT_EQ(read.targets->era, replied.targets->era);
+    EXPECT_EQ(read.closures, replied.closures);
+    // Messages of a version without eras have none.
+    EXPECT_EQ(from_wire(wire::SyncQuestion()).targets.era, store_era());
+}
+
 TEST_F(codec_test, question_of_mutated_bytes_stays_in_bounds)
 {
     auto const sound = to_wire(question()).SerializeAsString();
--- a/tests/process/stand_in_platform_test.py
+++ b/tests/process/stand_in_platform_test.py
@@ -66,6 +66,23 @@
         self.assertEqual(self.write(connection, "DELETE", first)[0], 409)
         self.assertEqual(self.write(connection, "DELETE", second)[0], 200)
 
+    def test_restore_takes_back_the_latest_writes_and_raises_the_era(self):
+        self.fleet.start_platform()
+        connection = self.connect()
+        _, first = self.write(connection, "PUT", "0")
+        time.sleep(0.4)
+        _, second = self.write(connection, "PUT", first)
+        self.assertNotEqual(first, second)
+        self.assertEqual(
+            self.call(connection, "POST", "/restore", "300"), "ok")
+        connection.request("GET", "/objects/records/a")
+        answer = connection.getresponse()
+        answer.read()
+        self.assertEqual(answer.headers["Object-Version"], first)
+        self.assertEqual(answer.headers["Store-Era"], "1")
+        # The revision is used again.
+        self.assertEqual(self.write(connection, "PUT", first), (200, second))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/simulation/fake_store.hpp
+++ b/tests/simulation/fake_store.hpp
@@ -10,11 +10,27 @@
 
 namespace pomelohinge::simulation {
 
+/// What a restore from an older copy takes back.
+struct fake_store_contents
+{
+    std::uint64_t revision_ = 10;
+    std::uint64_t version_ = 0;
+    std::map<target_id, target_record> targets_;
+    /// The revision of the last change of each target, removed ones included.
+    std::map<target_id, std::uint64_t> change_revisions_;
+    std::set<data_centre_id> closed_;
+    std::map<vm_id, vm_record> vms_;
+    /// By organisation and idempotency key.
+    std::map<std::string, idempotency_record> records_;
+};
+
 /// The platform's store in virtual time, with injected faults: it can be
 /// unavailable for some VMs, slow or unresponsive, and its watches can stall
 /// and then lose their history.
-class fake_store
+class fake_store : private fake_store_contents
 {
+    using contents = fake_store_contents;
+
 public:
     static constexpr duration min_answer_delay = std::chrono::milliseconds(4);
     /// A call that the store does not answer fails after this.
@@ -30,7 +46,7 @@
         ++revision_;
     }
 
-    configuration const& current() const { return versions_.rbegin()->second; }
+    configuration const& current() const { return versions_.at(version_); }
     std::uint64_t version() const { return version_; }
 
     configuration const* at_version(std::uint64_t version) const
@@ -66,6 +82,24 @@
             closed_.erase(data_centre_id(data_centre));
     }
 
+    /// Keeps a copy of all objects for `restore`.
+    void take_copy() { copy_ = static_cast<contents const&>(*this); }
+
+    /// Restores the store from the copy: revisions go back, and the era that
+    /// its answers tell increases.
+    void restore()
+    {
+        static_cast<contents&>(*this) = copy_;
+        ++era_;
+    }
+
+    /// The number in `Store-Era`; 0 if the store does not send the header.
+    void set_era(std::uint64_t era) { era_ = era; }
+
+    std::uint64_t era() const { return era_; }
+
+    std::map<vm_id, vm_record> const& vms() const { return vms_; }
+
     // Injected faults.
 
     void set_unavailable_for(std::set<std::string> vms)
@@ -102,7 +136,8 @@
                 return done({});
             done({store_status::done,
                 {version_,
-                    std::make_shared<std::string>(std::to_string(version_))}});
+                    std::make_shared<std::string>(std::to_string(version_))},
+                era_});
         });
     }
 
@@ -113,7 +148,7 @@
             if (!reached)
                 return done({});
             targets_result result{
-                store_status::done, {revision_, true, {}, {}}};
+                store_status::done, {revision_, true, {}, {}}, era_};
             for (auto const& [id, it] : targets_)
                 result.changes.put.push_back(it);
             done(std::move(result));
@@ -135,7 +170,7 @@
             if (!reached)
                 return done({});
             done({store_status::done,
-                {revision_, {closed_.begin(), closed_.end()}}});
+                {revision_, {closed_.begin(), closed_.end()}}, era_});
         });
     }
 
@@ -231,13 +266,16 @@
             watch_poll_period, [this, vm, revision, deadline, done] {
                 if (unresponsive_ || is_unavailable_for(vm))
                     return done({});
-                if (!watch_stalled_ && revision < history_start_)
-                    return done({store_status::history_gone, {}});
+                bool const is_gone = !watch_stalled_ &&
+                    (revision < history_start_ || revision > revision_);
+                if (is_gone)
+                    return done({store_status::history_gone, {}, era_});
                 auto result = changes_after(revision);
                 bool const has_changes = !result.changes.put.empty() ||
                     !result.changes.removed.empty();
                 if (watch_stalled_)
-                    result = {store_status::done, {revision_, false, {}, {}}};
+                    result = {
+                        store_status::done, {revision_, false, {}, {}}, era_};
                 if ((has_changes && !watch_stalled_) ||
                     simulator_.now() >= deadline)
                     return done(std::move(result));
@@ -248,7 +286,8 @@
     /// The targets put and removed after `revision`.
     targets_result changes_after(std::uint64_t revision) const
     {
-        targets_result result{store_status::done, {revision_, false, {}, {}}};
+        targets_result result{
+            store_status::done, {revision_, false, {}, {}}, era_};
         for (auto const& [id, at] : change_revisions_) {
             if (at <= revision)
                 continue;
@@ -262,16 +301,10 @@
     }
 
     event_simulator& simulator_;
-    std::uint64_t revision_ = 10;
-    std::uint64_t version_ = 0;
+    contents copy_;
+    std::uint64_t era_ = 0;
+    /// Contains versions that a restore took back, which VMs may still hold.
     std::map<std::uint64_t, configuration> versions_;
-    std::map<target_id, target_record> targets_;
-    /// The revision of the last change of each target, removed ones included.
-    std::map<target_id, std::uint64_t> change_revisions_;
-    std::set<data_centre_id> closed_;
-    std::map<vm_id, vm_record> vms_;
-    /// By organisation and idempotency key.
-    std::map<std::string, idempotency_record> records_;
     std::set<std::string> unavailable_for_;
     bool unresponsive_ = false;
     bool watch_stalled_ = false;
--- a/tests/simulation/fake_vm.hpp
+++ b/tests/simulation/fake_vm.hpp
@@ -5,6 +5,7 @@
 #include "core/timer_service.hpp"
 #include "servers/control/control_plane.hpp"
 #include "servers/entries/entry_answer.hpp"
+#include "servers/idempotency/remembered_records.hpp"
 #include "servers/requests/entry_request.hpp"
 #include "tests/simulation/fake_store.hpp"
 #include "tests/simulation/fake_target.hpp"
@@ -177,6 +178,7 @@
     {
         policy_ = next;
         entry_state_.adopt(next, now());
+        records_.set_era(next->store);
     }
     void set_read_at(time_point at) { read_at_ = at; }
     void distribute_report(traffic_report const& report)
@@ -228,21 +230,42 @@
     void create_record(idempotency_record const& record,
         std::function<void(record_outcome, idempotency_record)> done)
     {
-        fleet_.store.create_record(name_, record,
-            [this, done](record_outcome result, idempotency_record found) {
-                post([done, result, found] { done(result, found); });
-            });
+        records_.create(record, done);
     }
     void write_record(idempotency_record const& record)
     {
-        fleet_.store.write_record(name_, record);
+        records_.write(record);
     }
     void remove_record(idempotency_record const& record)
     {
-        fleet_.store.remove_record(name_, record);
+        records_.remove(record);
     }
 
 private:
+    /// The client of this VM for records in the store.
+    struct record_client
+    {
+        fake_vm& vm;
+
+        void create(idempotency_record const& record,
+            std::function<void(record_outcome, idempotency_record)> done)
+        {
+            vm.fleet_.store.create_record(vm.name_, record,
+                [this, done](record_outcome result, idempotency_record found) {
+                    vm.post([done, result, found] { done(result, found); });
+                });
+        }
+        void write(idempotency_record const& record)
+        {
+            vm.fleet_.store.write_record(vm.name_, record);
+        }
+        void remove(idempotency_record const& record)
+        {
+            vm.fleet_.store.remove_record(vm.name_, record);
+        }
+        std::uint64_t era() const { return vm.fleet_.store.era(); }
+    };
+
     using vm_request = entry_request<fake_vm>;
 
     static constexpr duration sync_timeout = std::chrono::milliseconds(500);
@@ -335,6 +358,7 @@
         if (now() >= next_tick_) {
             next_tick_ = now() + tick_period;
             entry_state_.tick(now());
+            records_.tick();
         }
         after(timer_period, [this] { run_timers(); });
     }
@@ -351,6 +375,10 @@
     time_point read_at_{};
     time_point next_tick_{};
     std::uint64_t last_attempt_ = 0;
+    record_client record_client_{*this};
+    remembered_records<record_client> records_{record_client_, [this] {
+                                                   return now();
+                                               }};
     std::set<std::uint64_t> cancelled_;
     control_plane<fake_vm> control_plane_;
 };
