--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -173,7 +173,7 @@
     {log_event::connections_limited, 208, log_level::warning},
     {log_event::answer_skipped, 209, log_level::warning},
     {log_event::store_list_refused, 220, log_level::warning},
-    {log_event::store_era_changed, 221, log_level::info},
+    {log_event::store_era_changed, 405, log_level::info},
     {log_event::http_answer_too_large, 221, log_level::warning},
     {log_event::http_socket_refused, 222, log_level::warning},
     {log_event::configuration_applied, 300, log_level::info},
