Restore the store under running VMs in a process test

Two VMs in each of two data centres, with the native store. A key that was withdrawn just before the restore stays withdrawn, no VM's version goes back, and a change after the operators have written again arrives.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -101,6 +101,8 @@
         self.platform = platform
         self.log_level = log_level
         self.traffic_threads = traffic_threads
+        #: First value of `Store-Era`; 0 for a store that does not send it.
+        self.platform_era = 0
         #: Further settings of all VMs.
         self.settings: dict[str, Any] = {}
         self.vms: dict[str, Vm] = {}
@@ -141,7 +143,8 @@
 
     def start_platform(self) -> None:
         self.platform_process = self._start(
-            "platform", "stand_in_platform", "--address", self.platform)
+            "platform", "stand_in_platform", "--address", self.platform,
+            "--era", str(self.platform_era))
         self.wait_for("the platform", lambda: bool(
             http(f"http://{self.platform}/calls")), 10)
 
