Play restores of the store in the soak

In a third of the plans the store is absent for up to 1.5 s and comes back from a copy of 1 to 5 s before, in a new era; a second later the configuration is applied again. The draws are separate, so that the other faults of recorded seeds stay.

--- a/soak/injector.py
+++ b/soak/injector.py
@@ -23,6 +23,10 @@
 #: Period at which the end of a process is looked for.
 STOP_POLL_S = 0.05
 
+#: Age of the copy that the store is restored from, and the time after which
+#: the operators write again what was lost.
+MIN_COPY_AGE_S, MAX_COPY_AGE_S, REWRITE_DELAY_S = 1, 5, 1.0
+
 
 class Injector:
     """Starts and ends faults at their times, all in the calling thread."""
@@ -299,6 +303,18 @@
                           lambda: self.fleet.set_platform_fault(event.mode),
                           lambda: self.fleet.set_platform_fault("none"))
 
+    def _store_restored(self, event: Event) -> None:
+        def restore() -> None:
+            self.fleet.restore_platform(
+                MIN_COPY_AGE_S + event.subject % MAX_COPY_AGE_S)
+            self.fleet.set_platform_fault("none")
+            # The operators write again what the store has lost.
+            self._schedule(self._now_s + REWRITE_DELAY_S,
+                           lambda: self._reconfigure(event.subject))
+        self._start_fault("store", event,
+                          lambda: self.fleet.set_platform_fault("absent"),
+                          restore)
+
     def _store_link(self, event: Event) -> None:
         self._start_link_fault(event, self._store_links)
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -27,6 +27,8 @@
     UPSTREAM_LINK = "upstream_link"
     STORE_MISBEHAVES = "store_misbehaves"
     STORE_LINK = "store_link"
+    #: The store is absent and comes back from a copy of some seconds before.
+    STORE_RESTORED = "store_restored"
     CONFIGURATION_CHANGED = "configuration_changed"
     DATA_CENTRE_CLOSED = "data_centre_closed"
 
@@ -118,6 +120,18 @@
             for _ in range(rng.randint(0, 3))]
 
 
+def _draw_restores(seed: int, end_s: float) -> list[Event]:
+    """Returns restores of the store, in every third plan. They have draws of
+    their own for the same reason."""
+    rng = random.Random(f"{seed} restores")
+    if rng.randrange(3) > 0:
+        return []
+    return [Event(rng.uniform(FAULT_FREE_START_S, end_s - 1),
+                  Fault.STORE_RESTORED, rng.randrange(1000),
+                  rng.uniform(0, 1.5))
+            for _ in range(rng.randint(1, 2))]
+
+
 def make_plan(seed: int, duration_s: float = 30,
               vms_per_data_centre: int = 0) -> Plan:
     """Returns the plan of a seed.
@@ -132,7 +146,8 @@
     upstreams_per_data_centre = rng.randint(1, 3)
     end_s = duration_s - FAULT_FREE_END_S
     drawn = [it for it in Fault
-             if it not in (Fault.VM_SIGNALLED, Fault.UPSTREAM_REPEATS)]
+             if it not in (Fault.VM_SIGNALLED, Fault.UPSTREAM_REPEATS,
+                           Fault.STORE_RESTORED)]
     kinds = rng.sample(drawn, rng.randint(2, 6))
     events = []
     for fault in kinds:
@@ -146,6 +161,7 @@
                 break
     events += _draw_signals(seed, end_s)
     events += _draw_repeats(seed, end_s)
+    events += _draw_restores(seed, end_s)
     events.sort(key=lambda it: it.start_s)
     return Plan(seed, vms_per_data_centre, upstreams_per_data_centre,
                 duration_s, rng.choice((40.0, 90.0, 150.0)), tuple(events))
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -88,6 +88,7 @@
     with fleets.Fleet(build, run_dir) as fleet:
         for path in fleet.run_dir.glob("*"):
             path.unlink()
+        fleet.platform_era = 1
         fleet.add_vms(list(DATA_CENTRES), plan.vms_per_data_centre)
         for service, port in (("booking", 9100), ("counter", 9200)):
             fleet.add_upstreams(service, list(DATA_CENTRES),
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -275,6 +275,10 @@
     def set_platform_fault(self, fault: str) -> None:
         http(f"http://{self.platform}/fault", fault)
 
+    def restore_platform(self, age_s: float) -> None:
+        """Takes back the latest writes to the store and raises its era."""
+        http(f"http://{self.platform}/restore", str(int(age_s * 1000)))
+
     # Results.
 
     def start_callers(self, scenario: dict[str, Any],
