--- a/servers/control/store_reader.hpp
+++ b/servers/control/store_reader.hpp
@@ -5,6 +5,7 @@
 #include "core/timer_service.hpp"
 #include "servers/control/control_environment.hpp"
 #include "servers/control/fleet_state.hpp"
+#include "servers/control/store_turns.hpp"
 
 #include <algorithm>
 
@@ -36,9 +37,9 @@
         if (!active)
             return;
         configuration_.retry_delay = min_retry_delay;
+        outcome_ = read_outcome::pending;
+        lists_due_ = true;
         read_configuration();
-        list_targets();
-        list_closures();
     }
 
     bool active() const { return active_; }
@@ -46,6 +47,9 @@
     /// Whether the last call to the store succeeded.
     bool reached() const { return reached_; }
 
+    /// The result of the last call since this reader became active.
+    read_outcome outcome() const { return outcome_; }
+
 private:
     /// A change must reach all VMs within two seconds, of which up to half a
     /// second passes between the read and the last VM.
@@ -121,17 +125,36 @@
 
     void set_reached(bool reached, store_status status)
     {
-        if (std::exchange(reached_, reached) == reached)
-            return;
-        if (!reached) {
-            log(log_event::store_unreachable, {{"status", to_name(status)}});
-            return;
+        outcome_ = reached ? read_outcome::succeeded : read_outcome::failed;
+        if (std::exchange(reached_, reached) != reached) {
+            if (reached)
+                log(log_event::store_reached);
+            else
+                log(log_event::store_unreachable,
+                    {{"status", to_name(status)}});
         }
-        log(log_event::store_reached);
+        lists_due_ |= !reached;
+        // A call to a store that does not answer is not made three times over.
+        if (!reached || !std::exchange(lists_due_, false))
+            return;
         list_targets();
         list_closures();
     }
 
+    /// Lists everything again if the answer is the first one of a new era.
+    bool note_era(store_status status, std::uint64_t number)
+    {
+        bool const is_new = status == store_status::done &&
+            eras_.note(number, fleet_state_.era(), environment_.now());
+        if (!is_new)
+            return false;
+        log(log_event::store_era_changed, {{"era", number}});
+        // A watch in flight ends with a list.
+        next_list_ = environment_.now();
+        lists_due_ = true;
+        return true;
+    }
+
     // The configuration.
 
     void read_configuration()
@@ -141,6 +164,7 @@
         environment_.read_configuration(
             [this, requested_at = environment_.now()](
                 configuration_result result) {
+                note_era(result.status, result.era);
                 if (!end(configuration_, result.status)) {
                     retry_configuration();
                     return on_change_();
@@ -188,13 +212,23 @@
     {
         if (!begin(targets_))
             return;
-        environment_.list_targets([this](targets_result result) {
+        auto const requested_at = environment_.now();
+        environment_.list_targets([this, requested_at](targets_result result) {
             if (!end(targets_, result.status))
                 return;
+            note_era(result.status, result.era);
             auto const pages = 1 + result.changes.put.size() / targets_per_page;
             next_list_ = environment_.now() +
                 list_period * static_cast<duration::rep>(pages);
+            if (requested_at < eras_.settles_at())
+                next_list_ = std::min(next_list_, eras_.settles_at());
+            result.changes.era = eras_.era_of(result.era, requested_at);
+            bool const is_old = result.era < fleet_state_.era().number;
             apply_targets(std::move(result.changes));
+            // Another VM reads a later era, whose revisions mean nothing here.
+            if (is_old)
+                return schedule(
+                    targets_, list_period, [this] { list_targets(); });
             watch_targets();
         });
     }
@@ -236,9 +270,15 @@
         }
         if (!end(targets_, result.status))
             return;
+        // Changes since a revision of another era say nothing of the rest.
+        if (note_era(result.status, result.era) ||
+            result.era > fleet_state_.era().number)
+            return list_targets();
         bool const changed =
             !result.changes.put.empty() || !result.changes.removed.empty();
-        apply_targets(std::move(result.changes));
+        result.changes.era = fleet_state_.era();
+        if (result.era == fleet_state_.era().number)
+            apply_targets(std::move(result.changes));
         if (changed)
             return schedule(
                 targets_, batching_delay, [this] { watch_targets(); });
@@ -251,18 +291,25 @@
     {
         if (!begin(closures_))
             return;
-        environment_.list_closures([this](closures_result result) {
-            if (!end(closures_, result.status))
-                return;
-            schedule(closures_, closures_period, [this] { list_closures(); });
-            auto const revision = result.closures.revision;
-            if (!fleet_state_.apply_closures(std::move(result.closures)))
-                return;
-            log(log_event::closures_changed,
-                {{"revision", revision},
-                    {"closed", fleet_state_.closures().closed.size()}});
-            on_change_();
-        });
+        auto const requested_at = environment_.now();
+        environment_.list_closures(
+            [this, requested_at](closures_result result) {
+                if (!end(closures_, result.status))
+                    return;
+                note_era(result.status, result.era);
+                auto delay = closures_period;
+                if (requested_at < eras_.settles_at())
+                    delay = std::min(delay, eras_.settles_at() - requested_at);
+                schedule(closures_, delay, [this] { list_closures(); });
+                result.closures.era = eras_.era_of(result.era, requested_at);
+                auto const revision = result.closures.revision;
+                if (!fleet_state_.apply_closures(std::move(result.closures)))
+                    return;
+                log(log_event::closures_changed,
+                    {{"revision", revision},
+                        {"closed", fleet_state_.closures().closed.size()}});
+                on_change_();
+            });
     }
 
     Environment& environment_;
@@ -271,11 +318,15 @@
     std::function<void()> on_change_;
     bool active_ = false;
     bool reached_ = true;
+    read_outcome outcome_ = read_outcome::pending;
+    /// Targets and closed data centres are listed when a call succeeds.
+    bool lists_due_ = false;
     /// The last configuration that could not be decoded.
     configuration_document refused_;
     call_state configuration_;
     call_state targets_;
     call_state closures_;
+    era_tracker eras_;
     /// When the next list of targets is due.
     time_point next_list_{};
 };
--- a/servers/control/sync_server.cpp
+++ b/servers/control/sync_server.cpp
@@ -63,7 +63,7 @@
 {
     return question.configuration_version < fleet_state_.document().version ||
         fleet_state_.targets().has_changes_after(question.targets) ||
-        question.closures_revision < fleet_state_.closures().revision ||
+        question.closures.is_before(fleet_state_.closures()) ||
         question.members_source != self_.incarnation ||
         question.members_sequence < members_.sequence() ||
         (question.is_idle ? has_newer_read(question)
@@ -77,22 +77,29 @@
         fleet_state_.read_at() - it->second > min_read_interval;
 }
 
-sync_reply sync_server::make_reply(
-    sync_question const& question, time_point now)
+sync_reply sync_server::make_store_reply(
+    sync_question const& question, time_point now) const
 {
     sync_reply reply;
     reply.reached = true;
-    write_members(question, reply);
     auto const& document = fleet_state_.document();
     reply.configuration.version = document.version;
     if (question.configuration_version < document.version)
         reply.configuration.text = document.text;
     reply.read_age = fleet_state_.read_age(now);
-    replied_reads_[question.from.vm] = fleet_state_.read_at();
     reply.store_reached = store_reached_;
     reply.targets = fleet_state_.targets().changes_after(question.targets);
-    if (question.closures_revision < fleet_state_.closures().revision)
+    if (question.closures.is_before(fleet_state_.closures()))
         reply.closures = fleet_state_.closures();
+    return reply;
+}
+
+sync_reply sync_server::make_reply(
+    sync_question const& question, time_point now)
+{
+    auto reply = make_store_reply(question, now);
+    replied_reads_[question.from.vm] = fleet_state_.read_at();
+    write_members(question, reply);
     write_others(question, reply, now);
     return reply;
 }
