--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -1,4 +1,6 @@
+#include "charts/chart_list.hpp"
 #include "config/configuration.hpp"
+#include "servers/dispatch/dispatcher.hpp"
 #include "servers/exchange/fleet_reports.hpp"
 #include "servers/limits/organisation_limits.hpp"
 #include "servers/membership/hub_order.hpp"
@@ -92,6 +94,79 @@
 }
 BENCHMARK(exchange_reports)->Arg(4)->Arg(16)->Arg(64);
 
+/// Returns a policy with this number of targets of one service.
+policy_pointer make_policy(std::int64_t targets)
+{
+    auto next = std::make_shared<policy>();
+    next->index = std::make_shared<configuration_index>(configuration(), 1);
+    std::vector<target_record> records;
+    for (std::int64_t it = 0; it < targets; ++it) {
+        target_record record;
+        record.id = target_id("t" + std::to_string(it));
+        record.service = service_id("shop");
+        record.data_centre = data_centre_id("dc");
+        record.address = "10.0.0.1:" + std::to_string(it);
+        record.slots = 6;
+        records.push_back(record);
+    }
+    next->targets = std::make_shared<target_catalogue>(records, 1);
+    next->members = std::make_shared<fleet_members>();
+    next->ready = true;
+    return next;
+}
+
+/// Chooses a target for a request and records its answer, with a third of the
+/// targets failing and others sending as well.
+void place_request(benchmark::State& state, placement_mode mode)
+{
+    findings found("charts");
+    auto const charts = std::move(*load_charts("", found));
+    dispatcher subject(charts.target, vm_id("vm"), data_centre_id("dc"), 1,
+        [](std::string const&) { return true; });
+    subject.set_floor(0.7);
+    subject.set_placement({mode});
+    time_point now{std::chrono::hours(1)};
+    subject.adopt(make_policy(state.range(0)), now);
+    traffic_report others;
+    others.entries = 12;
+    others.load = 1000;
+    for (std::int64_t it = 0; it < state.range(0); ++it)
+        others.targets["t" + std::to_string(it)] =
+            it % 3 == 0 ? target_report{1, 0, 3, 0} : target_report{3, 3, 0, 0};
+    auto const report_every = 50;
+    std::int64_t n = 0;
+    for (auto _ : state) {
+        now += std::chrono::milliseconds(4);
+        if (n++ % report_every == 0) {
+            state.PauseTiming();
+            subject.tick(now);
+            subject.take_reports();
+            subject.apply_report(others, now);
+            state.ResumeTiming();
+        }
+        placement_request request;
+        request.service = service_id("shop");
+        request.route = route_id(n % 2 == 0 ? "short" : "long");
+        request.priority = n % 2;
+        request.retryable = n % 2 != 0;
+        request.goal_at = now + std::chrono::seconds(1);
+        request.deadline_at = now + std::chrono::seconds(2);
+        request.start_deadline = now + std::chrono::milliseconds(500);
+        auto const decided = subject.submit(
+            std::move(request), [](placement_decision) {}, now);
+        auto const* const decision = std::get_if<placement_decision>(&decided);
+        if (decision != nullptr && std::holds_alternative<placement>(*decision))
+            subject.attempt_ended(std::get<placement>(*decision).target,
+                attempt_result::answered, std::chrono::milliseconds(300), now);
+    }
+}
+BENCHMARK_CAPTURE(place_request, earliest, placement_mode::earliest)
+    ->Arg(64)
+    ->Arg(400);
+BENCHMARK_CAPTURE(place_request, by_deadline, placement_mode::by_deadline)
+    ->Arg(64)
+    ->Arg(400);
+
 } // namespace
 } // namespace pomelohinge
 
--- a/servers/dispatch/deadline_placement.cpp
+++ b/servers/dispatch/deadline_placement.cpp
@@ -130,7 +130,8 @@
     it.slots = target.record().slots;
     it.in_flight = target.in_flight();
     it.accepts_requests = target.accepts_requests();
-    it.free_slots = owner.can_take(target, {}, now) ? it.slots - in_use : 0;
+    it.free_slots =
+        owner.can_take(target, untried_, now) ? it.slots - in_use : 0;
     it.free_slots_known_elsewhere = std::clamp<std::int64_t>(
         it.slots - target.in_flight_elsewhere() - target.reported_in_flight(),
         0, it.free_slots);
@@ -141,8 +142,10 @@
     it.last_failed = health.last_failed();
     it.is_confirmed = health.is_confirmed(baseline);
     it.recovery_delay = health.recovery_delay(baseline);
-    it.unobserved_for = reduced(health.last_observed_at());
-    it.unused_for = reduced(target.last_reached_at());
+    if (it.state != target_state::trusted || it.last_failed)
+        it.unobserved_for = reduced(health.last_observed_at());
+    if (!it.in_use)
+        it.unused_for = reduced(target.last_reached_at());
     return it;
 }
 
@@ -163,8 +166,9 @@
         now);
 }
 
-request_view dispatcher::deadline_rules::view_of(service_state const& service,
-    placement_request const& request, time_point now) const
+request_view dispatcher::deadline_rules::view_of(
+    placement_request const& request,
+    std::optional<std::int64_t> starved_priority) const
 {
     request_view it;
     it.route = request.route;
@@ -174,7 +178,7 @@
     bool const has_times = request.deadline_at != time_point{};
     it.goal_at = has_times ? request.goal_at : request.start_deadline;
     it.deadline_at = has_times ? request.deadline_at : request.start_deadline;
-    it.is_starved = service.queue.starved(now) == request.priority;
+    it.is_starved = starved_priority == request.priority;
     return it;
 }
 
@@ -203,7 +207,7 @@
     service_state& service, placement_request const& request, time_point now)
 {
     describe(owner, service, now);
-    auto view = view_of(service, request, now);
+    auto view = view_of(request, service.queue.starved(now));
     view.ahead = count_ahead(service, entry_of(view, now), now);
     view.is_next = view.ahead == 0;
     return choose_described(owner, service, request, view);
@@ -236,7 +240,7 @@
 dispatcher::admission dispatcher::deadline_rules::admit(dispatcher& owner,
     service_state& service, placement_request const& request, time_point now)
 {
-    auto view = view_of(service, request, now);
+    auto view = view_of(request, service.queue.starved(now));
     auto const entry = entry_of(view, now);
     view.ahead = count_ahead(service, entry, now);
     if (decision_.chance_in_time(view) >= min_chance)
@@ -254,12 +258,13 @@
     describe(owner, service, now);
     std::size_t ahead = 0;
     bool is_next = true;
-    auto const key = order_key(service.queue.starved(now), now);
+    auto const starved = service.queue.starved(now);
+    auto const key = order_key(starved, now);
     for (auto const& it : service.queue.ordered_by(key)) {
         if (!decision_.has_room())
             return;
         auto const& request = owner.queued_requests_.at(it.id).request;
-        auto view = view_of(service, request, now);
+        auto view = view_of(request, starved);
         view.ahead = ahead;
         view.is_next = is_next;
         auto const chosen = choose_described(owner, service, request, view);
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -340,8 +340,8 @@
             dispatcher& owner, service_state& service, time_point now);
         target_view view_of(dispatcher& owner, traffic_target& target,
             service_baseline const& baseline, time_point now) const;
-        request_view view_of(service_state const& service,
-            placement_request const& request, time_point now) const;
+        request_view view_of(placement_request const& request,
+            std::optional<std::int64_t> starved_priority) const;
         wait_queue::entry entry_of(
             request_view const& request, time_point now) const;
         std::size_t count_ahead(service_state const& service,
@@ -351,6 +351,8 @@
 
         deadline_choice decision_;
         std::vector<target_view> views_;
+        /// A request that excludes no target.
+        placement_request untried_;
         excluded_targets excluded_;
     };
     friend struct earliest_rules;
--- a/servers/dispatch/request_queueing.cpp
+++ b/servers/dispatch/request_queueing.cpp
@@ -75,7 +75,7 @@
     decision_callback on_decision, time_point now)
 {
     static_assert(PlacementRules<Rules, dispatcher, service_state,
-        placement_request, choice, admission>);
+        placement_request, traffic_target, choice, admission>);
     rules.arrived(service, request, now);
     if (rules.is_first(service, request, now))
         if (auto const it = rules.choose(*this, service, request, now);
--- a/servers/queueing/deadline_choice.cpp
+++ b/servers/queueing/deadline_choice.cpp
@@ -1,6 +1,7 @@
 #include "servers/queueing/deadline_choice.hpp"
 
 #include <cmath>
+#include <utility>
 
 namespace pomelohinge {
 namespace {
@@ -96,15 +97,15 @@
             failure_probability < probe_threshold);
 }
 
-void deadline_choice::set_targets(std::vector<target_view> const& targets,
+void deadline_choice::set_targets(std::vector<target_view>& targets,
     service_load const& load, service_view const& service, time_point now)
 {
-    targets_ = targets;
+    targets_.swap(targets);
     load_ = &load;
     service_ = service;
     now_ = now;
     summarise();
-    find_special_targets();
+    has_special_targets_ = false;
 }
 
 void deadline_choice::take(std::size_t position)
@@ -124,7 +125,7 @@
     } else {
         ++own_untrusted_;
     }
-    find_special_targets();
+    has_special_targets_ = false;
 }
 
 void deadline_choice::summarise()
@@ -244,6 +245,8 @@
 
 void deadline_choice::find_special_targets()
 {
+    if (std::exchange(has_special_targets_, true))
+        return;
     probe_.reset();
     costly_probe_.reset();
     floor_target_.reset();
@@ -423,12 +426,15 @@
 }
 
 /// Expected cost of a target whose slots all know to be free: others may take
-/// them before requests from here are known there. Slots that came free here
-/// are not known to the others yet.
+/// them before requests from here are known there, the less the nearer it is on
+/// the circle. Slots that came free here are not known to the others yet.
 double deadline_choice::collision_cost(target_view const& it) const
 {
-    bool const is_known = it.free_slots <= it.free_slots_known_elsewhere;
-    return is_known ? max_collision_cost * std::min(1.0, crowding_) : 0;
+    if (it.free_slots > it.free_slots_known_elsewhere)
+        return 0;
+    return max_collision_cost * std::min(1.0, crowding_) +
+        max_affinity_cost * std::min(1.0, crowding_ / crowded) *
+        it.affinity_cost;
 }
 
 double deadline_choice::cost_of(target_view const& it,
@@ -437,10 +443,7 @@
     std::uniform_real_distribution<double> draw(0, min_noise);
     bool const probes =
         request.retryable && it.failure_probability < probe_threshold;
-    return it.load + collision_cost(it) +
-        max_affinity_cost * std::min(1.0, crowding_ / crowded) *
-        it.affinity_cost +
-        (it.local ? 0 : distance_cost) +
+    return it.load + collision_cost(it) + (it.local ? 0 : distance_cost) +
         (probes ? -it.failure_probability
                 : failure_cost * it.failure_probability) +
         draw(random);
--- a/servers/queueing/deadline_choice.hpp
+++ b/servers/queueing/deadline_choice.hpp
@@ -117,8 +117,9 @@
 class deadline_choice
 {
 public:
-    /// Sets the targets; a decision refers to them by index.
-    void set_targets(std::vector<target_view> const& targets,
+    /// Sets the targets; a decision refers to them by index. `targets` gets the
+    /// previous ones, so that their memory is used again.
+    void set_targets(std::vector<target_view>& targets,
         service_load const& load, service_view const& service, time_point now);
 
     /// Records that a request goes to the target at `position`.
@@ -131,6 +132,7 @@
         excluded_targets const& excluded, Connected const& connected,
         std::mt19937_64& random)
     {
+        find_special_targets();
         if (!request.is_retry) {
             if (auto const it = choose_probe(request))
                 return it;
@@ -158,8 +160,9 @@
     time_point latest_start(request_view const& request, time_point at) const;
 
     /// Whether any request can get a target now.
-    bool has_room() const
+    bool has_room()
     {
+        find_special_targets();
         return free_trusted_ > 0 || probe_ || costly_probe_ || floor_target_ ||
             untrusted_;
     }
@@ -229,6 +232,7 @@
     static constexpr double connect_cost = 0.05;
 
     std::vector<target_view> targets_;
+    bool has_special_targets_ = false;
     service_view service_;
     service_load const* load_ = nullptr;
     time_point now_{};
--- a/servers/queueing/placement_rules.hpp
+++ b/servers/queueing/placement_rules.hpp
@@ -10,11 +10,13 @@
 /// The rules by which a dispatcher chooses targets, admits requests to its
 /// queues and serves them; one type for each `placement_mode`. `choose` returns
 /// a target or none, `admit` queues a request without a target or rejects it,
-/// and `serve` gives targets to the queued requests of a service.
+/// and `serve` gives targets to the queued requests of a service. `arrived`
+/// records a request, and `shed` that a target has shed one; it returns whether
+/// that only means that the target is full.
 template <class Rules, class Dispatcher, class Service, class Request,
-    class Choice, class Admission>
+    class Target, class Choice, class Admission>
 concept PlacementRules = requires(Rules& rules, Dispatcher& dispatcher,
-    Service& service, Request const& request, time_point now)
+    Service& service, Request const& request, Target& target, time_point now)
 {
     rules.arrived(service, request, now);
     {
@@ -27,6 +29,9 @@
         rules.admit(dispatcher, service, request, now)
         } -> std::same_as<Admission>;
     rules.serve(dispatcher, service, now);
+    {
+        rules.shed(service, target, now)
+        } -> std::same_as<bool>;
 };
 
 } // namespace pomelohinge
--- a/tests/servers/placement_load_test.cpp
+++ b/tests/servers/placement_load_test.cpp
@@ -26,13 +26,15 @@
 class placement_load_test : public testing::TestWithParam<load_case>
 {
 protected:
-    placement_world make(placement_mode mode, duration failing_for = 6s) const
+    placement_world make(placement_mode mode, duration failing_for = 6s,
+        double failing_share = 0.3) const
     {
         placement_world_settings settings;
         settings.mode = mode;
         settings.seed = GetParam().seed;
         settings.vms = GetParam().vms;
         settings.failing_for = failing_for;
+        settings.failing_share = failing_share;
         return placement_world(settings);
     }
 
@@ -103,6 +105,43 @@
         placement_world::floor);
 }
 
+TEST_P(placement_load_test, idle_service_is_served_as_before)
+{
+    for (auto const mode :
+        {placement_mode::earliest, placement_mode::by_deadline}) {
+        auto world = make(mode, 6s, 0);
+        world.run({settle(0.1), query(0.1)}, 30s);
+        for (auto const* route : {"credit-settle", "credit-query"}) {
+            auto const it = world.result(route);
+            EXPECT_GE(it.goal_share(), 0.995) << describe(world);
+            EXPECT_LE(it.shed, 0.05 * it.attempts) << describe(world);
+        }
+    }
+}
+
+/// Refusals that come late keep their callers from trying elsewhere.
+TEST_P(placement_load_test, refusals_on_a_loaded_day_come_at_once)
+{
+    auto const world = run_loaded_day(placement_mode::by_deadline);
+    for (auto const* route : {"credit-settle", "credit-query"}) {
+        auto const it = world.result(route);
+        EXPECT_LE(it.late_refusals, 0.03 * it.sent) << describe(world);
+    }
+}
+
+/// Requests of the least urgent kind got nothing while urgent ones alone would
+/// have filled all slots.
+TEST_P(placement_load_test, least_urgent_requests_are_not_starved)
+{
+    auto world = make(placement_mode::by_deadline, 0s);
+    world.run({settle(12), query(1)}, 30s);
+    auto const urgent = world.result("credit-settle");
+    auto const other = world.result("credit-query");
+    EXPECT_GE(
+        other.goal_share() + other.late / other.sent, 0.2 * urgent.goal_share())
+        << describe(world);
+}
+
 INSTANTIATE_TEST_SUITE_P(fleets, placement_load_test,
     testing::Values(load_case{12, 1}, load_case{34, 2}),
     [](auto const& it) { return fmt::format("vms_{}", it.param.vms); });
