Prefer local targets while free slots are crowded

The preference of a thread for near targets exceeded the cost of another data centre, so that requests would have left their own.

--- a/servers/queueing/deadline_choice.cpp
+++ b/servers/queueing/deadline_choice.cpp
@@ -1,5 +1,6 @@
 #include "servers/queueing/deadline_choice.hpp"
 
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -155,24 +156,30 @@
         std::max(free_known_elsewhere_, 1.0);
 }
 
-/// Threads and targets stand evenly on a circle, trusted targets on one and the
-/// others on another. A thread prefers targets that are near it.
+/// Threads and targets stand evenly on circles: one of the trusted targets
+/// here, one of those in other data centres, and the same of the others. A
+/// thread prefers targets that are near it.
 void deadline_choice::set_affinities()
 {
-    for (bool const trusted : {true, false}) {
-        auto const is_on_circle = [&](target_view const& it) {
-            return it.accepts_requests && it.is_trusted() == trusted;
-        };
-        auto const n = static_cast<double>(
-            std::count_if(targets_.begin(), targets_.end(), is_on_circle));
+    struct circle
+    {
+        double targets = 0;
         double rank = 0.5;
-        for (auto& it : targets_) {
-            if (!is_on_circle(it))
-                continue;
-            auto const distance =
-                std::abs(rank++ / n - service_.circle_position);
-            it.affinity_cost = 2 * std::min(distance, 1 - distance);
-        }
+    };
+    std::array<circle, 4> circles;
+    auto const circle_of = [&](target_view const& it) -> circle& {
+        return circles[(it.is_trusted() ? 2U : 0U) + (it.local ? 1U : 0U)];
+    };
+    for (auto const& it : targets_)
+        if (it.accepts_requests)
+            ++circle_of(it).targets;
+    for (auto& it : targets_) {
+        if (!it.accepts_requests)
+            continue;
+        auto& on = circle_of(it);
+        auto const distance =
+            std::abs(on.rank++ / on.targets - service_.circle_position);
+        it.affinity_cost = 2 * std::min(distance, 1 - distance);
     }
 }
 
@@ -448,7 +455,10 @@
     std::uniform_real_distribution<double> draw(0, min_noise);
     bool const probes =
         request.retryable && it.failure_probability < probe_threshold;
-    return it.load + collision_cost(it) + (it.local ? 0 : distance_cost) +
+    // No local target costs more than one elsewhere because others prefer it.
+    auto const remote_cost = distance_cost +
+        (max_collision_cost + max_affinity_cost) * std::min(1.0, crowding_);
+    return it.load + collision_cost(it) + (it.local ? 0 : remote_cost) +
         (probes ? -it.failure_probability
                 : failure_cost * it.failure_probability) +
         draw(random);
--- a/tests/servers/deadline_choice_test.cpp
+++ b/tests/servers/deadline_choice_test.cpp
@@ -257,6 +257,21 @@
     EXPECT_NE(first->position, second->position);
 }
 
+/// The preference for near targets exceeded the cost of the other data centre.
+TEST_F(deadline_choice_test, local_target_is_preferred_while_crowded)
+{
+    add_known(1);
+    for (int it = 0; it < 8; ++it)
+        add_known(1).local = false;
+    load_.add_report(200, now_);
+    for (auto const position : {0.1, 0.4, 0.9}) {
+        service_.circle_position = position;
+        auto const it = choose(short_request());
+        ASSERT_TRUE(it);
+        EXPECT_EQ(it->position, 0);
+    }
+}
+
 TEST_F(deadline_choice_test, thread_that_has_its_part_of_crowded_slots_waits)
 {
     for (int it = 0; it < 8; ++it)
