--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -307,6 +307,7 @@
     {
         void arrived(service_state&, placement_request const&, time_point) {}
         bool shed(service_state&, traffic_target&, time_point) { return false; }
+        bool counts_as_served(traffic_target const&) const { return true; }
         bool is_first(service_state const& service,
             placement_request const& request, time_point now) const;
         choice choose(dispatcher& owner, service_state& service,
@@ -324,6 +325,12 @@
             time_point now);
         bool shed(
             service_state& service, traffic_target& target, time_point now);
+        /// A priority of which only requests to targets that may fail are left
+        /// is starved as well.
+        bool counts_as_served(traffic_target const& target) const
+        {
+            return target.health().state() == target_state::trusted;
+        }
         bool is_first(
             service_state const&, placement_request const&, time_point) const
         {
@@ -340,17 +347,20 @@
             dispatcher& owner, service_state& service, time_point now);
         target_view view_of(dispatcher& owner, traffic_target& target,
             service_baseline const& baseline, time_point now) const;
-        request_view view_of(service_state const& service,
-            placement_request const& request, time_point now) const;
+        request_view view_of(placement_request const& request,
+            std::optional<std::int64_t> starved_priority) const;
         wait_queue::entry entry_of(
             request_view const& request, time_point now) const;
         std::size_t count_ahead(service_state const& service,
-            wait_queue::entry const& entry, time_point now) const;
+            wait_queue::entry const& entry, std::optional<std::int64_t> starved,
+            time_point now) const;
         choice choose_described(dispatcher& owner, service_state& service,
             placement_request const& request, request_view const& view);
 
         deadline_choice decision_;
         std::vector<target_view> views_;
+        /// A request that excludes no target.
+        placement_request untried_;
         excluded_targets excluded_;
     };
     friend struct earliest_rules;
--- a/servers/queueing/deadline_choice.cpp
+++ b/servers/queueing/deadline_choice.cpp
@@ -1,6 +1,8 @@
 #include "servers/queueing/deadline_choice.hpp"
 
+#include <array>
 #include <cmath>
+#include <utility>
 
 namespace pomelohinge {
 namespace {
@@ -20,13 +22,13 @@
 constexpr double max_collision_cost = 2;
 
 /// Range of the cost by which each thread prefers other targets than the others
-/// do, while free slots are crowded. It then mostly takes slots that it has
-/// freed itself. With random costs instead, more requests were shed.
-constexpr double max_affinity_cost = 2;
+/// do, while free slots are crowded. It exceeds all differences of load: with a
+/// range of 2, many threads sent to the target that had become free last.
+constexpr double max_affinity_cost = 20;
 
 /// The same, as a part of the chance of success at targets that are not
 /// trusted.
-constexpr double max_affinity_chance = 0.5;
+constexpr double max_affinity_chance = 1;
 
 /// Assumed holding time of a service until one is measured.
 constexpr duration assumed_holding = std::chrono::milliseconds(250);
@@ -57,9 +59,6 @@
 /// those find a free slot that have less than their part.
 constexpr double divided_part = 0.9;
 
-/// A thread may exceed its part of the slots by a fraction of one.
-constexpr double rounding = 0.5;
-
 /// Standard deviations of the number of slots that more urgent requests need
 /// which are kept free for them.
 constexpr double kept_deviations = 1;
@@ -96,15 +95,15 @@
             failure_probability < probe_threshold);
 }
 
-void deadline_choice::set_targets(std::vector<target_view> const& targets,
+void deadline_choice::set_targets(std::vector<target_view>& targets,
     service_load const& load, service_view const& service, time_point now)
 {
-    targets_ = targets;
+    targets_.swap(targets);
     load_ = &load;
     service_ = service;
     now_ = now;
     summarise();
-    find_special_targets();
+    has_special_targets_ = false;
 }
 
 void deadline_choice::take(std::size_t position)
@@ -124,7 +123,7 @@
     } else {
         ++own_untrusted_;
     }
-    find_special_targets();
+    has_special_targets_ = false;
 }
 
 void deadline_choice::summarise()
@@ -157,24 +156,30 @@
         std::max(free_known_elsewhere_, 1.0);
 }
 
-/// Threads and targets stand evenly on a circle, trusted targets on one and the
-/// others on another. A thread prefers targets that are near it.
+/// Threads and targets stand evenly on circles: one of the trusted targets
+/// here, one of those in other data centres, and the same of the others. A
+/// thread prefers targets that are near it.
 void deadline_choice::set_affinities()
 {
-    for (bool const trusted : {true, false}) {
-        auto const is_on_circle = [&](target_view const& it) {
-            return it.accepts_requests && it.is_trusted() == trusted;
-        };
-        auto const n = static_cast<double>(
-            std::count_if(targets_.begin(), targets_.end(), is_on_circle));
+    struct circle
+    {
+        double targets = 0;
         double rank = 0.5;
-        for (auto& it : targets_) {
-            if (!is_on_circle(it))
-                continue;
-            auto const distance =
-                std::abs(rank++ / n - service_.circle_position);
-            it.affinity_cost = 2 * std::min(distance, 1 - distance);
-        }
+    };
+    std::array<circle, 4> circles;
+    auto const circle_of = [&](target_view const& it) -> circle& {
+        return circles[(it.is_trusted() ? 2U : 0U) + (it.local ? 1U : 0U)];
+    };
+    for (auto const& it : targets_)
+        if (it.accepts_requests)
+            ++circle_of(it).targets;
+    for (auto& it : targets_) {
+        if (!it.accepts_requests)
+            continue;
+        auto& on = circle_of(it);
+        auto const distance =
+            std::abs(on.rank++ / on.targets - service_.circle_position);
+        it.affinity_cost = 2 * std::min(distance, 1 - distance);
     }
 }
 
@@ -193,8 +198,15 @@
 
 bool deadline_choice::is_probe_due(target_view const& it, bool retryable) const
 {
-    if (!it.is_idle || it.free_slots <= 0 || it.is_trusted())
+    if (it.free_slots <= 0 || it.is_trusted())
         return false;
+    // One answer of a target that failed is not enough to trust it. The next
+    // requests follow at once, or a target that works again has no load for
+    // seconds.
+    if (!it.is_idle)
+        return false;
+    if (retryable && !it.last_failed)
+        return it.unobserved_for >= duration::zero();
     if (retryable) {
         auto const delay = it.is_confirmed
             ? it.recovery_delay / repeatable_probe_divisor
@@ -244,6 +256,8 @@
 
 void deadline_choice::find_special_targets()
 {
+    if (std::exchange(has_special_targets_, true))
+        return;
     probe_.reset();
     costly_probe_.reset();
     floor_target_.reset();
@@ -266,7 +280,7 @@
     };
     auto const chance = [&](std::size_t at) {
         return first_success_chance(targets_[at]) -
-            max_affinity_chance * std::min(1.0, crowding_ / crowded) *
+            max_affinity_chance * std::min(1.0, crowding_) *
             targets_[at].affinity_cost -
             (targets_[at].local ? 0 : distance_cost);
     };
@@ -349,7 +363,8 @@
     if (!is_crowded())
         return true;
     auto const slots = own_part(trusted_slots_);
-    return own_trusted_ + rounding + kept_free(request, slots, 1) <= slots;
+    return own_trusted_ + 1 + kept_free(request, slots, 1) <=
+        slots + service_.rounding;
 }
 
 double deadline_choice::slots_per_second(request_view const& request) const
@@ -415,7 +430,8 @@
     if (!untrusted_ || contains(excluded, *untrusted_) ||
         !(targets_[*untrusted_].local || trusted_slots_ == 0) ||
         (is_crowded() &&
-            own_untrusted_ + rounding > own_part(untrusted_slots_)) ||
+            own_untrusted_ + 1 >
+                own_part(untrusted_slots_) + service_.rounding) ||
         first_success_chance(targets_[*untrusted_]) <=
             chance_of_waiting(request))
         return std::nullopt;
@@ -423,12 +439,14 @@
 }
 
 /// Expected cost of a target whose slots all know to be free: others may take
-/// them before requests from here are known there. Slots that came free here
-/// are not known to the others yet.
+/// them before requests from here are known there, the less the nearer it is on
+/// the circle. Slots that came free here are not known to the others yet.
 double deadline_choice::collision_cost(target_view const& it) const
 {
-    bool const is_known = it.free_slots <= it.free_slots_known_elsewhere;
-    return is_known ? max_collision_cost * std::min(1.0, crowding_) : 0;
+    if (it.free_slots > it.free_slots_known_elsewhere)
+        return 0;
+    return (max_collision_cost + max_affinity_cost * it.affinity_cost) *
+        std::min(1.0, crowding_);
 }
 
 double deadline_choice::cost_of(target_view const& it,
@@ -437,10 +455,10 @@
     std::uniform_real_distribution<double> draw(0, min_noise);
     bool const probes =
         request.retryable && it.failure_probability < probe_threshold;
-    return it.load + collision_cost(it) +
-        max_affinity_cost * std::min(1.0, crowding_ / crowded) *
-        it.affinity_cost +
-        (it.local ? 0 : distance_cost) +
+    // No local target costs more than one elsewhere because others prefer it.
+    auto const remote_cost = distance_cost +
+        (max_collision_cost + max_affinity_cost) * std::min(1.0, crowding_);
+    return it.load + collision_cost(it) + (it.local ? 0 : remote_cost) +
         (probes ? -it.failure_probability
                 : failure_cost * it.failure_probability) +
         draw(random);
--- a/servers/queueing/deadline_choice.hpp
+++ b/servers/queueing/deadline_choice.hpp
@@ -65,6 +65,10 @@
     double failing_share = 0;
     /// This thread's part of the fleet's requests, 0 to 1.
     double share = 1;
+    /// Part of a slot, 0 to 1, that a thread may exceed its part of the slots
+    /// by. It differs between threads and changes with time, so that parts of
+    /// one slot or two are used as well.
+    double rounding = 0;
     /// Place of this thread among those that send to the same targets, 0 to 1.
     double circle_position = 0;
     /// No VM of this data centre takes requests, so those of others probe.
@@ -117,8 +121,9 @@
 class deadline_choice
 {
 public:
-    /// Sets the targets; a decision refers to them by index.
-    void set_targets(std::vector<target_view> const& targets,
+    /// Sets the targets; a decision refers to them by index. `targets` gets the
+    /// previous ones, so that their memory is used again.
+    void set_targets(std::vector<target_view>& targets,
         service_load const& load, service_view const& service, time_point now);
 
     /// Records that a request goes to the target at `position`.
@@ -131,6 +136,7 @@
         excluded_targets const& excluded, Connected const& connected,
         std::mt19937_64& random)
     {
+        find_special_targets();
         if (!request.is_retry) {
             if (auto const it = choose_probe(request))
                 return it;
@@ -158,8 +164,9 @@
     time_point latest_start(request_view const& request, time_point at) const;
 
     /// Whether any request can get a target now.
-    bool has_room() const
+    bool has_room()
     {
+        find_special_targets();
         return free_trusted_ > 0 || probe_ || costly_probe_ || floor_target_ ||
             untrusted_;
     }
@@ -229,6 +236,7 @@
     static constexpr double connect_cost = 0.05;
 
     std::vector<target_view> targets_;
+    bool has_special_targets_ = false;
     service_view service_;
     service_load const* load_ = nullptr;
     time_point now_{};
