Decide by capacity and price which requests leave their data centre

Cause: a constant in the cost of a target decided, per request, whether it goes to another data centre. Data centres that were all short sent to each other, and nothing knew what the bytes cost.

Change: with settings transfer each traffic thread plans, every period, from reported loads by service and data centre which part of its requests may leave and where to (servers/transfer). A plan depends on what callers send, not on what was transferred. A request leaves if its gain in probability of being served, times its value, exceeds the price of its bytes as measured by route. Shares move gradually; without contact an equal part of the last known free slots decays to zero. Hubs send the loads with their reports, also as changes. Absent: the constant.

--- a/config/settings.cpp
+++ b/config/settings.cpp
@@ -32,6 +32,9 @@
 /// Limits on the budget for reports to other data centres. With less than the
 /// minimum nothing but the headers would be sent.
 constexpr double min_remote_bytes = 1000;
+constexpr double max_price_per_mb = 1e6;
+constexpr std::int64_t min_transfer_period_ms = 50;
+constexpr std::int64_t max_transfer_period_ms = 10'000;
 constexpr double max_remote_bytes = 1e9;
 constexpr double max_memory_mb = 1e6;
 
@@ -195,6 +198,21 @@
     reader.finish();
 }
 
+void read_transfer(
+    json_document const& document, findings& found, settings& out)
+{
+    object_reader reader(document, "/transfer", found);
+    transfer_settings it;
+    read_number(
+        reader, "price_per_mb", it.price_per_mb, {0, max_price_per_mb}, out);
+    std::int64_t period_ms = to_milliseconds(it.period);
+    reader.integer("period_ms", period_ms, min_transfer_period_ms,
+        max_transfer_period_ms, presence::optional);
+    it.period = std::chrono::milliseconds(period_ms);
+    reader.finish();
+    out.transfers = it;
+}
+
 void read_limits(json_document const& document, findings& found, settings& out)
 {
     object_reader reader(document, "/limits", found);
@@ -237,7 +255,8 @@
     leave_out_taken_addresses(out);
     reader.integer("traffic_threads", out.traffic_threads, 1,
         max_traffic_threads, presence::optional);
-    for (auto const* it : {"log", "limits", "machine", "bounds", "exchange"})
+    for (auto const* it :
+        {"log", "limits", "machine", "bounds", "exchange", "transfer"})
         reader.allow(it);
     reader.finish();
     if (reader.has("log"))
@@ -250,6 +269,8 @@
         read_bounds(*document, found, out);
     if (reader.has("exchange"))
         read_exchange(*document, found, out);
+    if (reader.has("transfer"))
+        read_transfer(*document, found, out);
     if (found.items().size() != before)
         return std::nullopt;
     return out;
--- a/config/settings.hpp
+++ b/config/settings.hpp
@@ -2,6 +2,7 @@
 #define POMELOHINGE_CONFIG_SETTINGS_HPP
 
 #include "config/fleet_bounds.hpp"
+#include "config/transfer_settings.hpp"
 #include "core/clock.hpp"
 #include "core/findings.hpp"
 #include "core/identifiers.hpp"
@@ -56,6 +57,8 @@
     /// Budget for reports to hubs of other data centres, in bytes per second;
     /// 0 for none.
     double remote_bytes_per_second = 0;
+    /// Absent: requests go to other data centres at a constant cost.
+    std::optional<transfer_settings> transfers;
     /// What was read otherwise than it is written: numbers of the machine and
     /// of the bounds that are out of range, and addresses that cannot be used.
     std::vector<std::string> adjustments;
--- a/drivers/peers/codec.cpp
+++ b/drivers/peers/codec.cpp
@@ -113,6 +113,58 @@
     to.set_age_us(to_microseconds(from.age));
 }
 
+void fill(wire::ServiceLoad& to, load_key const& key, service_load const& from)
+{
+    to.set_service(key.service);
+    to.set_data_centre(key.data_centre);
+    for (auto const& [priority, rate] : from.arrivals) {
+        to.add_priorities(priority);
+        to.add_arrivals(static_cast<float>(rate));
+    }
+    to.set_completions(static_cast<float>(from.completions));
+    to.set_busy(static_cast<float>(from.busy));
+    to.set_queued(static_cast<float>(from.queued));
+    to.set_refused(static_cast<float>(from.refused));
+    to.set_slots(static_cast<float>(from.slots));
+    to.set_occupied(static_cast<float>(from.occupied));
+    to.set_reporters(from.reporters);
+    to.set_age_us(to_microseconds(from.age));
+}
+
+template <class Rows>
+void fill_loads(Rows& to, service_loads const& from)
+{
+    for (auto const& [key, it] : from)
+        fill(*to.Add(), key, it);
+}
+
+service_load from_wire(wire::ServiceLoad const& from)
+{
+    service_load load;
+    auto const n = std::min(from.priorities_size(), from.arrivals_size());
+    for (int it = 0; it < n; ++it)
+        load.arrivals[from.priorities(it)] =
+            quantity_from_wire(from.arrivals(it));
+    load.completions = quantity_from_wire(from.completions());
+    load.busy = quantity_from_wire(from.busy());
+    load.queued = quantity_from_wire(from.queued());
+    load.refused = quantity_from_wire(from.refused());
+    load.slots = quantity_from_wire(from.slots());
+    load.occupied = quantity_from_wire(from.occupied());
+    load.reporters = from.reporters();
+    load.age = from_microseconds(from.age_us());
+    return load;
+}
+
+template <class Rows>
+service_loads loads_from_wire(Rows const& from)
+{
+    service_loads loads;
+    for (auto const& it : from)
+        loads[{it.service(), it.data_centre()}] = from_wire(it);
+    return loads;
+}
+
 /// Numbers in a row of `ReportChanges`.
 constexpr int target_row_size = 5;
 constexpr int organisation_row_size = 4 +
@@ -148,6 +200,9 @@
     }
     for (auto const& it : from.suspects)
         fill(*to.add_suspects(), it);
+    to.set_has_loads(from.loads.has_value());
+    if (from.loads)
+        fill_loads(*to.mutable_loads(), *from.loads);
     to.set_load(from.load);
     to.set_entries(from.entries);
     to.set_partial(from.partial);
@@ -192,6 +247,8 @@
     for (auto const& it : from.suspects())
         changes.suspects.push_back(
             {it.fingerprint(), it.crashes(), from_microseconds(it.age_us())});
+    if (from.has_loads())
+        changes.loads = loads_from_wire(from.loads());
     changes.load = quantity_from_wire(from.load());
     changes.entries = from.entries();
     changes.partial = from.partial();
@@ -217,6 +274,7 @@
     }
     for (auto const& it : from.suspects)
         fill(*to.add_suspects(), it);
+    fill_loads(*to.mutable_loads(), from.loads);
     to.set_load(from.load);
     to.set_entries(from.entries);
     to.set_partial(from.partial);
@@ -235,6 +293,7 @@
     for (auto const& it : from.suspects())
         report.suspects.push_back(
             {it.fingerprint(), it.crashes(), from_microseconds(it.age_us())});
+    report.loads = loads_from_wire(from.loads());
     report.load = quantity_from_wire(from.load());
     report.entries = from.entries();
     report.partial = from.partial();
--- a/drivers/peers/message_sizes.cpp
+++ b/drivers/peers/message_sizes.cpp
@@ -26,6 +26,7 @@
 {
     part(bytes, exchange_part::target_reports) += size_of(report.targets());
     part(bytes, exchange_part::organisations) += size_of(report.demands());
+    part(bytes, exchange_part::service_loads) += size_of(report.loads());
 }
 
 void add_changes(exchange_bytes& bytes, wire::ReportChanges const& changes)
@@ -36,6 +37,7 @@
     part(bytes, exchange_part::organisations) +=
         packed::UInt32Size(changes.organisations()) +
         size_of(changes.organisation_names());
+    part(bytes, exchange_part::service_loads) += size_of(changes.loads());
 }
 
 /// Assigns what the other parts leave of `total` to the header.
--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -332,9 +332,11 @@
         case operators_page::readyz:
             return reply(make_readiness_page());
         case operators_page::status:
-            return reply({200, "application/json",
-                to_json(control_.plane().status(), settings_.vm,
-                    lifecycle_.is_stopping())});
+            return collect_metrics([this, reply](traffic_metrics const& it) {
+                reply({200, "application/json",
+                    to_json(control_.plane().status(), settings_.vm,
+                        lifecycle_.is_stopping(), it.transfers().shares)});
+            });
         case operators_page::metrics:
             return collect_metrics([this, reply](traffic_metrics const& it) {
                 reply({200, "text/plain; version=0.0.4",
--- a/main/status_page.cpp
+++ b/main/status_page.cpp
@@ -31,8 +31,8 @@
 
 } // namespace
 
-std::string to_json(
-    control_status const& status, vm_id const& vm, bool stopping)
+std::string to_json(control_status const& status, vm_id const& vm,
+    bool stopping, std::map<load_key, double> const& transfers)
 {
     nlohmann::ordered_json body{{"vm", vm.text()},
         {"standing", to_name(status.standing)}, {"stopping", stopping},
@@ -43,6 +43,10 @@
         {"reads_store", status.reads_store}};
     if (status.read_age != duration::max())
         body["read_age_ms"] = to_milliseconds(status.read_age);
+    auto shares = nlohmann::ordered_json::object();
+    for (auto const& [key, share] : transfers)
+        shares[key.service][key.data_centre] = share;
+    body["transfers"] = std::move(shares);
     body["data_centres"] = members_json(status.members);
     body["invariant_violations"] = invariant_violations();
     return body.dump();
--- a/main/traffic_metrics.cpp
+++ b/main/traffic_metrics.cpp
@@ -151,6 +151,12 @@
         buffers_[it].waits += other.buffers_[it].waits;
     }
     buffer_refusals_ += other.buffer_refusals_;
+    for (auto const& [key, share] : other.transfers_.shares) {
+        auto& largest = transfers_.shares[key];
+        largest = std::max(largest, share);
+    }
+    transfers_.requests += other.transfers_.requests;
+    transfers_.bytes += other.transfers_.bytes;
 }
 
 std::string traffic_metrics::to_prometheus() const
@@ -177,6 +183,17 @@
     }
     text +=
         fmt::format("pomelohinge_buffer_refusals_total {}\n", buffer_refusals_);
+    text +=
+        fmt::format("# TYPE pomelohinge_transferred_requests_total counter\n"
+                    "pomelohinge_transferred_requests_total {}\n"
+                    "# TYPE pomelohinge_transferred_bytes_total counter\n"
+                    "pomelohinge_transferred_bytes_total {:.0f}\n"
+                    "# TYPE pomelohinge_transfer_share gauge\n",
+            transfers_.requests, transfers_.bytes);
+    for (auto const& [key, share] : transfers_.shares)
+        text += fmt::format(
+            "pomelohinge_transfer_share{{service=\"{}\",to=\"{}\"}} {:.3f}\n",
+            key.service, key.data_centre, share);
     return text;
 }
 
--- a/main/traffic_metrics.hpp
+++ b/main/traffic_metrics.hpp
@@ -2,6 +2,7 @@
 #define POMELOHINGE_MAIN_TRAFFIC_METRICS_HPP
 
 #include "servers/requests/entry_environment.hpp"
+#include "servers/transfer/service_load.hpp"
 
 #include <array>
 #include <boost/histogram.hpp>
@@ -59,6 +60,16 @@
     void add(class_metrics const& other);
 };
 
+/// Requests sent to other data centres.
+struct transfer_metrics
+{
+    /// The part of the requests that may leave, by service and data centre. Of
+    /// several threads, the largest.
+    std::map<load_key, double> shares;
+    std::uint64_t requests = 0;
+    double bytes = 0;
+};
+
 /// Counters and latency histograms of one traffic thread. Only that thread
 /// writes them; other threads receive copies in messages.
 class traffic_metrics
@@ -79,6 +90,9 @@
     /// Sets the number of requests refused since there was no room for them.
     void set_buffer_refusals(std::uint64_t n) { buffer_refusals_ = n; }
 
+    void set_transfers(transfer_metrics it) { transfers_ = std::move(it); }
+    transfer_metrics const& transfers() const { return transfers_; }
+
     void add(traffic_metrics const& other);
 
     std::map<std::string, class_metrics> const& organisations() const
@@ -103,6 +117,7 @@
     std::map<std::string, class_metrics> services_;
     std::array<buffer_usage, enum_count<buffer_kind>> buffers_{};
     std::uint64_t buffer_refusals_ = 0;
+    transfer_metrics transfers_;
 };
 
 } // namespace pomelohinge
--- a/main/traffic_thread.hpp
+++ b/main/traffic_thread.hpp
@@ -47,7 +47,7 @@
               [this](std::string const& address) {
                   return upstreams_.is_connected(address);
               },
-              configured.bounds),
+              configured.bounds, configured.transfers),
           server_(context_, make_handlers(),
               front_limits{
                   static_cast<std::size_t>(configured.request_body_bytes),
@@ -128,6 +128,9 @@
         metrics_.set_buffers(buffer_kind::requests, requests.large());
         metrics_.set_buffers(buffer_kind::small_requests, requests.small());
         metrics_.set_buffer_refusals(requests.refused());
+        auto const& spillover = entry_state_.spillover;
+        metrics_.set_transfers({spillover.shares(), spillover.sent_requests(),
+            spillover.sent_bytes()});
         return metrics_;
     }
     /// Refuses requests that the stop would cut, and closes each caller's
--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -389,6 +389,9 @@
     placement_reason const reason{chosen.cause, target.health().state(),
         target.in_flight(), target.in_flight_elsewhere(),
         service.targets.size(), target.record().data_centre == data_centre_};
+    if (transfer_ != nullptr && !reason.local)
+        transfer_->record_sent(request.service.text(),
+            target.record().data_centre.text(), request.bytes);
     target.request_started(now);
     service.queue.add_start(request.priority, now);
     return {target.record(), reason};
@@ -434,6 +437,7 @@
 
 text_map<target_report> dispatcher::take_reports()
 {
+    report_capacity();
     text_map<target_report> reports;
     for (auto& [id, it] : targets_) {
         auto report = it->take_report();
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include "servers/requests/policy.hpp"
 #include "servers/selection/picker.hpp"
 #include "servers/selection/service_baselines.hpp"
+#include "servers/transfer/transfer.hpp"
 
 #include <algorithm>
 #include <deque>
@@ -51,6 +52,8 @@
     std::vector<target_id> tried;
     /// Time until which the request may be sent.
     time_point start_deadline{};
+    /// Expected size of the request and its response.
+    double bytes = 0;
 };
 
 /// Whether the request was already sent to the target.
@@ -205,6 +208,10 @@
     /// many are suspected; 0 to 1.
     void set_floor(double share) { floor_ = share; }
 
+    /// Sets the decision which requests go to other data centres. Without it
+    /// all may, at a constant cost.
+    void set_transfer(transfer& decision) { transfer_ = &decision; }
+
     /// Returns the state of a target; null if the target is unknown.
     traffic_target const* find(target_id const& id) const;
 
@@ -295,6 +302,14 @@
     traffic_target* choose_up_to(target_state worst, bool only_in_use,
         service_state& service, placement_request const& request,
         time_point now);
+    void drop_distant_candidates(
+        placement_request const& request, time_point now);
+    void report_capacity();
+    bool has_targets_here(service_state const& service) const;
+    bool has_transfer() const
+    {
+        return transfer_ != nullptr && transfer_->enabled();
+    }
     bool can_take(traffic_target& target, placement_request const& request,
         time_point now) const;
     bool has_eligible_target(
@@ -322,6 +337,7 @@
     std::mt19937_64 random_;
     health_and_load_picker picker_;
     double floor_ = 0;
+    transfer* transfer_ = nullptr;
     bool report_due_ = false;
     policy_pointer policy_;
     std::size_t local_entries_ = 1;
--- a/servers/dispatch/request_queueing.cpp
+++ b/servers/dispatch/request_queueing.cpp
@@ -23,10 +23,12 @@
     service_id const& name, std::size_t ahead, time_point now) const
 {
     double slots = 0;
+    bool const only_here = has_transfer() && has_targets_here(service);
     std::optional<duration> pause_left;
     for (auto const* it : service.targets) {
         if (!it->accepts_requests() ||
-            it->health().state() == target_state::ejected)
+            it->health().state() == target_state::ejected ||
+            (only_here && it->record().data_centre != data_centre_))
             continue;
         slots += static_cast<double>(it->record().slots);
         bool const is_paused = it->pause().state() == pause_state::paused;
--- a/servers/dispatch/target_selection.cpp
+++ b/servers/dispatch/target_selection.cpp
@@ -245,9 +245,10 @@
             connected_(it->record().address)});
         eligible_.push_back(it);
     }
+    drop_distant_candidates(request, now);
     auto const at =
         picker_.pick(candidates_, pick_context{request.retryable}, random_);
-    return at ? eligible_[*at] : nullptr;
+    return at ? eligible_[candidates_[*at].position] : nullptr;
 }
 
 dispatcher::choice dispatcher::choose(
--- a/servers/exchange/fleet_reports.cpp
+++ b/servers/exchange/fleet_reports.cpp
@@ -1,6 +1,7 @@
 #include "servers/exchange/fleet_reports.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pomelohinge {
 namespace {
@@ -60,6 +61,8 @@
     }
     for (auto const& it : other.suspects)
         add_suspect(suspects, it);
+    for (auto const& [key, it] : other.loads)
+        loads[key].add(it);
     load += other.load;
     partial |= other.partial;
     entries += other.entries;
@@ -73,7 +76,7 @@
     last_report_at_ = now;
     auto& it = sources_[source];
     it.remote = remote;
-    it.reported_at = it.aged_at = now;
+    it.reported_at = it.aged_at = it.loads_aged_at = now;
     it.is_stale = false;
     it.last = std::move(report);
     count_grants(it, now);
@@ -181,6 +184,16 @@
         counts.grants.advance(passed);
 }
 
+/// The loads of this data centre are those of its VMs, some of which may be
+/// gone; the age is that of the contact with another data centre.
+void report_aggregator::age_loads(source_entry& it, time_point now)
+{
+    auto const passed = now - std::exchange(it.loads_aged_at, now);
+    if (it.remote)
+        for (auto& [key, load] : it.last.loads)
+            load.age += passed;
+}
+
 void report_aggregator::expire(time_point now)
 {
     absl::erase_if(sources_, [&](auto const& it) {
@@ -191,11 +204,13 @@
     for (auto& [name, it] : sources_) {
         decay_grants(it, now);
         age_grants(it, now);
+        age_loads(it, now);
         it.is_stale = now - it.reported_at > max_grants_age &&
             !it.last.organisations.empty();
         if (now - it.reported_at <= max_traffic_age)
             continue;
         it.last.targets.clear();
+        it.last.loads.clear();
         it.last.entries = 0;
         it.last.load = 0;
     }
--- a/servers/exchange/fleet_reports.hpp
+++ b/servers/exchange/fleet_reports.hpp
@@ -5,6 +5,7 @@
 #include "core/text_map.hpp"
 #include "servers/exchange/decaying_count.hpp"
 #include "servers/poison/poison_guard.hpp"
+#include "servers/transfer/service_load.hpp"
 
 #include <cstdint>
 #include <string>
@@ -66,6 +67,8 @@
     text_map<target_report> targets;
     text_map<organisation_report> organisations;
     std::vector<poison_suspect> suspects;
+    /// Loads by service and data centre; empty without settings `transfer`.
+    service_loads loads;
     /// Requests per second from callers.
     double load = 0;
     /// VMs that take requests from callers: 1 or 0 for a single VM.
@@ -123,6 +126,8 @@
         time_point reported_at{};
         /// When the grants by age in `last` were last shifted.
         time_point aged_at{};
+        /// The same for the loads in it.
+        time_point loads_aged_at{};
         /// Its latest report is so old that it may have granted more since.
         bool is_stale = false;
     };
@@ -132,6 +137,7 @@
     static void count_grants(source_entry& it, time_point now);
     static void decay_grants(source_entry& it, time_point now);
     static void age_grants(source_entry& it, time_point now);
+    static void age_loads(source_entry& it, time_point now);
 
     text_map<source_entry> sources_;
     std::size_t expected_remotes_ = 0;
--- a/servers/exchange/remote_bytes.hpp
+++ b/servers/exchange/remote_bytes.hpp
@@ -17,6 +17,8 @@
     target_reports,
     /// Demand and grants of organisations.
     organisations,
+    /// Load and capacity of services, for transfers.
+    service_loads,
     members,
     target_list,
     configuration,
@@ -28,6 +30,7 @@
         {exchange_part::header, "header"},
         {exchange_part::target_reports, "target_reports"},
         {exchange_part::organisations, "organisations"},
+        {exchange_part::service_loads, "service_loads"},
         {exchange_part::members, "members"},
         {exchange_part::target_list, "target_list"},
         {exchange_part::configuration, "configuration"},
--- a/servers/exchange/report_changes.hpp
+++ b/servers/exchange/report_changes.hpp
@@ -4,6 +4,7 @@
 #include "servers/exchange/fleet_reports.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,8 @@
     std::vector<organisation_change> organisations;
     /// Always complete.
     std::vector<poison_suspect> suspects;
+    /// Complete if there are any.
+    std::optional<service_loads> loads;
     double load = 0;
     std::uint32_t entries = 0;
     bool partial = false;
--- a/servers/exchange/report_receiver.cpp
+++ b/servers/exchange/report_receiver.cpp
@@ -56,7 +56,10 @@
     if (changes.is_complete()) {
         in_flight_.clear();
         organisations_.clear();
+        loads_.clear();
     }
+    if (changes.loads)
+        loads_ = *changes.loads;
     for (auto const& it : changes.targets) {
         auto const& name = target_names_.at(it.target);
         if (it.report.in_flight > 0)
@@ -92,6 +95,7 @@
         report.targets[target_names_.at(it.target)].add_observations(it.report);
     report.organisations = organisations_;
     report.suspects = changes.suspects;
+    report.loads = loads_;
     report.load = changes.load;
     report.entries = changes.entries;
     report.partial = changes.partial;
--- a/servers/exchange/report_receiver.hpp
+++ b/servers/exchange/report_receiver.hpp
@@ -33,6 +33,7 @@
     index_of_names organisation_names_;
     text_map<std::uint32_t> in_flight_;
     text_map<organisation_report> organisations_;
+    service_loads loads_;
     time_point received_at_{};
 };
 
--- a/servers/exchange/report_sender.cpp
+++ b/servers/exchange/report_sender.cpp
@@ -35,11 +35,16 @@
 constexpr double min_relative_change = 0.1;
 constexpr double min_demand_change = 0.2;
 
+/// Loads of services are sent this often. They change slowly, and the decision
+/// that uses them is made as often.
+constexpr duration loads_period = std::chrono::milliseconds(450);
+
 /// Approximate encoded sizes.
 constexpr double message_bytes = 220;
 constexpr double target_row_bytes = 7;
 constexpr double organisation_row_bytes = 12;
 constexpr double name_bytes = 6;
+constexpr double load_bytes = 60;
 
 /// Unused budget is kept for this time.
 constexpr double max_saved_seconds = 1;
@@ -135,6 +140,20 @@
         last_organisation_ > 2 * organisations_.size() + max_unused_names;
 }
 
+void report_sender::add_loads(
+    report_changes& to, traffic_report const& current, time_point now)
+{
+    bool const is_due =
+        to.is_complete() || now - loads_sent_at_ >= loads_period;
+    bool const has_any = has_loads_ || !current.loads.empty();
+    if (!is_due || !has_any)
+        return;
+    loads_sent_at_ = now;
+    has_loads_ = !current.loads.empty();
+    to.loads = current.loads;
+    tokens_ -= load_bytes * static_cast<double>(current.loads.size());
+}
+
 report_changes report_sender::make(
     traffic_report const& current, usage_lookup const& usage, time_point now)
 {
@@ -159,6 +178,7 @@
     sent_.clear();
     auto const before = tokens_;
     tokens_ -= message_bytes;
+    add_loads(changes, current, now);
     if (is_complete) {
         add_all(changes, now);
         completed_at_ = now;
--- a/servers/exchange/report_sender.hpp
+++ b/servers/exchange/report_sender.hpp
@@ -94,6 +94,8 @@
     bool is_complete_due(time_point now) const;
     void begin_stream();
     void forget_idle(time_point now);
+    void add_loads(
+        report_changes& to, traffic_report const& current, time_point now);
     void add_all(report_changes& to, time_point now);
     void add_changed(
         report_changes& to, usage_lookup const& usage, time_point now);
@@ -117,6 +119,8 @@
     time_point completed_at_{};
     double complete_bytes_ = 0;
     time_point confirmed_at_{};
+    time_point loads_sent_at_{};
+    bool has_loads_ = false;
     text_map<target_state> targets_;
     text_map<organisation_state> organisations_;
     std::vector<optional_row> optional_;
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -158,14 +158,6 @@
     /// caller.
     static constexpr duration answer_reserve = std::chrono::milliseconds(15);
 
-    /// Maximum wait for a token of the organisation's rate. The wait evens out
-    /// short-term differences between VMs, which count grants separately.
-    static constexpr duration max_charge_wait = std::chrono::milliseconds(150);
-
-    /// Delay until a reroute that was not possible is considered again.
-    static constexpr duration reroute_retry_delay =
-        std::chrono::milliseconds(100);
-
     entry_state& state() { return environment_.state(); }
 
     /// Wraps a callback so that it does nothing once the request is destroyed.
@@ -335,11 +327,14 @@
         return {admitted_.service, admitted_.priority, is_retryable(),
             progress_.tried,
             times_.start_deadline(
-                state().targets.median_latency(admitted_.service))};
+                state().targets.median_latency(admitted_.service)),
+            state().spillover.expected_bytes(admitted_.route.text())};
     }
 
     void request_placement()
     {
+        if (placement_requested_at_ == time_point{})
+            state().record_arrival(admitted_, environment_.now());
         placement_requested_at_ = environment_.now();
         auto decided = state().targets.submit(make_placement_request(),
             if_alive([this](placement_decision decision) {
@@ -367,6 +362,7 @@
             target_ = std::move(it->target);
             return fire(request_event::placed);
         }
+        state().record_rejection(admitted_, environment_.now());
         auto const& rejection = std::get<placement_rejection>(decision);
         bool const full = rejection.reason == rejection_reason::overloaded;
         if (has_answer(progress_.last_result))
@@ -495,6 +491,9 @@
         if (it.result == attempt_result::connection_lost)
             state().poison.record_crash(fingerprint_, target_.id.text(), now);
         answer_ = std::move(it.answer);
+        if (it.result == attempt_result::answered)
+            state().record_answer(admitted_, now - progress_.sent_at,
+                message_.body.size() + answer_.body.size(), now);
         finish_attempt(it.result, it.notice);
         if (progress_.last_result == attempt_result::answered)
             return fire(request_event::answer);
--- a/servers/requests/entry_state.hpp
+++ b/servers/requests/entry_state.hpp
@@ -32,12 +32,14 @@
 {
     entry_state(target_charts const& charts, vm_id const& self,
         data_centre_id const& data_centre, std::uint64_t seed,
-        dispatcher::connected_check connected, fleet_bounds configured)
-        : bounds(configured),
+        dispatcher::connected_check connected, fleet_bounds configured,
+        std::optional<transfer_settings> const& transfers = std::nullopt)
+        : bounds(configured), spillover(transfers, data_centre),
           targets(charts, self, data_centre, seed, std::move(connected)),
           retries(configured), random(seed)
     {
         targets.set_floor(configured.floor);
+        targets.set_transfer(spillover);
     }
 
     /// Applies a new policy.
@@ -52,6 +54,13 @@
     /// Periodic maintenance.
     void tick(time_point now);
 
+    /// Records for transfers that a request asks for a target, got none, or was
+    /// answered with bodies of `body_bytes` in all.
+    void record_arrival(admitted_request const& request, time_point now);
+    void record_rejection(admitted_request const& request, time_point now);
+    void record_answer(admitted_request const& request, duration latency,
+        std::size_t body_bytes, time_point now);
+
     /// Whether a configuration read at `read_at` is fresh enough for its keys
     /// to be accepted. Always true if `max_revocation_delay` is zero.
     bool is_fresh(time_point read_at, time_point now) const;
@@ -66,6 +75,8 @@
         request_times const& times, time_point now) const;
 
     fleet_bounds bounds;
+    /// Decides which requests go to other data centres.
+    transfer spillover;
     /// Chooses targets and queues the requests that wait for one.
     dispatcher targets;
     organisation_limits limits;
--- a/servers/requests/request_times.hpp
+++ b/servers/requests/request_times.hpp
@@ -8,6 +8,13 @@
 
 namespace pomelohinge {
 
+/// Maximum wait for a token of the organisation's rate. The wait evens out
+/// short-term differences between VMs, which count grants separately.
+inline constexpr duration max_charge_wait = std::chrono::milliseconds(150);
+
+/// Delay until a reroute that was not possible is considered again.
+inline constexpr duration reroute_retry_delay = std::chrono::milliseconds(100);
+
 /// Delays after which an unanswered attempt counts as late, as a failure of its
 /// target, and is sent to another target if it may be, all from the service's
 /// median latency.
--- a/servers/selection/picker.hpp
+++ b/servers/selection/picker.hpp
@@ -26,6 +26,8 @@
     double failure_probability = 0;
     /// An idle connection to the target is open.
     bool connected = false;
+    /// Cost of a target in another data centre, in units of load.
+    double distance_cost = 1;
 };
 
 /// The properties of the request for which a target is chosen.
@@ -73,8 +75,6 @@
     }
 
 private:
-    /// Cost of a target in another data centre, in units of load.
-    static constexpr double distance_cost = 1;
     /// Cost of certain failure, in units of load.
     static constexpr double failure_cost = 3.75;
     /// Failure probability below which it lowers the cost for a retryable
@@ -93,7 +93,7 @@
         std::uniform_real_distribution<double> draw(0, max_noise_cost);
         bool const probes =
             context.retryable && it.failure_probability < probe_threshold;
-        return it.load + (it.local ? 0 : distance_cost) +
+        return it.load + (it.local ? 0 : it.distance_cost) +
             (probes ? -it.failure_probability
                     : failure_cost * it.failure_probability) +
             (it.connected ? 0 : connect_cost) + draw(random);
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -24,6 +24,7 @@
         "machine": {"cores": 2, "core_share": 0.2, "memory_mb": 260},
         "bounds": {"strict_revocation": false, "retry_ratio": 0.5},
         "exchange": {"remote_bytes_per_s": 8000},
+        "transfer": {"price_per_mb": 40, "period_ms": 250},
         "limits": {"request_body_bytes": 4096, "stop_s": 1.5}})",
         found_);
     ASSERT_TRUE(it) << found_.to_text();
@@ -37,6 +38,8 @@
     EXPECT_DOUBLE_EQ(it->bounds.retry_ratio, 0.5);
     EXPECT_EQ(it->stop_timeout, std::chrono::milliseconds(1500));
     EXPECT_EQ(it->remote_bytes_per_second, 8000);
+    EXPECT_EQ(it->transfers,
+        (transfer_settings{40, std::chrono::milliseconds(250)}));
 }
 
 TEST_F(
--- a/tests/drivers/codec_test.cpp
+++ b/tests/drivers/codec_test.cpp
@@ -33,12 +33,28 @@
         return record;
     }
 
+    static service_loads loads()
+    {
+        service_load it;
+        it.arrivals = {{1, 2.5}, {2, 8}};
+        it.completions = 10;
+        it.busy = 2.25;
+        it.queued = 3;
+        it.refused = 0.5;
+        it.slots = 12;
+        it.occupied = 6;
+        it.reporters = 2;
+        it.age = std::chrono::milliseconds(40);
+        return {{{"shop", "east"}, it}};
+    }
+
     static traffic_report report()
     {
         traffic_report it;
         it.targets["i-1"] = target_report{1, 2, 3, 4};
         it.organisations["o-1"].demand = 2.5;
         it.suspects.push_back({17, 2, std::chrono::milliseconds(30)});
+        it.loads = loads();
         it.load = 12;
         return it;
     }
@@ -58,6 +74,7 @@
         organisation.grants.within_window = 7;
         it.organisations = {{1, organisation}};
         it.suspects.push_back({17, 2, std::chrono::milliseconds(30)});
+        it.loads = loads();
         it.load = 12;
         it.entries = 3;
         it.partial = true;
@@ -253,6 +270,11 @@
     EXPECT_EQ(it.report.suspects.front().age, std::chrono::milliseconds(30));
 }
 
+TEST_F(codec_test, loads_of_services_are_read_back)
+{
+    EXPECT_EQ(from_wire(to_wire(question())).report.loads, loads());
+}
+
 TEST_F(codec_test, changes_of_a_report_are_read_back)
 {
     auto const it = from_wire(to_wire(question()));
@@ -264,6 +286,7 @@
     EXPECT_EQ(it.changes->targets, changes().targets);
     EXPECT_EQ(it.changes->organisations, changes().organisations);
     EXPECT_EQ(it.changes->suspects, changes().suspects);
+    EXPECT_EQ(it.changes->loads, changes().loads);
     EXPECT_EQ(it.changes->entries, 3u);
     EXPECT_TRUE(it.changes->partial);
     auto const answer = from_wire(to_wire(reply(), now_), now_);
--- a/tests/servers/fleet_reports_test.cpp
+++ b/tests/servers/fleet_reports_test.cpp
@@ -54,5 +54,53 @@
     EXPECT_FALSE(reports_.report_for("dc-west", true).partial);
 }
 
+/// Loads of services as a hub passes them on.
+class service_loads_test : public testing::Test
+{
+protected:
+    void report(std::string const& source, std::string const& data_centre)
+    {
+        traffic_report it;
+        it.loads[{"shop", data_centre}].slots = 3;
+        it.loads[{"shop", data_centre}].reporters = 1;
+        reports_.add_report(
+            source, data_centre != "east", std::move(it), clock_.now());
+    }
+
+    service_load load_of(std::string const& data_centre)
+    {
+        reports_.expire(clock_.now());
+        return reports_.report_for("vm-9", false).loads[{"shop", data_centre}];
+    }
+
+    manual_clock clock_;
+    report_aggregator reports_;
+};
+
+TEST_F(service_loads_test, loads_are_summed_by_data_centre)
+{
+    report("vm-1", "east");
+    report("vm-2", "east");
+    report("dc-west", "west");
+    EXPECT_EQ(load_of("east").reporters, 2u);
+    EXPECT_EQ(load_of("west").reporters, 1u);
+}
+
+/// The age tells that a data centre is cut off. A VM that is gone must not make
+/// its data centre look so.
+TEST_F(service_loads_test, loads_of_another_data_centre_age_without_reports)
+{
+    report("vm-1", "east");
+    report("dc-west", "west");
+    for (int n = 0; n < 8; ++n) {
+        clock_.advance(100ms);
+        reports_.expire(clock_.now());
+    }
+    EXPECT_EQ(load_of("west").age, 800ms);
+    EXPECT_EQ(load_of("east").age, duration::zero());
+    report("dc-west", "west");
+    EXPECT_EQ(load_of("west").age, duration::zero());
+}
+
 } // namespace
 } // namespace pomelohinge
--- a/tests/servers/report_changes_test.cpp
+++ b/tests/servers/report_changes_test.cpp
@@ -299,6 +299,21 @@
     EXPECT_EQ(received_->targets.size(), 1u);
 }
 
+TEST_F(report_changes_test, loads_of_services_are_held_between_their_messages)
+{
+    current_.loads[{"shop", "east"}].slots = 6;
+    exchange();
+    current_.loads[{"shop", "east"}].slots = 7;
+    exchange();
+    EXPECT_FALSE(last_.loads);
+    EXPECT_EQ((received_->loads[{"shop", "east"}].slots), 6);
+    exchange();
+    EXPECT_EQ((received_->loads[{"shop", "east"}].slots), 7);
+    current_.loads.clear();
+    exchange_for(500ms);
+    EXPECT_TRUE(received_->loads.empty());
+}
+
 /// Random grants and losses: what the receiver holds of an organisation near
 /// its limit is never older than the last message that arrived.
 TEST_F(report_changes_test, grants_under_losses_are_within_the_tolerance)
--- a/tests/simulation/fake_vm.hpp
+++ b/tests/simulation/fake_vm.hpp
@@ -30,6 +30,7 @@
     /// Budget of each hub for reports to other data centres, in bytes per
     /// second; 0 for none.
     double remote_budget = 0;
+    std::optional<transfer_settings> transfers = std::nullopt;
 };
 
 /// A VM in virtual time: the production decision code with simulated time and
@@ -43,7 +44,8 @@
           entry_state_(
               fleet.charts.target, record_.vm, record_.data_centre,
               fleet.simulator.random()(),
-              [](std::string const&) { return true; }, fleet.bounds),
+              [](std::string const&) { return true; }, fleet.bounds,
+              fleet.transfers),
           control_plane_(record_, {}, *this, timers_)
     {
         control_plane_.set_remote_budget(fleet_.remote_budget);
--- a/tests/simulation/fleet_run.cpp
+++ b/tests/simulation/fleet_run.cpp
@@ -53,12 +53,14 @@
 
 } // namespace
 
-fleet_run::fleet_run(std::uint64_t seed, double remote_budget)
+fleet_run::fleet_run(std::uint64_t seed, double remote_budget,
+    std::optional<transfer_settings> const& transfers)
     : charts_(load_embedded_charts()), simulator_(seed), store_(simulator_),
       checker_(invariant_bounds{}), context_{simulator_, store_, checker_,
                                         charts_, {}, {}, {}}
 {
     context_.remote_budget = remote_budget;
+    context_.transfers = transfers;
     context_.bounds.retry_extra = checker_.bounds().retry_extra;
     for (auto const* it : data_centres) {
         for (std::size_t n = 0; n < targets_per_data_centre; ++n)
--- a/tests/simulation/fleet_run.hpp
+++ b/tests/simulation/fleet_run.hpp
@@ -97,7 +97,8 @@
 public:
     /// `remote_budget` is that of each hub for reports to other data centres,
     /// in bytes per second; 0 for none.
-    explicit fleet_run(std::uint64_t seed, double remote_budget = 0);
+    explicit fleet_run(std::uint64_t seed, double remote_budget = 0,
+        std::optional<transfer_settings> const& transfers = std::nullopt);
     ~fleet_run();
 
     /// Runs for `span` with traffic and `fault_count` random faults, then
--- a/tests/simulation/fleet_run_test.cpp
+++ b/tests/simulation/fleet_run_test.cpp
@@ -80,6 +80,15 @@
     check_under_random_faults(run);
 }
 
+/// Data centres that are closed, or whose targets fail, need those of others.
+TEST_P(fleet_run_test, fleet_with_priced_transfers_keeps_every_invariant)
+{
+    constexpr double budget = 2000;
+    constexpr double price_per_mb = 10;
+    fleet_run run(GetParam(), budget, transfer_settings{price_per_mb});
+    check_under_random_faults(run);
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, fleet_run_test, testing::ValuesIn(seeds()));
 
 /// Runs fleets with one chosen fault or none.
