--- a/tests/servers/transfer_load_test.cpp
+++ b/tests/servers/transfer_load_test.cpp
@@ -14,6 +14,8 @@
 constexpr auto service_time = 200ms;
 constexpr auto goal = 600ms;
 constexpr double request_bytes = 6000;
+/// Part of the requests that a failing target fails.
+constexpr int failure_percent = 85;
 constexpr std::int64_t urgent = 1;
 constexpr std::int64_t ordinary = 2;
 constexpr std::size_t entries_per_centre = 2;
@@ -178,6 +180,7 @@
 
     std::optional<transfer_settings> settings_;
     std::vector<modelled_centre> centres_;
+    bool have_failures_ = false;
     /// Data centres whose hubs hear nothing of others, and are not heard.
     std::set<std::size_t> cut_off_;
 
@@ -290,16 +293,29 @@
         for (auto const& it : all) {
             --occupied_[it.target.id.text()];
             auto& counts = centres_[it.centre].counts[it.priority];
-            ++(now - it.arrived_at <= goal ? counts.in_time : counts.late);
+            bool const fails =
+                is_failing(it.target) && random_() % 100 < failure_percent;
+            if (!fails)
+                ++(now - it.arrived_at <= goal ? counts.in_time : counts.late);
             it.entry->moved.record_answer("shop", "route", now - it.began_at,
                 static_cast<std::size_t>(request_bytes), now);
-            it.entry->targets.attempt_ended(
-                it.target, attempt_result::answered, now - it.began_at, now);
+            it.entry->targets.attempt_ended(it.target,
+                fails ? attempt_result::server_error : attempt_result::answered,
+                now - it.began_at, now);
             it.entry->targets.request_ended(
-                service_id("shop"), true, target_state::trusted);
+                service_id("shop"), !fails, target_state::trusted);
         }
     }
 
+    /// Three in ten targets fail, others every few seconds.
+    bool is_failing(target_record const& target) const
+    {
+        constexpr std::size_t parts = 10;
+        auto const round = static_cast<std::size_t>(since_start_ / 6s);
+        auto const part = std::hash<std::string>()(target.id.text()) % parts;
+        return have_failures_ && (part + parts - round % parts) % parts < 3;
+    }
+
     void report(modelled_centre& centre)
     {
         auto const now = clock_.now();
@@ -507,6 +523,17 @@
     EXPECT_GT(on.urgent_served / on.urgent_requests, 0.9);
 }
 
+/// Targets that fail while their health endpoint says otherwise take capacity
+/// from each data centre in turn.
+TEST_F(transfer_comparison_test, failing_targets_cost_no_more_with_transfers)
+{
+    have_failures_ = true;
+    auto const off = play(std::nullopt, 300, 180);
+    auto const on = play(1, 300, 180);
+    EXPECT_GT(on.all.served(), off.all.served() - 0.03);
+    EXPECT_LT(on.all.left, off.all.left);
+}
+
 TEST_F(transfer_comparison_test, high_price_keeps_requests_here)
 {
     auto const low = play(1, 220, 180);
