--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -1,4 +1,6 @@
+#include "charts/chart_list.hpp"
 #include "config/configuration.hpp"
+#include "servers/dispatch/dispatcher.hpp"
 #include "servers/exchange/fleet_reports.hpp"
 #include "servers/limits/organisation_limits.hpp"
 #include "servers/membership/hub_order.hpp"
@@ -92,6 +94,51 @@
 }
 BENCHMARK(exchange_reports)->Arg(4)->Arg(16)->Arg(64);
 
+/// Chooses a target among 400 in three data centres and ends the attempt, by
+/// the constant cost of distance (0) or with `transfer` (1).
+void choose_target(benchmark::State& state)
+{
+    constexpr int targets = 400;
+    findings found("charts");
+    auto const charts = std::move(*load_charts("", found));
+    data_centre_id const east("east");
+    transfer moved(state.range(0) == 0 ? std::nullopt
+                                       : std::optional(transfer_settings{1}),
+        east);
+    dispatcher chosen(charts.target, vm_id("vm-1"), east, 1,
+        [](std::string const&) { return true; });
+    chosen.set_transfer(moved);
+    std::vector<target_record> records(targets);
+    for (int it = 0; it < targets; ++it) {
+        auto& record = records[static_cast<std::size_t>(it)];
+        record.id = target_id("target-" + std::to_string(it));
+        record.service = service_id("shop");
+        record.data_centre = data_centre_id(
+            it % 3 == 0 ? "east" : (it % 3 == 1 ? "north" : "west"));
+        record.slots = 6;
+    }
+    auto next = std::make_shared<policy>();
+    next->index = std::make_shared<configuration_index>(configuration(), 1);
+    next->targets = std::make_shared<target_catalogue>(records, 1);
+    next->members = std::make_shared<fleet_members>();
+    next->ready = true;
+    auto now = boottime_clock::now();
+    chosen.adopt(next, now);
+    for (auto _ : state) {
+        now += std::chrono::milliseconds(1);
+        placement_request request;
+        request.service = service_id("shop");
+        request.start_deadline = now + std::chrono::seconds(1);
+        auto const it = chosen.submit(
+            request, [](placement_decision const&) {}, now);
+        auto const& placed =
+            std::get<placement>(std::get<placement_decision>(it));
+        chosen.attempt_ended(placed.target, attempt_result::answered,
+            std::chrono::milliseconds(100), now);
+    }
+}
+BENCHMARK(choose_target)->Arg(0)->Arg(1);
+
 } // namespace
 } // namespace pomelohinge
 
