--- a/config/settings.cpp
+++ b/config/settings.cpp
@@ -193,8 +193,14 @@
     json_document const& document, findings& found, settings& out)
 {
     object_reader reader(document, "/exchange", found);
-    read_capacity(reader, "remote_bytes_per_s", out.remote_bytes_per_second,
-        {min_remote_bytes, max_remote_bytes}, out);
+    auto& budget = out.remote_bytes_per_second;
+    read_number(
+        reader, "remote_bytes_per_s", budget, {0, max_remote_bytes}, out);
+    if (budget > 0 && budget < min_remote_bytes) {
+        out.adjustments.push_back(fmt::format(
+            "/remote_bytes_per_s: {} is read as {}", budget, min_remote_bytes));
+        budget = min_remote_bytes;
+    }
     reader.finish();
 }
 
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -64,5 +64,34 @@
         << text;
 }
 
+/// A budget below what the headers take would keep hubs from sending anything
+/// that can wait.
+TEST_F(settings_test, budget_and_price_out_of_range_are_adjusted)
+{
+    auto const it = parse_settings(R"({"vm": "vm-1", "data_centre": "derby",
+        "callers_address": "127.0.0.1:8080",
+        "peers_address": "127.0.0.1:8081",
+        "platform_address": "127.0.0.1:9000",
+        "exchange": {"remote_bytes_per_s": 10},
+        "transfer": {"price_per_mb": -3}})",
+        found_);
+    ASSERT_TRUE(it) << found_.to_text();
+    EXPECT_EQ(it->remote_bytes_per_second, 1000);
+    EXPECT_EQ(it->transfers->price_per_mb, 0);
+    EXPECT_EQ(it->adjustments.size(), 2u);
+}
+
+TEST_F(settings_test, absent_exchange_and_transfer_change_nothing)
+{
+    auto const it = parse_settings(R"({"vm": "vm-1", "data_centre": "derby",
+        "callers_address": "127.0.0.1:8080",
+        "peers_address": "127.0.0.1:8081",
+        "platform_address": "127.0.0.1:9000"})",
+        found_);
+    ASSERT_TRUE(it) << found_.to_text();
+    EXPECT_EQ(it->remote_bytes_per_second, 0);
+    EXPECT_FALSE(it->transfers);
+}
+
 } // namespace
 } // namespace pomelohinge
