--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -38,8 +38,8 @@
     EXPECT_DOUBLE_EQ(it->bounds.retry_ratio, 0.5);
     EXPECT_EQ(it->stop_timeout, std::chrono::milliseconds(1500));
     EXPECT_EQ(it->remote_bytes_per_second, 8000);
-    EXPECT_EQ(it->transfers,
-        (transfer_settings{40, std::chrono::milliseconds(250)}));
+    EXPECT_EQ(
+        it->transfers, (transfer_settings{40, std::chrono::milliseconds(250)}));
 }
 
 TEST_F(
