--- a/config/settings.hpp
+++ b/config/settings.hpp
@@ -3,6 +3,7 @@
 
 #include "config/fleet_bounds.hpp"
 #include "config/placement_settings.hpp"
+#include "config/transfer_settings.hpp"
 #include "core/clock.hpp"
 #include "core/findings.hpp"
 #include "core/identifiers.hpp"
@@ -58,6 +59,8 @@
     /// 0 for none.
     double remote_bytes_per_second = 0;
     placement_settings placement;
+    /// Absent: requests go to other data centres at a constant cost.
+    std::optional<transfer_settings> transfers;
     /// What was read otherwise than it is written: numbers of the machine and
     /// of the bounds that are out of range, and addresses that cannot be used.
     std::vector<std::string> adjustments;
--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -427,6 +427,9 @@
     placement_reason const reason{chosen.cause, target.health().state(),
         target.in_flight(), target.in_flight_elsewhere(),
         service.targets.size(), target.record().data_centre == data_centre_};
+    if (transfer_ != nullptr && !reason.local)
+        transfer_->record_sent(request.service.text(),
+            target.record().data_centre.text(), request.bytes);
     target.request_started(now);
     bool const is_served = std::visit(
         [&](auto& rules) { return rules.counts_as_served(target); }, rules_);
@@ -475,6 +478,7 @@
 
 text_map<target_report> dispatcher::take_reports()
 {
+    report_capacity();
     text_map<target_report> reports;
     for (auto& [id, it] : targets_) {
         auto report = it->take_report();
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -13,6 +13,7 @@
 #include "servers/requests/policy.hpp"
 #include "servers/selection/picker.hpp"
 #include "servers/selection/service_baselines.hpp"
+#include "servers/transfer/transfer.hpp"
 
 #include <algorithm>
 #include <deque>
@@ -59,6 +60,8 @@
     /// Until when an answer is of full use, and of some use to the caller.
     time_point goal_at{};
     time_point deadline_at{};
+    /// Expected size of the request and its response.
+    double bytes = 0;
 };
 
 /// Whether the request was already sent to the target.
@@ -227,6 +230,9 @@
     {
         state_of(service).load.add_holding_time(route, held);
     }
+    /// Sets the decision which requests go to other data centres. Without it
+    /// all may, at a constant cost.
+    void set_transfer(transfer& decision) { transfer_ = &decision; }
 
     /// Returns the state of a target; null if the target is unknown.
     traffic_target const* find(target_id const& id) const;
@@ -393,6 +399,14 @@
     traffic_target* choose_up_to(target_state worst, bool only_in_use,
         service_state& service, placement_request const& request,
         time_point now);
+    void drop_distant_candidates(
+        placement_request const& request, time_point now);
+    void report_capacity();
+    bool has_targets_here(service_state const& service) const;
+    bool has_transfer() const
+    {
+        return transfer_ != nullptr && transfer_->enabled();
+    }
     bool can_take(traffic_target& target, placement_request const& request,
         time_point now) const;
     bool has_eligible_target(
@@ -428,6 +442,7 @@
     /// Place of this thread among the entries of its data centre, 0 to 1.
     double circle_position_ = 0;
     double floor_ = 0;
+    transfer* transfer_ = nullptr;
     bool report_due_ = false;
     policy_pointer policy_;
     std::size_t local_entries_ = 1;
