Make a new first VM known to the hub that it replaces

A VM that is new to its data centre and comes first in the order of hubs, or returns after its removal, was a second hub for up to 30 s: the old one heard nothing of it.

A hub that has served for 2.5 s now asks those of the next three VMs in the order that it has not heard of; the question makes it known to them.

--- a/servers/control/hub_selector.cpp
+++ b/servers/control/hub_selector.cpp
@@ -68,6 +68,27 @@
     return std::nullopt;
 }
 
+std::optional<vm_record> hub_selector::find_unheard(
+    fleet_members const& members, data_centre_id const& data_centre,
+    vm_id const& self, time_point now) const
+{
+    auto order = hub_order(members, data_centre);
+    // The hub that `self` replaces was a candidate before `self` came.
+    if (order.size() > max_hub_candidates + 1)
+        order.resize(max_hub_candidates + 1);
+    bool is_after_self = false;
+    for (auto const* it : order) {
+        auto const& vm = it->record.vm;
+        bool const may_be_hub = is_after_self && !it->alive &&
+            it->record.standing != vm_standing::leaving &&
+            now >= state_of(vm).unreachable_until;
+        if (may_be_hub)
+            return it->record;
+        is_after_self |= vm == self;
+    }
+    return std::nullopt;
+}
+
 void hub_selector::note_failure(vm_id const& vm, time_point now)
 {
     auto& it = candidates_[vm];
--- a/servers/control/hub_selector.hpp
+++ b/servers/control/hub_selector.hpp
@@ -27,6 +27,12 @@
         data_centre_id const& data_centre, vm_id const& self,
         time_point now) const;
 
+    /// A VM that comes soon after `self` in the order and that this VM has not
+    /// heard of lately. It may be a second hub, which does not know `self`.
+    std::optional<vm_record> find_unheard(fleet_members const& members,
+        data_centre_id const& data_centre, vm_id const& self,
+        time_point now) const;
+
     /// Whether a candidate answered the last time it was asked.
     bool is_reached(vm_id const& vm) const { return state_of(vm).reached; }
 
--- a/tests/simulation/returned_hub_test.cpp
+++ b/tests/simulation/returned_hub_test.cpp
@@ -270,6 +270,51 @@
     EXPECT_EQ(hubs(), std::set{first});
 }
 
+/// Guards against a new hub whose short list of VMs leaves callers without
+/// entries. The mean over ten moments of the time in which a VM names fewer
+/// than two entries.
+TEST_P(returned_hub_test, restart_of_a_hub_leaves_callers_two_entries)
+{
+    constexpr duration step = 10ms;
+    constexpr int moments = 10;
+    std::map<std::string, duration> lacking;
+    for (int n = 0; n < moments; ++n) {
+        auto const first = candidate(0).vm.text();
+        restart(candidate(0));
+        for (int m = 0; m < 600; ++m) {
+            run_for(step);
+            for (auto const& [name, it] : vms_)
+                if (name != first && it->entries().size() < 2)
+                    lacking[name] += step;
+        }
+        run_for(n * 70ms);
+    }
+    duration longest{};
+    for (auto const& [name, span] : lacking)
+        longest = std::max(longest, span / moments);
+    RecordProperty("lacking_ms", static_cast<int>(to_milliseconds(longest)));
+    EXPECT_LE(longest, 300ms);
+}
+
+TEST_P(returned_hub_test, new_first_vm_leaves_callers_two_entries)
+{
+    constexpr duration step = 10ms;
+    auto const name = name_before(candidate(0));
+    add_vm("east", name);
+    std::map<std::string, duration> lacking;
+    for (int m = 0; m < 800; ++m) {
+        run_for(step);
+        for (auto const& [vm, it] : vms_)
+            if (vm != name && it->entries().size() < 2)
+                lacking[vm] += step;
+    }
+    duration longest{};
+    for (auto const& [vm, span] : lacking)
+        longest = std::max(longest, span);
+    RecordProperty("lacking_ms", static_cast<int>(to_milliseconds(longest)));
+    EXPECT_LE(longest, 1s);
+}
+
 /// Guards against the short list of VMs of one that has just started, which
 /// hides other data centres from the hub that asks it.
 TEST_P(returned_hub_test, return_of_a_hub_hides_no_vm_from_its_successor)
