--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -257,7 +257,7 @@
         /// Recent priorities with the time of their last request. Requests of
         /// any but the most urgent one may be used as probes.
         std::map<std::int64_t, time_point> priorities;
-        service_load load;
+        service_demand load;
     };
 
     struct leaving_target
--- a/servers/queueing/deadline_choice.cpp
+++ b/servers/queueing/deadline_choice.cpp
@@ -96,7 +96,7 @@
 }
 
 void deadline_choice::set_targets(std::vector<target_view>& targets,
-    service_load const& load, service_view const& service, time_point now)
+    service_demand const& load, service_view const& service, time_point now)
 {
     targets_.swap(targets);
     load_ = &load;
--- a/servers/queueing/deadline_choice.hpp
+++ b/servers/queueing/deadline_choice.hpp
@@ -3,7 +3,7 @@
 
 #include "core/identifiers.hpp"
 #include "servers/health/target_chart.hpp"
-#include "servers/queueing/service_load.hpp"
+#include "servers/queueing/service_demand.hpp"
 #include "servers/queueing/wait_estimate.hpp"
 
 #include <algorithm>
@@ -124,7 +124,8 @@
     /// Sets the targets; a decision refers to them by index. `targets` gets the
     /// previous ones, so that their memory is used again.
     void set_targets(std::vector<target_view>& targets,
-        service_load const& load, service_view const& service, time_point now);
+        service_demand const& load, service_view const& service,
+        time_point now);
 
     /// Records that a request goes to the target at `position`.
     void take(std::size_t position);
@@ -238,7 +239,7 @@
     std::vector<target_view> targets_;
     bool has_special_targets_ = false;
     service_view service_;
-    service_load const* load_ = nullptr;
+    service_demand const* load_ = nullptr;
     time_point now_{};
     double trusted_slots_ = 0;
     double busy_trusted_ = 0;
--- a/servers/queueing/service_load.cpp
+++ b/servers/queueing/service_demand.cpp
@@ -1,4 +1,4 @@
-#include "servers/queueing/service_load.hpp"
+#include "servers/queueing/service_demand.hpp"
 
 namespace pomelohinge {
 namespace {
@@ -24,7 +24,7 @@
 
 } // namespace
 
-void service_load::add_arrival(route_id const& route, std::int64_t priority,
+void service_demand::add_arrival(route_id const& route, std::int64_t priority,
     bool retryable, time_point now)
 {
     auto& it = kinds_[route];
@@ -35,7 +35,7 @@
         it.last_retryable_at = now;
 }
 
-void service_load::add_holding_time(route_id const& route, duration held)
+void service_demand::add_holding_time(route_id const& route, duration held)
 {
     kinds_[route].holding.add(held);
     all_.add(held);
@@ -44,7 +44,7 @@
         : (held - mean_holding_) / mean_holding_divisor;
 }
 
-holding_times const& service_load::holding(route_id const& route) const
+holding_times const& service_demand::holding(route_id const& route) const
 {
     auto const it = kinds_.find(route);
     return it == kinds_.end() || it->second.holding.median() == duration::zero()
@@ -52,7 +52,7 @@
         : it->second.holding;
 }
 
-double service_load::more_urgent_arrivals(
+double service_demand::more_urgent_arrivals(
     std::int64_t priority, time_point now) const
 {
     double sum = 0;
@@ -61,7 +61,7 @@
     return sum;
 }
 
-double service_load::more_urgent_slots(
+double service_demand::more_urgent_slots(
     std::int64_t priority, time_point now) const
 {
     double sum = 0;
@@ -72,7 +72,7 @@
     return sum;
 }
 
-bool service_load::has_longer_retryable(
+bool service_demand::has_longer_retryable(
     route_id const& route, time_point now) const
 {
     auto const own = holding(route).median();
@@ -83,7 +83,7 @@
     return false;
 }
 
-bool service_load::is_most_urgent(std::int64_t priority, time_point now) const
+bool service_demand::is_most_urgent(std::int64_t priority, time_point now) const
 {
     bool has_less_urgent = false;
     for (auto const& [name, it] : kinds_) {
@@ -96,7 +96,7 @@
     return has_less_urgent;
 }
 
-bool service_load::has_retryable(time_point now) const
+bool service_demand::has_retryable(time_point now) const
 {
     for (auto const& [name, it] : kinds_)
         if (is_recent(it.last_retryable_at, now))
--- a/servers/queueing/service_load.hpp
+++ b/servers/queueing/service_demand.hpp
@@ -1,5 +1,5 @@
-#ifndef POMELOHINGE_SERVERS_QUEUEING_SERVICE_LOAD_HPP
-#define POMELOHINGE_SERVERS_QUEUEING_SERVICE_LOAD_HPP
+#ifndef POMELOHINGE_SERVERS_QUEUEING_SERVICE_DEMAND_HPP
+#define POMELOHINGE_SERVERS_QUEUEING_SERVICE_DEMAND_HPP
 
 #include "core/identifiers.hpp"
 #include "servers/limits/rate_meter.hpp"
@@ -13,7 +13,7 @@
 /// What one traffic thread measures of the load of one service: arrivals and
 /// holding times per kind of request (route and priority), and the attempts
 /// that end here and elsewhere.
-class service_load
+class service_demand
 {
 public:
     void add_arrival(route_id const& route, std::int64_t priority,
--- a/tests/servers/deadline_choice_test.cpp
+++ b/tests/servers/deadline_choice_test.cpp
@@ -104,7 +104,7 @@
     }
 
     time_point now_{1h};
-    service_load load_;
+    service_demand load_;
     service_view service_{.floor = 0.7, .failing_share = 0.3};
     std::vector<target_view> targets_;
     excluded_targets excluded_;
--- a/tests/simulation/fake_vm.hpp
+++ b/tests/simulation/fake_vm.hpp
@@ -31,6 +31,7 @@
     /// Budget of each hub for reports to other data centres, in bytes per
     /// second; 0 for none.
     double remote_budget = 0;
+    placement_settings placement;
     std::optional<transfer_settings> transfers = std::nullopt;
 };
 
@@ -46,7 +47,7 @@
               fleet.charts.target, record_.vm, record_.data_centre,
               fleet.simulator.random()(),
               [](std::string const&) { return true; }, fleet.bounds,
-              fleet.transfers),
+              fleet.placement, fleet.transfers),
           control_plane_(record_, {}, *this, timers_)
     {
         control_plane_.set_remote_budget(fleet_.remote_budget);
