Send no old failures to a hub that replaces an earlier version

Cause: a hub of an earlier version confirms no changes, so the sender kept the observations of each message for the next one, although they were in the whole report. After hours the hub that replaced it got a failure of each target that had failed since, and removed targets were never forgotten.

Change: a reply without a confirmation counts as one to the whole report.

Result: the new test fails without the change.

--- a/servers/exchange/remote_reports.cpp
+++ b/servers/exchange/remote_reports.cpp
@@ -1,6 +1,7 @@
 #include "servers/exchange/remote_reports.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pomelohinge {
 namespace {
@@ -50,10 +51,17 @@
         it.sender.record_failure();
         return false;
     }
-    it.decodes_changes = reply.confirmed.has_value();
-    return it.sender.record_reply(
-               reply.confirmed.value_or(report_position()), now) &&
-        it.decodes_changes;
+    bool const had_whole_report =
+        !std::exchange(it.decodes_changes, reply.confirmed.has_value());
+    if (reply.confirmed)
+        return it.sender.record_reply(*reply.confirmed, now);
+    // The hub is of an earlier version and has the observations if it got the
+    // whole report. They must not be sent again to the hub that replaces it.
+    if (had_whole_report)
+        it.sender.record_failure();
+    else
+        it.sender.record_reply({}, now);
+    return false;
 }
 
 std::optional<traffic_report> remote_reports::take_report(
--- a/tests/servers/remote_reports_test.cpp
+++ b/tests/servers/remote_reports_test.cpp
@@ -170,6 +170,36 @@
     }
 }
 
+/// A hub of an earlier version got the observations with the whole reports.
+/// They would all be counted again once a hub that decodes changes replaces it.
+TEST_F(remote_reports_test, hub_after_an_earlier_version_gets_no_old_failures)
+{
+    auto const west = data_centre_id("west");
+    auto const ask_earlier_version = [&] {
+        sync_question question;
+        question.relation = sync_relation::hub;
+        east_->server.write_remote_report(
+            question, west, vm_id("w0"), clock_.now());
+        sync_reply reply;
+        reply.reached = true;
+        east_->server.record_remote_reply(west, reply, clock_.now());
+        clock_.advance(250ms);
+    };
+    ask_earlier_version();
+    for (int n = 0; n < 20; ++n) {
+        traffic_report it;
+        it.targets["t1"].faults = 1;
+        east_->server.exchange_own_report(std::move(it), clock_.now());
+        ask_earlier_version();
+    }
+    ask(*east_, *west_);
+    ASSERT_TRUE(last_question_.changes);
+    std::uint64_t faults = 0;
+    for (auto const& it : last_question_.changes->targets)
+        faults += it.report.faults;
+    EXPECT_EQ(faults, 0U);
+}
+
 TEST_F(remote_reports_test, report_is_in_replies_while_own_questions_fail)
 {
     exchange();
