Leave the report out only for the hub that confirms questions

Cause: while two VMs act as hub of a data centre, only one of them is sent questions. The other one asked, and got replies without the report since its data centre confirmed questions, so that its entries did not know of the grants and failures elsewhere. A hub that had just been replaced had the same for 0.6 s.

Change: replies to a hub that has not confirmed changes have the report.

Result: the new test fails without the change.

--- a/servers/exchange/remote_reports.cpp
+++ b/servers/exchange/remote_reports.cpp
@@ -33,6 +33,7 @@
         it.sender.record_failure();
         it.hub = hub;
         it.decodes_changes = false;
+        it.confirmed_by = {};
     }
     question.changes = it.sender.make(report, usage, now);
     // A hub of an earlier version ignores the changes.
@@ -53,8 +54,10 @@
     }
     bool const had_whole_report =
         !std::exchange(it.decodes_changes, reply.confirmed.has_value());
-    if (reply.confirmed)
+    if (reply.confirmed) {
+        it.confirmed_by = it.hub;
         return it.sender.record_reply(*reply.confirmed, now);
+    }
     // The hub is of an earlier version and has the observations if it got the
     // whole report. They must not be sent again to the hub that replaces it.
     if (had_whole_report)
@@ -83,6 +86,7 @@
 {
     auto const it = peers_.find(question.from.data_centre);
     return has_budget() && question.changes && it != peers_.end() &&
+        it->second.confirmed_by == question.from.vm &&
         now - it->second.sender.confirmed_at() < max_confirmation_age;
 }
 
--- a/servers/exchange/remote_reports.hpp
+++ b/servers/exchange/remote_reports.hpp
@@ -47,8 +47,8 @@
     /// The position held of the sender's report, for the reply.
     report_position position_of(vm_id const& sender) const;
 
-    /// Whether the reply to a question needs no report, because that data
-    /// centre confirms the questions of this hub.
+    /// Whether the reply to a question needs no report, because the sender of
+    /// the question confirms those of this hub.
     bool omits_report(sync_question const& question, time_point now) const;
 
     /// Counts bytes for the budget, beside those of reports.
@@ -62,6 +62,9 @@
     {
         report_sender sender;
         vm_id hub;
+        /// The hub, once it has confirmed changes. Another VM that acts as hub
+        /// of the data centre as well has got none.
+        vm_id confirmed_by;
         /// The hub has confirmed changes, so it can decode them.
         bool decodes_changes = false;
     };
--- a/tests/servers/remote_reports_test.cpp
+++ b/tests/servers/remote_reports_test.cpp
@@ -200,6 +200,20 @@
     EXPECT_EQ(faults, 0U);
 }
 
+/// While two VMs of a data centre act as its hub, only one of them is sent
+/// questions. The other one would not know of the grants elsewhere.
+TEST_F(remote_reports_test, second_hub_of_a_data_centre_gets_reports_in_replies)
+{
+    report(*east_, 20);
+    exchange();
+    exchange();
+    modelled_hub second(make_vm("w2", "west"), budget);
+    auto const reply = ask(second, *east_);
+    ASSERT_TRUE(reply);
+    EXPECT_FALSE(reply->report_omitted);
+    EXPECT_EQ(others(second).organisations.at("pub").granted, 20);
+}
+
 TEST_F(remote_reports_test, report_is_in_replies_while_own_questions_fail)
 {
     exchange();
