Refuse complete reports of an earlier stream

Cause: a question that was given up could arrive after the one that began the next stream, and its complete report replaced the later one: grants and requests in flight went back, and its failures counted late.

Change: streams of one incarnation of a sender only increase; another incarnation starts anew.

Result: overtaken_complete_report_is_not_used fails without the change, report_of_a_restarted_sender_is_used guards it.

--- a/servers/exchange/remote_reports.cpp
+++ b/servers/exchange/remote_reports.cpp
@@ -70,15 +70,21 @@
 std::optional<traffic_report> remote_reports::take_report(
     sync_question& question, time_point now)
 {
-    if (question.changes)
-        return receivers_[question.from.vm].apply(*question.changes, now);
+    if (question.changes) {
+        auto& it = receivers_[question.from.vm];
+        // Streams of another incarnation are numbered independently.
+        if (it.incarnation != question.from.incarnation)
+            it = {question.from.incarnation, {}};
+        return it.receiver.apply(*question.changes, now);
+    }
     return std::move(question.report);
 }
 
 report_position remote_reports::position_of(vm_id const& sender) const
 {
     auto const it = receivers_.find(sender);
-    return it == receivers_.end() ? report_position() : it->second.position();
+    return it == receivers_.end() ? report_position()
+                                  : it->second.receiver.position();
 }
 
 bool remote_reports::omits_report(
@@ -100,7 +106,7 @@
 void remote_reports::expire(time_point now)
 {
     std::erase_if(receivers_, [&](auto const& it) {
-        return now - it.second.received_at() > receiver_retention;
+        return now - it.second.receiver.received_at() > receiver_retention;
     });
 }
 
--- a/servers/exchange/remote_reports.hpp
+++ b/servers/exchange/remote_reports.hpp
@@ -69,11 +69,18 @@
         bool decodes_changes = false;
     };
 
+    /// What is held of the reports of one incarnation of a hub.
+    struct remote_sender
+    {
+        std::uint64_t incarnation = 0;
+        report_receiver receiver;
+    };
+
     std::uint64_t first_stream_;
     double budget_ = 0;
     std::size_t data_centres_ = 1;
     std::map<data_centre_id, peer> peers_;
-    std::map<vm_id, report_receiver> receivers_;
+    std::map<vm_id, remote_sender> receivers_;
 };
 
 } // namespace pomelohinge
--- a/servers/exchange/report_changes.hpp
+++ b/servers/exchange/report_changes.hpp
@@ -14,7 +14,7 @@
 /// complete report, and its index of names is valid until its end.
 struct report_position
 {
-    /// 0 stands for none.
+    /// 0 stands for none. Later streams of a sender have higher numbers.
     std::uint64_t stream = 0;
     std::uint64_t sequence = 0;
 
--- a/servers/exchange/report_receiver.cpp
+++ b/servers/exchange/report_receiver.cpp
@@ -15,9 +15,10 @@
 {
     auto const& from = changes.position;
     if (changes.is_complete())
-        // A message of this stream that was overtaken is older.
-        return from.stream != position_.stream ||
-            from.sequence > position_.sequence;
+        // A message of this or an earlier stream was overtaken.
+        return from.stream > position_.stream ||
+            (from.stream == position_.stream &&
+                from.sequence > position_.sequence);
     return from.stream == position_.stream &&
         changes.base == position_.sequence;
 }
--- a/tests/servers/remote_reports_test.cpp
+++ b/tests/servers/remote_reports_test.cpp
@@ -214,6 +214,34 @@
     EXPECT_EQ(others(second).organisations.at("pub").granted, 20);
 }
 
+/// A question that was given up may arrive after the one that followed it.
+TEST_F(remote_reports_test, overtaken_complete_report_is_not_used)
+{
+    auto const answer = [&](sync_question question) {
+        west_->server.answer(std::move(question), clock_.now(), [](auto) {});
+    };
+    report(*east_, 20);
+    ask(*east_, *west_, exchange_fate::question_lost);
+    auto const overtaken = last_question_;
+    report(*east_, 30);
+    ask(*east_, *west_);
+    answer(overtaken);
+    EXPECT_EQ(others(*west_).organisations.at("pub").granted, 30);
+}
+
+/// Stream numbers of a restarted hub may be lower than those before.
+TEST_F(remote_reports_test, report_of_a_restarted_sender_is_used)
+{
+    report(*east_, 20);
+    exchange();
+    auto restarted = east_->self;
+    restarted.incarnation = 1;
+    east_.emplace(restarted, budget);
+    report(*east_, 30);
+    ask(*east_, *west_);
+    EXPECT_EQ(others(*west_).organisations.at("pub").granted, 30);
+}
+
 TEST_F(remote_reports_test, report_is_in_replies_while_own_questions_fail)
 {
     exchange();
