Count only suspects that a request may go to

Cause: a free suspect of another data centre, to which no request goes while a target is trusted, counted as a chance at once. All requests were queued however long the queue was, and refused at their deadline: 100 of 100 in the test. A retry whose best suspect was the one that it had tried waited, although others were free.

Change: one function finds the suspect that a request may go to, for the choice and for the admission. While this thread holds its part of the slots of suspects, only the first in the queue counts on one.

--- a/servers/dispatch/deadline_placement.cpp
+++ b/servers/dispatch/deadline_placement.cpp
@@ -239,7 +239,8 @@
     auto view = view_of(service, request, now);
     auto const entry = entry_of(view, now);
     view.ahead = count_ahead(service, entry, now);
-    if (decision_.chance_in_time(view) >= min_chance)
+    // `excluded_` is that of this request, since `choose` precedes.
+    if (decision_.chance_in_time(view, excluded_) >= min_chance)
         return entry;
     std::uniform_real_distribution<double> draw(1, 2);
     auto const wait = from_seconds(
--- a/servers/queueing/deadline_choice.cpp
+++ b/servers/queueing/deadline_choice.cpp
@@ -265,10 +265,7 @@
         return targets_[at].unused_for;
     };
     auto const chance = [&](std::size_t at) {
-        return first_success_chance(targets_[at]) -
-            max_affinity_chance * std::min(1.0, crowding_ / crowded) *
-            targets_[at].affinity_cost -
-            (targets_[at].local ? 0 : distance_cost);
+        return untrusted_value(targets_[at]);
     };
     for (std::size_t at = 0; at < targets_.size(); ++at) {
         auto const& it = targets_[at];
@@ -394,13 +391,18 @@
 
 /// While a service is overloaded, requests that can reach their goal go first,
 /// so one that misses it in the queue is hardly served any more.
-double deadline_choice::chance_in_time(request_view const& request) const
+double deadline_choice::chance_in_time(
+    request_view const& request, excluded_targets const& excluded) const
 {
     bool const can_reach_goal = now_ < latest_start(request, request.goal_at);
     auto const waiting = chance_within(
         request, can_reach_goal ? request.goal_at : request.deadline_at);
+    auto const untrusted = usable_untrusted(excluded);
+    // Those behind the first one would wait for slots that come free there.
+    bool const may_start =
+        untrusted && (request.ahead == 0 || !exceeds_untrusted_part());
     auto const at_once =
-        untrusted_ ? first_success_chance(targets_[*untrusted_]) : 0.0;
+        may_start ? first_success_chance(targets_[*untrusted]) : 0.0;
     return std::max(waiting, at_once);
 }
 
@@ -412,14 +414,50 @@
 std::optional<target_choice> deadline_choice::choose_better_than_waiting(
     request_view const& request, excluded_targets const& excluded) const
 {
-    if (!untrusted_ || contains(excluded, *untrusted_) ||
-        !(targets_[*untrusted_].local || trusted_slots_ == 0) ||
-        (is_crowded() &&
-            own_untrusted_ + rounding > own_part(untrusted_slots_)) ||
-        first_success_chance(targets_[*untrusted_]) <=
-            chance_of_waiting(request))
+    auto const at = usable_untrusted(excluded);
+    if (!at || exceeds_untrusted_part() ||
+        first_success_chance(targets_[*at]) <= chance_of_waiting(request))
         return std::nullopt;
-    return target_choice{*untrusted_, choice_cause::better_than_waiting};
+    return target_choice{*at, choice_cause::better_than_waiting};
+}
+
+/// The target that is not trusted with the highest value that a request may go
+/// to: those of other data centres only if no target is trusted.
+std::optional<std::size_t> deadline_choice::usable_untrusted(
+    excluded_targets const& excluded) const
+{
+    auto best = untrusted_;
+    if (best && contains(excluded, *best)) {
+        best.reset();
+        for (std::size_t at = 0; at < targets_.size(); ++at) {
+            auto const& it = targets_[at];
+            if (it.free_slots > 0 && !it.is_trusted() &&
+                !contains(excluded, at) &&
+                (!best ||
+                    untrusted_value(it) > untrusted_value(targets_[*best])))
+                best = at;
+        }
+    }
+    return best && (targets_[*best].local || trusted_slots_ == 0)
+        ? best
+        : std::nullopt;
+}
+
+/// Whether this thread holds its part of the slots of targets that are not
+/// trusted.
+bool deadline_choice::exceeds_untrusted_part() const
+{
+    return is_crowded() &&
+        own_untrusted_ + rounding > own_part(untrusted_slots_);
+}
+
+/// Chance of success, less the costs of collisions and distance.
+double deadline_choice::untrusted_value(target_view const& it) const
+{
+    return first_success_chance(it) -
+        max_affinity_chance * std::min(1.0, crowding_ / crowded) *
+        it.affinity_cost -
+        (it.local ? 0 : distance_cost);
 }
 
 /// Expected cost of a target whose slots all know to be free: others may take
--- a/servers/queueing/deadline_choice.hpp
+++ b/servers/queueing/deadline_choice.hpp
@@ -149,7 +149,8 @@
     double chance_of_waiting(request_view const& request) const;
 
     /// Probability that the request is served in time, by waiting or at once.
-    double chance_in_time(request_view const& request) const;
+    double chance_in_time(
+        request_view const& request, excluded_targets const& excluded) const;
 
     /// Expected time until the request gets a trusted slot.
     duration expected_wait(request_view const& request) const;
@@ -171,6 +172,10 @@
         request_view const& request) const;
     std::optional<target_choice> choose_better_than_waiting(
         request_view const& request, excluded_targets const& excluded) const;
+    std::optional<std::size_t> usable_untrusted(
+        excluded_targets const& excluded) const;
+    bool exceeds_untrusted_part() const;
+    double untrusted_value(target_view const& it) const;
     bool may_probe(request_view const& request) const;
     bool is_probe_due(target_view const& it, bool retryable) const;
     bool may_take_trusted(request_view const& request) const;
--- /dev/null
+++ b/tests/servers/deadline_placement_test.cpp
@@ -0,0 +1,78 @@
+#include "tests/servers/dispatch_fixture.hpp"
+
+namespace pomelohinge {
+namespace {
+
+/// One entry VM that places requests by deadline.
+class deadline_placement_test : public dispatch_fixture
+{
+protected:
+    deadline_placement_test()
+    {
+        placement_settings settings;
+        settings.mode = placement_mode::by_deadline;
+        dispatcher_.set_placement(settings);
+    }
+
+    placement_request make_timed(duration goal, duration deadline) const
+    {
+        placement_request it;
+        it.service = service_id("shop");
+        it.route = route_id("short");
+        it.priority = 1;
+        it.goal_at = clock_.now() + goal;
+        it.start_deadline = it.deadline_at = clock_.now() + deadline;
+        return it;
+    }
+
+    /// Lets another VM report `faults` of each of the targets.
+    void report_faults(std::vector<std::string> const& names, int faults)
+    {
+        traffic_report report;
+        for (auto const& it : names)
+            report.targets[it].faults = static_cast<std::uint32_t>(faults);
+        dispatcher_.apply_report(report, clock_.now());
+    }
+
+    /// Submits requests until none is placed at once.
+    void fill(std::size_t slots)
+    {
+        for (std::size_t it = 0; it < slots; ++it)
+            ASSERT_NE(place(make_timed(1s, 2s)), "");
+    }
+};
+
+/// Requests were queued until their deadline for a slot that none of them may
+/// take, however long the queue was.
+TEST_F(deadline_placement_test, free_suspect_elsewhere_admits_no_request)
+{
+    add("e", "east");
+    add("w", "west");
+    adopt();
+    report_faults({"w"}, 1);
+    fill(2);
+    for (int it = 0; it < 100; ++it)
+        EXPECT_EQ(place(make_timed(100ms, 200ms)), "");
+    EXPECT_LE(dispatcher_.queue_length(), 10U);
+}
+
+/// A retry waited for its deadline if the best suspect was the one that it had
+/// tried.
+TEST_F(deadline_placement_test, retry_goes_to_the_other_suspect)
+{
+    add("a");
+    add("b");
+    adopt();
+    report_faults({"a", "b"}, 3);
+    for (std::string const tried : {"a", "b"}) {
+        auto request = make_timed(1s, 2s);
+        request.tried.emplace_back(tried);
+        auto const placed = place(request);
+        EXPECT_EQ(placed, tried == "a" ? "b" : "a");
+        if (!placed.empty())
+            end_attempt(last_, attempt_result::cancelled);
+    }
+}
+
+} // namespace
+} // namespace pomelohinge
