Queue requests for suspects while no target is trusted

Cause: the chance of waiting counts trusted slots only. After one failure of the only target of a service all requests beyond its slots were refused at once until it answered; with earliest they wait.

Change: while no target is trusted, admission counts the slots of the others, with their chance of success.

Result: the new test fails without the change.

--- a/servers/queueing/deadline_choice.cpp
+++ b/servers/queueing/deadline_choice.cpp
@@ -131,7 +131,7 @@
 {
     trusted_slots_ = busy_trusted_ = free_trusted_ = own_trusted_ = 0;
     free_known_elsewhere_ = trusted_failure_ = 0;
-    untrusted_slots_ = own_untrusted_ = 0;
+    untrusted_slots_ = own_untrusted_ = untrusted_success_ = 0;
     for (auto const& it : targets_) {
         if (!it.accepts_requests)
             continue;
@@ -139,6 +139,7 @@
         auto const free = static_cast<double>(it.free_slots);
         if (!it.is_trusted()) {
             untrusted_slots_ += slots;
+            untrusted_success_ += success_chance(it) * slots;
             own_untrusted_ += static_cast<double>(it.in_flight);
             continue;
         }
@@ -152,6 +153,8 @@
     }
     if (trusted_slots_ > 0)
         trusted_failure_ /= trusted_slots_;
+    if (untrusted_slots_ > 0)
+        untrusted_success_ /= untrusted_slots_;
     set_affinities();
     crowding_ = load_->starts_elsewhere(now_) * to_seconds(report_period) /
         std::max(free_known_elsewhere_, 1.0);
@@ -397,6 +400,9 @@
     bool const can_reach_goal = now_ < latest_start(request, request.goal_at);
     auto const waiting = chance_within(
         request, can_reach_goal ? request.goal_at : request.deadline_at);
+    if (trusted_slots_ == 0 && untrusted_slots_ > 0)
+        return chance_at_suspects(
+            request, can_reach_goal ? request.goal_at : request.deadline_at);
     auto const untrusted = usable_untrusted(excluded);
     // Those behind the first one would wait for slots that come free there.
     bool const may_start =
@@ -443,6 +449,20 @@
         : std::nullopt;
 }
 
+/// Chance of success by `at` if no target is trusted: of the wait for any slot,
+/// and of the request there.
+double deadline_choice::chance_at_suspects(
+    request_view const& request, time_point at) const
+{
+    auto const holding = load_->mean_holding() > duration::zero()
+        ? load_->mean_holding()
+        : assumed_holding;
+    wait_estimate const wait{
+        untrusted_slots_ / to_seconds(holding) * service_.share, request.ahead};
+    return untrusted_success_ *
+        wait.chance_within(latest_start(request, at) - now_);
+}
+
 /// Whether this thread holds its part of the slots of targets that are not
 /// trusted.
 bool deadline_choice::exceeds_untrusted_part() const
--- a/servers/queueing/deadline_choice.hpp
+++ b/servers/queueing/deadline_choice.hpp
@@ -175,6 +175,7 @@
     std::optional<std::size_t> usable_untrusted(
         excluded_targets const& excluded) const;
     bool exceeds_untrusted_part() const;
+    double chance_at_suspects(request_view const& request, time_point at) const;
     double untrusted_value(target_view const& it) const;
     bool may_probe(request_view const& request) const;
     bool is_probe_due(target_view const& it, bool retryable) const;
@@ -245,6 +246,8 @@
     /// The same for targets that are not trusted.
     double untrusted_slots_ = 0;
     double own_untrusted_ = 0;
+    /// Mean chance of success at the slots of targets that are not trusted.
+    double untrusted_success_ = 0;
     double free_known_elsewhere_ = 0;
     /// Mean failure probability of the trusted slots.
     double trusted_failure_ = 0;
--- a/tests/servers/deadline_placement_test.cpp
+++ b/tests/servers/deadline_placement_test.cpp
@@ -74,5 +74,18 @@
     }
 }
 
+/// Requests were refused for as long as the slots were held, after one failure
+/// of a target that fails rarely.
+TEST_F(deadline_placement_test, requests_wait_for_a_full_only_suspect)
+{
+    add("t", "east", 2);
+    adopt();
+    report_faults({"t"}, 1);
+    clock_.advance(200ms);
+    fill(2);
+    EXPECT_EQ(place(make_timed(1s, 2s)), "");
+    EXPECT_EQ(dispatcher_.queue_length(), 1U);
+}
+
 } // namespace
 } // namespace pomelohinge
