Bound how long a target that sheds counts as full

Cause: a shed was recorded as requests in flight from elsewhere. Without reports, while the hub is replaced, each further shed took more slots and they were never free again. These counts also made each shed look like that of a full target, so one that fails by shedding everything stayed trusted.

Change: a target that has shed is full until the next report, 0.4 s at most. More than 8 sheds without an answer, here or in the reports, are a fault.

--- a/servers/dispatch/deadline_placement.cpp
+++ b/servers/dispatch/deadline_placement.cpp
@@ -27,6 +27,14 @@
 constexpr duration report_period = std::chrono::milliseconds(200);
 constexpr duration max_spread = std::chrono::milliseconds(2000);
 
+/// A target that has shed counts as full for this long at the latest, since the
+/// next report may not come while the hub is replaced.
+constexpr duration shed_expiry = 2 * report_period;
+
+/// A full target answers other requests. One that sheds more than this many
+/// without an answer in between, here or in the reports of others, has a fault.
+constexpr std::int64_t max_sheds = 8;
+
 /// A value in [0, 1) that differs between threads and targets, and changes with
 /// each observation of the target. The constants are those of SplitMix64.
 double spread_of(std::uint64_t seed, time_point at)
@@ -94,17 +102,20 @@
 
 /// Returns whether the target has shed a request since its slots were taken,
 /// by requests from elsewhere that were not known here. It then counts as full
-/// until the next report. One that sheds with most slots free has a fault.
+/// until the next report. One that sheds with most slots free, or that has
+/// answered nobody for many sheds, has a fault.
 bool dispatcher::deadline_rules::shed(
-    service_state& service, traffic_target& target, time_point)
+    service_state& service, traffic_target& target, time_point now)
 {
     static_cast<void>(service);
+    target.record_shed();
     auto const slots = target.record().slots;
-    bool const is_full =
-        (target.in_flight() + target.in_flight_elsewhere() + 1) * 2 >= slots;
+    bool const is_full = target.sheds_since_answer() <= max_sheds &&
+        (target.is_full(now) ||
+            (target.in_flight() + target.in_flight_elsewhere() + 1) * 2 >=
+                slots);
     if (is_full)
-        target.set_in_flight_elsewhere(
-            std::max(target.in_flight_elsewhere(), slots - target.in_flight()));
+        target.set_full_until(now + shed_expiry);
     return is_full;
 }
 
--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -376,6 +376,8 @@
         if (it->health().state() == target_state::trusted &&
             result != attempt_result::shed)
             service.load.add_trusted_end(now);
+        if (result == attempt_result::answered)
+            it->record_answer();
         if (!notice.empty())
             record_notice(target, notice, now);
         if (has_answer(result))
--- a/servers/dispatch/traffic_target.cpp
+++ b/servers/dispatch/traffic_target.cpp
@@ -39,7 +39,7 @@
 
 bool traffic_target::has_capacity(time_point now)
 {
-    if (in_flight_ + in_flight_elsewhere_ >= record_.slots)
+    if (in_flight_ + in_flight_elsewhere_ >= record_.slots || is_full(now))
         return false;
     return !is_cold(now) || !cold_bucket_ || cold_bucket_->tokens(now) >= 1;
 }
@@ -71,8 +71,10 @@
 {
     if (path_.is_confirmed(now) || report.answers > 0)
         report.silences = 0;
-    if (report.answers > 0)
+    if (report.answers > 0) {
         path_.record_reached_elsewhere(now);
+        record_answer();
+    }
     if (report.answers > 0 || report.faults > 0)
         last_reached_at_ = std::max(last_reached_at_, now - report_age);
     health_.record_report(report, service, now);
--- a/servers/dispatch/traffic_target.hpp
+++ b/servers/dispatch/traffic_target.hpp
@@ -78,9 +78,22 @@
     time_point last_started_at() const { return last_started_at_; }
 
     /// Requests in flight from other VMs and threads, as last reported.
-    void set_in_flight_elsewhere(std::int64_t it) { in_flight_elsewhere_ = it; }
+    void set_in_flight_elsewhere(std::int64_t it)
+    {
+        in_flight_elsewhere_ = it;
+        full_until_ = {};
+    }
     std::int64_t in_flight_elsewhere() const { return in_flight_elsewhere_; }
 
+    /// Lets the target count as full until a time or the next report.
+    void set_full_until(time_point at) { full_until_ = at; }
+    bool is_full(time_point now) const { return now < full_until_; }
+
+    /// Requests that the target has shed since it answered one from anywhere.
+    void record_shed() { ++sheds_since_answer_; }
+    void record_answer() { sheds_since_answer_ = 0; }
+    std::int64_t sheds_since_answer() const { return sheds_since_answer_; }
+
     /// Requests in flight from here, as the others know from the last report.
     std::int64_t reported_in_flight() const { return reported_in_flight_; }
 
@@ -126,6 +139,8 @@
     std::int64_t in_flight_ = 0;
     std::int64_t in_flight_elsewhere_ = 0;
     std::int64_t reported_in_flight_ = 0;
+    std::int64_t sheds_since_answer_ = 0;
+    time_point full_until_{};
     std::int64_t late_attempts_ = 0;
     time_point last_started_at_{};
     time_point last_reached_at_{};
--- a/tests/servers/deadline_placement_test.cpp
+++ b/tests/servers/deadline_placement_test.cpp
@@ -87,5 +87,39 @@
     EXPECT_EQ(dispatcher_.queue_length(), 1U);
 }
 
+/// The slots of a target that has shed requests counted as taken until the
+/// next report, which may not come while the hub is replaced.
+TEST_F(deadline_placement_test, target_that_has_shed_is_used_without_reports)
+{
+    add("t", "east", 4);
+    adopt();
+    fill(4);
+    for (int it = 0; it < 4; ++it)
+        end_attempt(record("t"), attempt_result::shed, 5ms);
+    EXPECT_EQ(place(make_timed(1s, 2s)), "");
+    clock_.advance(1s);
+    dispatcher_.tick(clock_.now());
+    EXPECT_EQ(place(make_timed(1s, 2s)), "t");
+}
+
+/// A target that fails by shedding all requests was taken for a full one
+/// after each report.
+TEST_F(deadline_placement_test, target_that_sheds_everything_loses_trust)
+{
+    add("t", "east", 4);
+    adopt();
+    for (int round = 0; round < 10; ++round) {
+        dispatcher_.apply_report({}, clock_.now());
+        std::vector<target_record> placed;
+        while (placed.size() < 4 && place(make_timed(1s, 2s)) == "t")
+            placed.push_back(last_);
+        for (auto const& it : placed)
+            end_attempt(it, attempt_result::shed, 5ms);
+        clock_.advance(200ms);
+    }
+    EXPECT_NE(dispatcher_.find(target_id("t"))->health().state(),
+        target_state::trusted);
+}
+
 } // namespace
 } // namespace pomelohinge
