Leave probes only to requests that have the time to repeat

Cause: short requests leave probes to those that hold slots for longer, also when the goal of these leaves no time for a second attempt. Then no request probed, and those that must run once did not either, since there were others.

Change: a route counts as one that probes if it has the time to repeat.

Result: the new test fails without the change.

--- a/servers/dispatch/deadline_placement.cpp
+++ b/servers/dispatch/deadline_placement.cpp
@@ -95,9 +95,11 @@
 void dispatcher::deadline_rules::arrived(
     service_state& service, placement_request const& request, time_point now)
 {
-    if (request.tried.empty())
-        service.load.add_arrival(
-            request.route, request.priority, request.retryable, now);
+    if (!request.tried.empty())
+        return;
+    bool const has_times = request.deadline_at != time_point{};
+    service.load.add_arrival(request.route, request.priority, request.retryable,
+        (has_times ? request.goal_at : request.start_deadline) - now, now);
 }
 
 /// Returns whether the target has shed a request since its slots were taken,
--- a/servers/queueing/deadline_choice.cpp
+++ b/servers/queueing/deadline_choice.cpp
@@ -253,9 +253,9 @@
     unused_trusted_.reset();
     untrusted_.reset();
     bool const needs_floor_now = service_.is_failing && needs_floor();
-    bool const has_retryable = load_->has_retryable(now_);
+    bool const has_prober = load_->has_prober(now_);
     bool const needs_probes =
-        !has_retryable && (service_.is_failing || has_too_few_trusted());
+        !has_prober && (service_.is_failing || has_too_few_trusted());
     auto const raise = [](std::optional<std::size_t>& best, std::size_t at,
                            auto const& value) {
         if (!best || value(at) > value(*best))
@@ -295,9 +295,8 @@
 /// its goal.
 bool deadline_choice::may_probe(request_view const& request) const
 {
-    auto const holding = load_->holding(request.route);
     return request.retryable &&
-        now_ + holding.high_quantile() + holding.median() <= request.goal_at;
+        load_->has_time_to_repeat(request.route, request.goal_at - now_);
 }
 
 /// A request that may be repeated probes, long ones first, since they lose the
--- a/servers/queueing/service_load.cpp
+++ b/servers/queueing/service_load.cpp
@@ -25,12 +25,13 @@
 } // namespace
 
 void service_load::add_arrival(route_id const& route, std::int64_t priority,
-    bool retryable, time_point now)
+    bool retryable, duration goal, time_point now)
 {
     auto& it = kinds_[route];
     it.priority = priority;
     it.arrivals.add(now);
     it.last_arrival_at = now;
+    it.goal = goal;
     if (retryable)
         it.last_retryable_at = now;
 }
@@ -72,13 +73,21 @@
     return sum;
 }
 
+bool service_load::has_time_to_repeat(
+    route_id const& route, duration goal) const
+{
+    auto const& held = holding(route);
+    return held.high_quantile() + held.median() <= goal;
+}
+
 bool service_load::has_longer_retryable(
     route_id const& route, time_point now) const
 {
     auto const own = holding(route).median();
     for (auto const& [name, it] : kinds_)
         if (is_recent(it.last_retryable_at, now) &&
-            it.holding.median() > own * longer_factor)
+            it.holding.median() > own * longer_factor &&
+            has_time_to_repeat(name, it.goal))
             return true;
     return false;
 }
@@ -96,6 +105,15 @@
     return has_less_urgent;
 }
 
+bool service_load::has_prober(time_point now) const
+{
+    for (auto const& [route, it] : kinds_)
+        if (is_recent(it.last_retryable_at, now) &&
+            has_time_to_repeat(route, it.goal))
+            return true;
+    return false;
+}
+
 bool service_load::has_retryable(time_point now) const
 {
     for (auto const& [name, it] : kinds_)
--- a/servers/queueing/service_load.hpp
+++ b/servers/queueing/service_load.hpp
@@ -16,8 +16,9 @@
 class service_load
 {
 public:
+    /// `goal` is the time that is left until its goal.
     void add_arrival(route_id const& route, std::int64_t priority,
-        bool retryable, time_point now);
+        bool retryable, duration goal, time_point now);
 
     /// Records that an attempt of the route was answered.
     void add_holding_time(route_id const& route, duration held);
@@ -58,15 +59,23 @@
     /// average: arrivals times holding time.
     double more_urgent_slots(std::int64_t priority, time_point now) const;
 
-    /// Whether a kind that is retryable and holds slots for much longer than
-    /// `route` has arrived recently. It loses less of its time by a failed
-    /// attempt.
+    /// Whether requests of `route` with this time left until their goal reach
+    /// it also if their first attempt fails.
+    bool has_time_to_repeat(route_id const& route, duration goal) const;
+
+    /// Whether a kind that is retryable, has the time to repeat and holds slots
+    /// for much longer than `route` has arrived recently. It loses less of its
+    /// time by a failed attempt.
     bool has_longer_retryable(route_id const& route, time_point now) const;
 
     /// Whether requests of several priorities have arrived recently, and none
     /// more urgent than `priority`.
     bool is_most_urgent(std::int64_t priority, time_point now) const;
 
+    /// Whether requests that may be repeated, and have the time for it, have
+    /// arrived recently.
+    bool has_prober(time_point now) const;
+
     /// Whether requests that may be repeated have arrived recently.
     bool has_retryable(time_point now) const;
 
@@ -81,6 +90,8 @@
         holding_times holding;
         time_point last_arrival_at{};
         time_point last_retryable_at{};
+        /// Time that the latest arrival had until its goal.
+        duration goal{};
     };
 
     std::map<route_id, kind> kinds_;
--- a/tests/servers/deadline_placement_test.cpp
+++ b/tests/servers/deadline_placement_test.cpp
@@ -121,5 +121,37 @@
         target_state::trusted);
 }
 
+/// Requests with a long holding time were left to probe although their goal
+/// leaves no time for another attempt, so that no request probed.
+TEST_F(deadline_placement_test, short_requests_probe_if_long_ones_can_not)
+{
+    add("a", "east", 20);
+    add("b", "east", 20);
+    adopt();
+    for (int it = 0; it < 8; ++it) {
+        dispatcher_.add_holding_time(
+            service_id("shop"), route_id("short"), 50ms);
+        dispatcher_.add_holding_time(service_id("shop"), route_id("long"), 1s);
+    }
+    auto request = make_timed(1500ms, 2s);
+    request.route = route_id("long");
+    request.retryable = true;
+    place(request);
+    place(request);
+    report_faults({"b"}, 1);
+    ASSERT_EQ(dispatcher_.find(target_id("b"))->health().state(),
+        target_state::suspect);
+    if (dispatcher_.find(target_id("b"))->in_flight() > 0)
+        end_attempt(record("b"), attempt_result::cancelled);
+    clock_.advance(500ms);
+    std::size_t probes = 0;
+    for (int it = 0; it < 5; ++it) {
+        auto short_request = make_timed(1s, 2s);
+        short_request.retryable = true;
+        probes += place(short_request) == "b" ? 1 : 0;
+    }
+    EXPECT_EQ(probes, 1U);
+}
+
 } // namespace
 } // namespace pomelohinge
