Test the rates of three data centres under the budget

Cause: the bound of rates was tested with two data centres only. What each holds back for the budget, up to a tenth of the limit, adds up over the others.

Change: remote_rate_test takes any number of data centres; two tests with three, one with 30% lost exchanges, one with a budget of 1 byte per second.

--- a/tests/servers/remote_reports_test.cpp
+++ b/tests/servers/remote_reports_test.cpp
@@ -341,13 +341,33 @@
     remote_rate_test()
     {
         set_rate(rate_);
+        hubs_ = {&*east_, &*west_};
+        set_entries();
+    }
+
+    void add_data_centre()
+    {
+        south_.emplace(make_vm("s1", "south"), budget);
+        south_->state.set_configuration({1, std::make_shared<std::string>("1")},
+            configuration().with(
+                {{object_kind::rate, "pub", any_object(rate_)}}));
+        hubs_.push_back(&*south_);
+        for (auto* it : hubs_)
+            it->server.expect_other_data_centres(hubs_.size() - 1);
+        set_entries();
+    }
+
+    void set_entries()
+    {
+        entries_ =
+            std::vector<organisation_limits>(hubs_.size() * entries_per_hub);
         for (auto& it : entries_)
             it.set_listed_vms(entries_.size(), entries_.size());
     }
 
     /// Callers send `demands` requests per second to the entries of each data
     /// centre; a part of the exchanges is lost.
-    void simulate(duration time, std::array<double, 2> demands)
+    void simulate(duration time, std::vector<double> const& demands)
     {
         std::uniform_real_distribution<double> draw(0, 1);
         auto const end = clock_.now() + time;
@@ -370,14 +390,17 @@
         auto const fate = drawn < losses_ / 2 ? exchange_fate::question_lost
             : drawn < losses_                 ? exchange_fate::reply_lost
                                               : exchange_fate::answered;
-        ask(*east_, *west_, fate);
-        ask(*west_, *east_);
+        for (std::size_t from = 0; from < hubs_.size(); ++from)
+            for (std::size_t to = 0; to < hubs_.size(); ++to)
+                if (from != to)
+                    ask(*hubs_[from], *hubs_[to],
+                        from < to ? fate : exchange_fate::answered);
     }
 
     void report_all()
     {
         for (std::size_t n = 0; n < entries_.size(); ++n) {
-            auto& hub = n < entries_per_hub ? *east_ : *west_;
+            auto& hub = *hubs_[n / entries_per_hub];
             sync_question question;
             question.from =
                 make_vm(fmt::format("entry{}", n), hub.self.data_centre.text());
@@ -390,8 +413,8 @@
                     entries_[n].apply_report(reply.others, clock_.now());
                 });
         }
-        east_->server.expire(clock_.now());
-        west_->server.expire(clock_.now());
+        for (auto* it : hubs_)
+            it->server.expire(clock_.now());
     }
 
     void send_request(organisation_limits& entry)
@@ -418,7 +441,9 @@
     }
 
     rate_object rate_{40, 40};
-    std::array<organisation_limits, 2 * entries_per_hub> entries_;
+    std::optional<modelled_hub> south_;
+    std::vector<modelled_hub*> hubs_;
+    std::vector<organisation_limits> entries_;
     std::mt19937_64 random_{7};
     double losses_ = 0;
     duration since_start_{};
@@ -439,7 +464,7 @@
 {
     for (int round = 0; round < 20; ++round)
         simulate(3s,
-            round % 2 == 0 ? std::array{150.0, 0.0} : std::array{0.0, 150.0});
+            round % 2 == 0 ? std::vector{150.0, 0.0} : std::vector{0.0, 150.0});
     EXPECT_LE(static_cast<double>(most_in_window_), max_grants());
 }
 
@@ -448,7 +473,36 @@
     losses_ = 0.3;
     for (int round = 0; round < 20; ++round)
         simulate(3s,
-            round % 2 == 0 ? std::array{150.0, 20.0} : std::array{20.0, 150.0});
+            round % 2 == 0 ? std::vector{150.0, 20.0}
+                           : std::vector{20.0, 150.0});
+    EXPECT_LE(static_cast<double>(most_in_window_), max_grants());
+}
+
+/// Each data centre may hold back grants up to a part of the limit, which
+/// add up over the data centres.
+TEST_F(remote_rate_test, three_data_centres_get_grants_within_the_bound)
+{
+    add_data_centre();
+    losses_ = 0.3;
+    for (int round = 0; round < 20; ++round) {
+        std::vector<double> demands(3, 10);
+        demands[static_cast<std::size_t>(round) % 3] = 150;
+        simulate(3s, demands);
+    }
+    EXPECT_LE(static_cast<double>(most_in_window_), max_grants());
+}
+
+/// With a budget for hardly any optional row.
+TEST_F(remote_rate_test, small_budget_keeps_grants_within_the_bound)
+{
+    add_data_centre();
+    for (auto* it : hubs_)
+        it->server.set_remote_budget(1);
+    for (int round = 0; round < 20; ++round) {
+        std::vector<double> demands(3, 30);
+        demands[static_cast<std::size_t>(round) % 3] = 150;
+        simulate(3s, demands);
+    }
     EXPECT_LE(static_cast<double>(most_in_window_), max_grants());
 }
 
