--- a/servers/exchange/remote_reports.cpp
+++ b/servers/exchange/remote_reports.cpp
@@ -1,6 +1,7 @@
 #include "servers/exchange/remote_reports.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pomelohinge {
 namespace {
@@ -32,6 +33,7 @@
         it.sender.record_failure();
         it.hub = hub;
         it.decodes_changes = false;
+        it.confirmed_by = {};
     }
     question.changes = it.sender.make(report, usage, now);
     // A hub of an earlier version ignores the changes.
@@ -50,24 +52,39 @@
         it.sender.record_failure();
         return false;
     }
-    it.decodes_changes = reply.confirmed.has_value();
-    return it.sender.record_reply(
-               reply.confirmed.value_or(report_position()), now) &&
-        it.decodes_changes;
+    bool const had_whole_report =
+        !std::exchange(it.decodes_changes, reply.confirmed.has_value());
+    if (reply.confirmed) {
+        it.confirmed_by = it.hub;
+        return it.sender.record_reply(*reply.confirmed, now);
+    }
+    // The hub is of an earlier version and has the observations if it got the
+    // whole report. They must not be sent again to the hub that replaces it.
+    if (had_whole_report)
+        it.sender.record_failure();
+    else
+        it.sender.record_reply({}, now);
+    return false;
 }
 
 std::optional<traffic_report> remote_reports::take_report(
     sync_question& question, time_point now)
 {
-    if (question.changes)
-        return receivers_[question.from.vm].apply(*question.changes, now);
+    if (question.changes) {
+        auto& it = receivers_[question.from.vm];
+        // Streams of another incarnation are numbered independently.
+        if (it.incarnation != question.from.incarnation)
+            it = {question.from.incarnation, {}};
+        return it.receiver.apply(*question.changes, now);
+    }
     return std::move(question.report);
 }
 
 report_position remote_reports::position_of(vm_id const& sender) const
 {
     auto const it = receivers_.find(sender);
-    return it == receivers_.end() ? report_position() : it->second.position();
+    return it == receivers_.end() ? report_position()
+                                  : it->second.receiver.position();
 }
 
 bool remote_reports::omits_report(
@@ -75,6 +92,7 @@
 {
     auto const it = peers_.find(question.from.data_centre);
     return has_budget() && question.changes && it != peers_.end() &&
+        it->second.confirmed_by == question.from.vm &&
         now - it->second.sender.confirmed_at() < max_confirmation_age;
 }
 
@@ -88,7 +106,7 @@
 void remote_reports::expire(time_point now)
 {
     std::erase_if(receivers_, [&](auto const& it) {
-        return now - it.second.received_at() > receiver_retention;
+        return now - it.second.receiver.received_at() > receiver_retention;
     });
 }
 
--- a/servers/queueing/deadline_choice.cpp
+++ b/servers/queueing/deadline_choice.cpp
@@ -130,7 +130,7 @@
 {
     trusted_slots_ = busy_trusted_ = free_trusted_ = own_trusted_ = 0;
     free_known_elsewhere_ = trusted_failure_ = 0;
-    untrusted_slots_ = own_untrusted_ = 0;
+    untrusted_slots_ = own_untrusted_ = untrusted_success_ = 0;
     for (auto const& it : targets_) {
         if (!it.accepts_requests)
             continue;
@@ -138,6 +138,7 @@
         auto const free = static_cast<double>(it.free_slots);
         if (!it.is_trusted()) {
             untrusted_slots_ += slots;
+            untrusted_success_ += success_chance(it) * slots;
             own_untrusted_ += static_cast<double>(it.in_flight);
             continue;
         }
@@ -151,6 +152,8 @@
     }
     if (trusted_slots_ > 0)
         trusted_failure_ /= trusted_slots_;
+    if (untrusted_slots_ > 0)
+        untrusted_success_ /= untrusted_slots_;
     set_affinities();
     crowding_ = load_->starts_elsewhere(now_) * to_seconds(report_period) /
         std::max(free_known_elsewhere_, 1.0);
@@ -264,9 +267,9 @@
     unused_trusted_.reset();
     untrusted_.reset();
     bool const needs_floor_now = service_.is_failing && needs_floor();
-    bool const has_retryable = load_->has_retryable(now_);
+    bool const has_prober = load_->has_prober(now_);
     bool const needs_probes =
-        !has_retryable && (service_.is_failing || has_too_few_trusted());
+        !has_prober && (service_.is_failing || has_too_few_trusted());
     auto const raise = [](std::optional<std::size_t>& best, std::size_t at,
                            auto const& value) {
         if (!best || value(at) > value(*best))
@@ -279,10 +282,7 @@
         return targets_[at].unused_for;
     };
     auto const chance = [&](std::size_t at) {
-        return first_success_chance(targets_[at]) -
-            max_affinity_chance * std::min(1.0, crowding_) *
-            targets_[at].affinity_cost -
-            (targets_[at].local ? 0 : distance_cost);
+        return untrusted_value(targets_[at]);
     };
     for (std::size_t at = 0; at < targets_.size(); ++at) {
         auto const& it = targets_[at];
@@ -309,9 +309,8 @@
 /// its goal.
 bool deadline_choice::may_probe(request_view const& request) const
 {
-    auto const holding = load_->holding(request.route);
     return request.retryable &&
-        now_ + holding.high_quantile() + holding.median() <= request.goal_at;
+        load_->has_time_to_repeat(request.route, request.goal_at - now_);
 }
 
 /// A request that may be repeated probes, long ones first, since they lose the
@@ -409,13 +408,21 @@
 
 /// While a service is overloaded, requests that can reach their goal go first,
 /// so one that misses it in the queue is hardly served any more.
-double deadline_choice::chance_in_time(request_view const& request) const
+double deadline_choice::chance_in_time(
+    request_view const& request, excluded_targets const& excluded) const
 {
     bool const can_reach_goal = now_ < latest_start(request, request.goal_at);
     auto const waiting = chance_within(
         request, can_reach_goal ? request.goal_at : request.deadline_at);
+    if (trusted_slots_ == 0 && untrusted_slots_ > 0)
+        return chance_at_suspects(
+            request, can_reach_goal ? request.goal_at : request.deadline_at);
+    auto const untrusted = usable_untrusted(excluded);
+    // Those behind the first one would wait for slots that come free there.
+    bool const may_start =
+        untrusted && (request.ahead == 0 || !exceeds_untrusted_part());
     auto const at_once =
-        untrusted_ ? first_success_chance(targets_[*untrusted_]) : 0.0;
+        may_start ? first_success_chance(targets_[*untrusted]) : 0.0;
     return std::max(waiting, at_once);
 }
 
@@ -427,15 +434,63 @@
 std::optional<target_choice> deadline_choice::choose_better_than_waiting(
     request_view const& request, excluded_targets const& excluded) const
 {
-    if (!untrusted_ || contains(excluded, *untrusted_) ||
-        !(targets_[*untrusted_].local || trusted_slots_ == 0) ||
-        (is_crowded() &&
-            own_untrusted_ + 1 >
-                own_part(untrusted_slots_) + service_.rounding) ||
-        first_success_chance(targets_[*untrusted_]) <=
-            chance_of_waiting(request))
+    auto const at = usable_untrusted(excluded);
+    if (!at || exceeds_untrusted_part() ||
+        first_success_chance(targets_[*at]) <= chance_of_waiting(request))
         return std::nullopt;
-    return target_choice{*untrusted_, choice_cause::better_than_waiting};
+    return target_choice{*at, choice_cause::better_than_waiting};
+}
+
+/// The target that is not trusted with the highest value that a request may go
+/// to: those of other data centres only if no target is trusted.
+std::optional<std::size_t> deadline_choice::usable_untrusted(
+    excluded_targets const& excluded) const
+{
+    auto best = untrusted_;
+    if (best && contains(excluded, *best)) {
+        best.reset();
+        for (std::size_t at = 0; at < targets_.size(); ++at) {
+            auto const& it = targets_[at];
+            if (it.free_slots > 0 && !it.is_trusted() &&
+                !contains(excluded, at) &&
+                (!best ||
+                    untrusted_value(it) > untrusted_value(targets_[*best])))
+                best = at;
+        }
+    }
+    return best && (targets_[*best].local || trusted_slots_ == 0)
+        ? best
+        : std::nullopt;
+}
+
+/// Chance of success by `at` if no target is trusted: of the wait for any slot,
+/// and of the request there.
+double deadline_choice::chance_at_suspects(
+    request_view const& request, time_point at) const
+{
+    auto const holding = load_->mean_holding() > duration::zero()
+        ? load_->mean_holding()
+        : assumed_holding;
+    wait_estimate const wait{
+        untrusted_slots_ / to_seconds(holding) * service_.share, request.ahead};
+    return untrusted_success_ *
+        wait.chance_within(latest_start(request, at) - now_);
+}
+
+/// Whether this thread holds its part of the slots of targets that are not
+/// trusted.
+bool deadline_choice::exceeds_untrusted_part() const
+{
+    return is_crowded() &&
+        own_untrusted_ + 1 > own_part(untrusted_slots_) + service_.rounding;
+}
+
+/// Chance of success, less the costs of collisions and distance.
+double deadline_choice::untrusted_value(target_view const& it) const
+{
+    return first_success_chance(it) -
+        max_affinity_chance * std::min(1.0, crowding_) * it.affinity_cost -
+        (it.local ? 0 : distance_cost);
 }
 
 /// Expected cost of a target whose slots all know to be free: others may take
--- a/tests/servers/remote_reports_test.cpp
+++ b/tests/servers/remote_reports_test.cpp
@@ -170,6 +170,78 @@
     }
 }
 
+/// A hub of an earlier version got the observations with the whole reports.
+/// They would all be counted again once a hub that decodes changes replaces it.
+TEST_F(remote_reports_test, hub_after_an_earlier_version_gets_no_old_failures)
+{
+    auto const west = data_centre_id("west");
+    auto const ask_earlier_version = [&] {
+        sync_question question;
+        question.relation = sync_relation::hub;
+        east_->server.write_remote_report(
+            question, west, vm_id("w0"), clock_.now());
+        sync_reply reply;
+        reply.reached = true;
+        east_->server.record_remote_reply(west, reply, clock_.now());
+        clock_.advance(250ms);
+    };
+    ask_earlier_version();
+    for (int n = 0; n < 20; ++n) {
+        traffic_report it;
+        it.targets["t1"].faults = 1;
+        east_->server.exchange_own_report(std::move(it), clock_.now());
+        ask_earlier_version();
+    }
+    ask(*east_, *west_);
+    ASSERT_TRUE(last_question_.changes);
+    std::uint64_t faults = 0;
+    for (auto const& it : last_question_.changes->targets)
+        faults += it.report.faults;
+    EXPECT_EQ(faults, 0U);
+}
+
+/// While two VMs of a data centre act as its hub, only one of them is sent
+/// questions. The other one would not know of the grants elsewhere.
+TEST_F(remote_reports_test, second_hub_of_a_data_centre_gets_reports_in_replies)
+{
+    report(*east_, 20);
+    exchange();
+    exchange();
+    modelled_hub second(make_vm("w2", "west"), budget);
+    auto const reply = ask(second, *east_);
+    ASSERT_TRUE(reply);
+    EXPECT_FALSE(reply->report_omitted);
+    EXPECT_EQ(others(second).organisations.at("pub").granted, 20);
+}
+
+/// A question that was given up may arrive after the one that followed it.
+TEST_F(remote_reports_test, overtaken_complete_report_is_not_used)
+{
+    auto const answer = [&](sync_question question) {
+        west_->server.answer(std::move(question), clock_.now(), [](auto) {});
+    };
+    report(*east_, 20);
+    ask(*east_, *west_, exchange_fate::question_lost);
+    auto const overtaken = last_question_;
+    report(*east_, 30);
+    ask(*east_, *west_);
+    answer(overtaken);
+    EXPECT_EQ(others(*west_).organisations.at("pub").granted, 30);
+}
+
+/// Stream numbers of a restarted hub may be lower than those before.
+TEST_F(remote_reports_test, report_of_a_restarted_sender_is_used)
+{
+    report(*east_, 20);
+    exchange();
+    auto restarted = east_->self;
+    restarted.incarnation = 1;
+    east_.emplace(restarted, budget);
+    report(*east_, 30);
+    ask(*east_, *west_);
+    EXPECT_EQ(others(*west_).organisations.at("pub").granted, 30);
+}
+
 TEST_F(remote_reports_test, report_is_in_replies_while_own_questions_fail)
 {
     exchange();
@@ -269,13 +341,33 @@
     remote_rate_test()
     {
         set_rate(rate_);
+        hubs_ = {&*east_, &*west_};
+        set_entries();
+    }
+
+    void add_data_centre()
+    {
+        south_.emplace(make_vm("s1", "south"), budget);
+        south_->state.set_configuration({1, std::make_shared<std::string>("1")},
+            configuration().with(
+                {{object_kind::rate, "pub", any_object(rate_)}}));
+        hubs_.push_back(&*south_);
+        for (auto* it : hubs_)
+            it->server.expect_other_data_centres(hubs_.size() - 1);
+        set_entries();
+    }
+
+    void set_entries()
+    {
+        entries_ =
+            std::vector<organisation_limits>(hubs_.size() * entries_per_hub);
         for (auto& it : entries_)
             it.set_listed_vms(entries_.size(), entries_.size());
     }
 
     /// Callers send `demands` requests per second to the entries of each data
     /// centre; a part of the exchanges is lost.
-    void simulate(duration time, std::array<double, 2> demands)
+    void simulate(duration time, std::vector<double> const& demands)
     {
         std::uniform_real_distribution<double> draw(0, 1);
         auto const end = clock_.now() + time;
@@ -298,14 +390,17 @@
         auto const fate = drawn < losses_ / 2 ? exchange_fate::question_lost
             : drawn < losses_                 ? exchange_fate::reply_lost
                                               : exchange_fate::answered;
-        ask(*east_, *west_, fate);
-        ask(*west_, *east_);
+        for (std::size_t from = 0; from < hubs_.size(); ++from)
+            for (std::size_t to = 0; to < hubs_.size(); ++to)
+                if (from != to)
+                    ask(*hubs_[from], *hubs_[to],
+                        from < to ? fate : exchange_fate::answered);
     }
 
     void report_all()
     {
         for (std::size_t n = 0; n < entries_.size(); ++n) {
-            auto& hub = n < entries_per_hub ? *east_ : *west_;
+            auto& hub = *hubs_[n / entries_per_hub];
             sync_question question;
             question.from =
                 make_vm(fmt::format("entry{}", n), hub.self.data_centre.text());
@@ -318,8 +413,8 @@
                     entries_[n].apply_report(reply.others, clock_.now());
                 });
         }
-        east_->server.expire(clock_.now());
-        west_->server.expire(clock_.now());
+        for (auto* it : hubs_)
+            it->server.expire(clock_.now());
     }
 
     void send_request(organisation_limits& entry)
@@ -346,7 +441,9 @@
     }
 
     rate_object rate_{40, 40};
-    std::array<organisation_limits, 2 * entries_per_hub> entries_;
+    std::optional<modelled_hub> south_;
+    std::vector<modelled_hub*> hubs_;
+    std::vector<organisation_limits> entries_;
     std::mt19937_64 random_{7};
     double losses_ = 0;
     duration since_start_{};
@@ -367,7 +464,7 @@
 {
     for (int round = 0; round < 20; ++round)
         simulate(3s,
-            round % 2 == 0 ? std::array{150.0, 0.0} : std::array{0.0, 150.0});
+            round % 2 == 0 ? std::vector{150.0, 0.0} : std::vector{0.0, 150.0});
     EXPECT_LE(static_cast<double>(most_in_window_), max_grants());
 }
 
@@ -376,7 +473,36 @@
     losses_ = 0.3;
     for (int round = 0; round < 20; ++round)
         simulate(3s,
-            round % 2 == 0 ? std::array{150.0, 20.0} : std::array{20.0, 150.0});
+            round % 2 == 0 ? std::vector{150.0, 20.0}
+                           : std::vector{20.0, 150.0});
+    EXPECT_LE(static_cast<double>(most_in_window_), max_grants());
+}
+
+/// Each data centre may hold back grants up to a part of the limit, which
+/// add up over the data centres.
+TEST_F(remote_rate_test, three_data_centres_get_grants_within_the_bound)
+{
+    add_data_centre();
+    losses_ = 0.3;
+    for (int round = 0; round < 20; ++round) {
+        std::vector<double> demands(3, 10);
+        demands[static_cast<std::size_t>(round) % 3] = 150;
+        simulate(3s, demands);
+    }
+    EXPECT_LE(static_cast<double>(most_in_window_), max_grants());
+}
+
+/// With a budget for hardly any optional row.
+TEST_F(remote_rate_test, small_budget_keeps_grants_within_the_bound)
+{
+    add_data_centre();
+    for (auto* it : hubs_)
+        it->server.set_remote_budget(1);
+    for (int round = 0; round < 20; ++round) {
+        std::vector<double> demands(3, 30);
+        demands[static_cast<std::size_t>(round) % 3] = 150;
+        simulate(3s, demands);
+    }
     EXPECT_LE(static_cast<double>(most_in_window_), max_grants());
 }
 
