--- a/config/settings.cpp
+++ b/config/settings.cpp
@@ -23,6 +23,10 @@
 /// Limit on the rate of log lines and on their burst.
 constexpr double max_lines_per_second = 1e6;
 constexpr double max_retry_extra = 1e6;
+constexpr double max_exposure_extra = 1e6;
+/// Reports and decisions need about two seconds from a bad answer to the last
+/// VM that stops; less cannot be promised.
+constexpr double min_rollback_s = 4;
 /// Limits on the number of cores and on the share of them that is used.
 constexpr double min_cores = 0.01;
 constexpr double max_cores = 1024;
@@ -182,6 +186,18 @@
     reader.finish();
 }
 
+void read_rollouts(
+    json_document const& document, findings& found, settings& out)
+{
+    object_reader reader(document, "/rollouts", found);
+    auto& it = out.rollouts.emplace();
+    read_number(reader, "exposure_share", it.exposure_share, {0, 1}, out);
+    read_number(reader, "exposure_extra", it.exposure_extra,
+        {0, max_exposure_extra}, out);
+    read_seconds(reader, "rollback_s", it.rollback, min_rollback_s, out);
+    reader.finish();
+}
+
 void read_limits(json_document const& document, findings& found, settings& out)
 {
     object_reader reader(document, "/limits", found);
@@ -224,7 +240,7 @@
     leave_out_taken_addresses(out);
     reader.integer("traffic_threads", out.traffic_threads, 1,
         max_traffic_threads, presence::optional);
-    for (auto const* it : {"log", "limits", "machine", "bounds"})
+    for (auto const* it : {"log", "limits", "machine", "bounds", "rollouts"})
         reader.allow(it);
     reader.finish();
     if (reader.has("log"))
@@ -235,6 +251,8 @@
         read_limits(*document, found, out);
     if (reader.has("bounds"))
         read_bounds(*document, found, out);
+    if (reader.has("rollouts"))
+        read_rollouts(*document, found, out);
     if (found.items().size() != before)
         return std::nullopt;
     return out;
--- a/config/settings.hpp
+++ b/config/settings.hpp
@@ -2,6 +2,7 @@
 #define POMELOHINGE_CONFIG_SETTINGS_HPP
 
 #include "config/fleet_bounds.hpp"
+#include "config/rollout_bounds.hpp"
 #include "core/clock.hpp"
 #include "core/findings.hpp"
 #include "core/identifiers.hpp"
@@ -53,6 +54,8 @@
     /// Maximum time for which a planned stop waits for running requests.
     std::chrono::milliseconds stop_timeout{30'000};
     fleet_bounds bounds;
+    /// Set if versions are rolled out by orders in the store.
+    std::optional<rollout_bounds> rollouts;
     /// What was read otherwise than it is written: numbers of the machine and
     /// of the bounds that are out of range, and addresses that cannot be used.
     std::vector<std::string> adjustments;
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -35,6 +35,36 @@
     EXPECT_EQ(it->bounds.max_revocation_delay, duration::zero());
     EXPECT_DOUBLE_EQ(it->bounds.retry_ratio, 0.5);
     EXPECT_EQ(it->stop_timeout, std::chrono::milliseconds(1500));
+    EXPECT_FALSE(it->rollouts);
+}
+
+TEST_F(settings_test, rollouts_are_read_with_their_bounds)
+{
+    auto const text = [](char const* rollouts) {
+        return std::string(R"({"vm": "vm-1", "data_centre": "derby",
+            "callers_address": "127.0.0.1:8080",
+            "peers_address": "127.0.0.1:8081",
+            "platform_address": "127.0.0.1:9000", "rollouts": )") +
+            rollouts + "}";
+    };
+    auto const whole =
+        parse_settings(text(R"({"exposure_share": 0.2, "exposure_extra": 7,
+            "rollback_s": 4})"),
+            found_);
+    ASSERT_TRUE(whole) << found_.to_text();
+    ASSERT_TRUE(whole->rollouts);
+    EXPECT_DOUBLE_EQ(whole->rollouts->exposure_share, 0.2);
+    EXPECT_DOUBLE_EQ(whole->rollouts->exposure_extra, 7);
+    EXPECT_EQ(whole->rollouts->rollback, std::chrono::seconds(4));
+    auto const empty = parse_settings(text("{}"), found_);
+    ASSERT_TRUE(empty && empty->rollouts);
+    EXPECT_DOUBLE_EQ(empty->rollouts->exposure_share, 0.1);
+    // Less than the fleet needs is not promised.
+    auto const short_one = parse_settings(text(R"({"rollback_s": 1})"), found_);
+    ASSERT_TRUE(short_one && short_one->rollouts);
+    EXPECT_EQ(short_one->rollouts->rollback, std::chrono::seconds(4));
+    EXPECT_EQ(short_one->adjustments.size(), 1u);
+    EXPECT_FALSE(parse_settings(text(R"({"share": 1})"), found_));
 }
 
 TEST_F(
--- a/tests/process/settings_template_test.py
+++ b/tests/process/settings_template_test.py
@@ -27,7 +27,8 @@
                "linkMbps": 1000.0},
     "bounds": {"graceS": 6, "strictRevoke": True, "revokeS": 5,
                "retryBudgetRatio": 0.2, "budgetWindowS": 10,
-               "budgetExtra": 60, "floorShare": 0.7},
+               "budgetExtra": 60, "floorShare": 0.7, "exposeShare": 0.1,
+               "exposeExtra": 50, "rollbackS": 5},
     "platform": {"address": "127.4.0.9:8408"},
 }
 
