Decide on rollouts, and read and write them

Cause: a version that is rolled out has to be judged from what all VMs see, while three in ten targets of any version fail. Change: servers/rollouts with charts/rollout.jsonc judges a version (log likelihood ratio over a hidden Markov model of its targets) and follows one rollout; targets have their version; the platform's store reads the orders and writes the status on the revision that was read; evidence and decisions have messages. The native store has no rollouts.

--- a/charts/chart_list.cpp
+++ b/charts/chart_list.cpp
@@ -55,11 +55,13 @@
         load_chart<replacement_chart>(folder, "replacement", found);
     auto request = load_chart<request_chart>(folder, "request", found);
     auto process = load_chart<process_chart>(folder, "process", found);
-    if (!health || !path || !pause || !replacement || !request || !process)
+    auto rollout = load_chart<rollout_chart>(folder, "rollout", found);
+    if (!health || !path || !pause || !replacement || !request || !process ||
+        !rollout)
         return std::nullopt;
     return chart_list{{std::move(*health), std::move(*path), std::move(*pause),
                           std::move(*replacement)},
-        std::move(*request), std::move(*process)};
+        std::move(*request), std::move(*process), std::move(*rollout)};
 }
 
 } // namespace pomelohinge
--- a/charts/chart_list.hpp
+++ b/charts/chart_list.hpp
@@ -5,6 +5,7 @@
 #include "servers/health/target_charts.hpp"
 #include "servers/lifecycle/process_chart.hpp"
 #include "servers/requests/request_chart.hpp"
+#include "servers/rollouts/rollout_chart.hpp"
 
 #include <string>
 #include <string_view>
@@ -30,6 +31,7 @@
     target_charts target;
     chart<request_chart> request;
     chart<process_chart> process;
+    chart<rollout_chart> rollout;
 };
 
 /// Loads all charts from `folder`, or from the binary if `folder` is empty.
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -74,6 +74,9 @@
     target_paused,
     target_notice_unreadable,
     target_replaced,
+    rollout_ordered,
+    rollout_state_changed,
+    rollout_not_written,
 };
 
 template <>
@@ -132,6 +135,9 @@
     {log_event::target_paused, "target_paused"},
     {log_event::target_notice_unreadable, "target_notice_unreadable"},
     {log_event::target_replaced, "target_replaced"},
+    {log_event::rollout_ordered, "rollout_ordered"},
+    {log_event::rollout_state_changed, "rollout_state_changed"},
+    {log_event::rollout_not_written, "rollout_not_written"},
 });
 static_assert(is_ordered<log_event>());
 
@@ -199,6 +205,9 @@
     {log_event::target_paused, 603, log_level::info},
     {log_event::target_notice_unreadable, 604, log_level::warning},
     {log_event::target_replaced, 605, log_level::warning},
+    {log_event::rollout_ordered, 700, log_level::info},
+    {log_event::rollout_state_changed, 701, log_level::info},
+    {log_event::rollout_not_written, 702, log_level::warning},
 };
 
 /// Returns the catalogue entry of `event`.
--- a/drivers/peers/codec.cpp
+++ b/drivers/peers/codec.cpp
@@ -97,6 +97,94 @@
     return counts;
 }
 
+void fill(
+    wire::Evidence& to, evidence_key const& key, evidence_counts const& from)
+{
+    to.set_service(key.service);
+    to.set_route(key.route);
+    to.set_target(key.target);
+    to.set_good(from.good);
+    to.set_failed(from.failed);
+    to.set_slow(from.slow);
+    auto const& counts = from.latencies.counts();
+    auto used = counts.size();
+    while (used > 0 && counts[used - 1] == 0)
+        --used;
+    for (std::size_t n = 0; n < used; ++n)
+        to.add_latencies(counts[n]);
+}
+
+evidence_counts from_wire(wire::Evidence const& from)
+{
+    // Sums of three counts must not overflow.
+    constexpr std::uint32_t max_count = 1 << 24;
+    evidence_counts counts{std::min(from.good(), max_count),
+        std::min(from.failed(), max_count), std::min(from.slow(), max_count),
+        {}};
+    auto const used =
+        std::min<std::size_t>(static_cast<std::size_t>(from.latencies_size()),
+            latency_classes::count);
+    for (std::size_t n = 0; n < used; ++n)
+        counts.latencies.set_count(
+            n, std::min(from.latencies(static_cast<int>(n)), max_count));
+    return counts;
+}
+
+void fill(wire::RolloutPosition& to, rollout_position const& from)
+{
+    to.set_revision(from.revision);
+    to.set_decider(from.decider);
+    to.set_sequence(from.sequence);
+}
+
+rollout_position from_wire(wire::RolloutPosition const& from)
+{
+    return {from.revision(), from.decider(), from.sequence()};
+}
+
+void fill(wire::Rollouts& to, rollout_decisions const& from, time_point now)
+{
+    fill(*to.mutable_position(), from.position);
+    to.set_age_us(to_microseconds(now - from.decided_at));
+    for (auto const& it : from.items) {
+        auto& row = *to.add_items();
+        row.set_service(it.service.text());
+        row.set_version(it.version);
+        row.set_state(enum_to_wire(it.state));
+        row.set_share(it.share);
+        for (auto const& target : it.canaries)
+            row.add_canaries(target.text());
+        for (auto const& [route, limit] : it.slow_limits) {
+            auto& slow = *row.add_slow_limits();
+            slow.set_route(route);
+            slow.set_limit_us(to_microseconds(limit));
+        }
+        row.set_age_us(to_microseconds(now - it.started_at));
+    }
+}
+
+rollout_decisions from_wire(wire::Rollouts const& from, time_point now)
+{
+    rollout_decisions decisions;
+    decisions.position = from_wire(from.position());
+    decisions.decided_at = now - from_microseconds(from.age_us());
+    for (auto const& it : from.items()) {
+        rollout_decision item;
+        item.service = service_id(it.service());
+        item.version = it.version();
+        item.state = enum_from_wire(it.state(), rollout_state::ordered);
+        item.share = std::min(quantity_from_wire(it.share()), 1.0);
+        for (auto const& target : it.canaries())
+            item.canaries.emplace_back(target);
+        for (auto const& limit : it.slow_limits())
+            item.slow_limits[limit.route()] =
+                from_microseconds(limit.limit_us());
+        item.started_at = now - from_microseconds(it.age_us());
+        decisions.items.push_back(std::move(item));
+    }
+    return decisions;
+}
+
 void fill(wire::Report& to, traffic_report const& from)
 {
     for (auto const& [target, it] : from.targets) {
@@ -120,6 +208,8 @@
         row.set_crashes(it.crashes);
         row.set_age_us(to_microseconds(it.age));
     }
+    for (auto const& [key, it] : from.rollouts)
+        fill(*to.add_rollouts(), key, it);
     to.set_load(from.load);
     to.set_entries(from.entries);
     to.set_partial(from.partial);
@@ -138,6 +228,9 @@
     for (auto const& it : from.suspects())
         report.suspects.push_back(
             {it.fingerprint(), it.crashes(), from_microseconds(it.age_us())});
+    for (auto const& it : from.rollouts())
+        report.rollouts[{it.service(), it.route(), it.target()}].add(
+            from_wire(it));
     report.load = quantity_from_wire(from.load());
     report.entries = from.entries();
     report.partial = from.partial();
@@ -156,6 +249,7 @@
     to.set_cold_left_us(
         from.cold_until > now ? to_microseconds(from.cold_until - now) : -1);
     to.set_revision(from.revision);
+    to.set_version(from.version);
 }
 
 target_record from_wire(wire::Target const& from, time_point now)
@@ -172,6 +266,7 @@
     if (from.cold_left_us() > 0)
         record.cold_until = now + from_microseconds(from.cold_left_us());
     record.revision = from.revision();
+    record.version = from.version();
     return record;
 }
 
@@ -200,6 +295,7 @@
     to.set_targets_listed(question.targets.listed);
     to.set_targets_digest(question.targets.digest);
     to.set_closures_revision(question.closures_revision);
+    fill(*to.mutable_rollouts(), question.rollouts);
     to.set_members_source(question.members_source);
     to.set_members_sequence(question.members_sequence);
     to.set_is_idle(question.is_idle);
@@ -218,6 +314,7 @@
     question.targets = {
         from.targets_revision(), from.targets_listed(), from.targets_digest()};
     question.closures_revision = from.closures_revision();
+    question.rollouts = from_wire(from.rollouts());
     question.members_source = from.members_source();
     question.members_sequence = from.members_sequence();
     question.is_idle = from.is_idle();
@@ -262,6 +359,8 @@
         for (auto const& it : reply.closures->closed)
             closures.add_closed(it.text());
     }
+    if (reply.rollouts)
+        fill(*to.mutable_rollouts(), *reply.rollouts, now);
     fill(*to.mutable_others(), reply.others);
     return to;
 }
@@ -292,6 +391,8 @@
         for (auto const& it : from.closures().closed())
             reply.closures->closed.emplace_back(it);
     }
+    if (from.has_rollouts())
+        reply.rollouts = from_wire(from.rollouts(), now);
     reply.others = from_wire(from.others());
     return reply;
 }
--- a/drivers/platform/native_store.cpp
+++ b/drivers/platform/native_store.cpp
@@ -126,6 +126,19 @@
     });
 }
 
+void native_store::list_rollouts(std::function<void(rollouts_result)> done)
+{
+    update(duration::zero(), [this, done = std::move(done)](store_status it) {
+        done({it, {version_, {}}});
+    });
+}
+
+void native_store::write_rollout(rollout_order const&, rollout_status,
+    std::function<void(rollout_write_result)> done)
+{
+    done({store_status::unavailable, 0});
+}
+
 void native_store::list_vms(std::function<void(vms_result)> done)
 {
     store_.watch(std::string(vms_prefix), 0, duration::zero(),
--- a/drivers/platform/native_store.hpp
+++ b/drivers/platform/native_store.hpp
@@ -24,6 +24,10 @@
     void watch_targets(std::uint64_t revision, duration wait,
         std::function<void(targets_result)> done);
     void list_closures(std::function<void(closures_result)> done);
+    /// The product's own object service has no rollouts: the list is empty.
+    void list_rollouts(std::function<void(rollouts_result)> done);
+    void write_rollout(rollout_order const& order, rollout_status status,
+        std::function<void(rollout_write_result)> done);
     void list_vms(std::function<void(vms_result)> done);
     void register_vm(
         vm_record const& vm, std::function<void(store_status)> done);
--- a/servers/control/fleet_state.hpp
+++ b/servers/control/fleet_state.hpp
@@ -30,6 +30,13 @@
     bool apply_targets(target_changes changes);
     bool apply_closures(data_centre_closures closures);
 
+    /// Takes over decisions on rollouts of another VM, or sets those of this
+    /// one. Returns whether the copy changed.
+    bool apply_rollouts(rollout_decisions decisions, time_point now)
+    {
+        return merge_decisions(rollouts_, std::move(decisions), now);
+    }
+
     configuration_document const& document() const { return document_; }
     std::shared_ptr<configuration_index const> const& index() const
     {
@@ -49,6 +56,7 @@
         return catalogue_;
     }
     data_centre_closures const& closures() const { return closures_; }
+    rollout_decisions const& rollouts() const { return rollouts_; }
 
     /// Whether the VM can serve requests: it has a configuration and targets.
     bool ready() const { return document_.version > 0 && targets_.has_list(); }
@@ -62,6 +70,7 @@
     std::shared_ptr<target_catalogue const> catalogue_ =
         std::make_shared<target_catalogue>();
     data_centre_closures closures_;
+    rollout_decisions rollouts_;
 };
 
 } // namespace pomelohinge
--- a/servers/control/store_results.hpp
+++ b/servers/control/store_results.hpp
@@ -3,6 +3,7 @@
 
 #include "core/name_table.hpp"
 #include "servers/exchange/sync.hpp"
+#include "servers/rollouts/rollout_order.hpp"
 
 #include <functional>
 #include <vector>
@@ -48,6 +49,20 @@
     data_centre_closures closures;
 };
 
+struct rollouts_result
+{
+    store_status status = store_status::unavailable;
+    rollout_list rollouts;
+};
+
+/// The outcome of writing a rollout's status.
+struct rollout_write_result
+{
+    store_status status = store_status::unavailable;
+    /// The revision of the entry that was written; 0 if it is unknown.
+    std::uint64_t revision = 0;
+};
+
 struct vms_result
 {
     store_status status = store_status::unavailable;
@@ -57,14 +72,19 @@
 /// Interface of the control plane to the store. Each callback runs once,
 /// asynchronously, on the calling thread.
 template <class Store>
-concept FleetStore = requires(
-    Store& store, std::uint64_t revision, duration timeout, vm_record const& vm)
+concept FleetStore = requires(Store& store, std::uint64_t revision,
+    duration timeout, vm_record const& vm, rollout_order const& order,
+    rollout_status status)
 {
     store.read_configuration(std::function<void(configuration_result)>());
     store.list_targets(std::function<void(targets_result)>());
     store.watch_targets(
         revision, timeout, std::function<void(targets_result)>());
     store.list_closures(std::function<void(closures_result)>());
+    store.list_rollouts(std::function<void(rollouts_result)>());
+    // Writes the status if the entry still has the order's revision.
+    store.write_rollout(
+        order, status, std::function<void(rollout_write_result)>());
     store.list_vms(std::function<void(vms_result)>());
     store.register_vm(vm, std::function<void(store_status)>());
     store.remove_vm(vm.vm, std::function<void(store_status)>());
--- a/servers/exchange/fleet_reports.cpp
+++ b/servers/exchange/fleet_reports.cpp
@@ -1,6 +1,7 @@
 #include "servers/exchange/fleet_reports.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pomelohinge {
 namespace {
@@ -60,6 +61,7 @@
     }
     for (auto const& it : other.suspects)
         add_suspect(suspects, it);
+    add_evidence(rollouts, other.rollouts);
     load += other.load;
     partial |= other.partial;
     entries += other.entries;
@@ -82,6 +84,7 @@
     // of requests in flight remain here.
     for (auto& [target, counts] : it.last.targets)
         counts = target_report{counts.in_flight, 0, 0, 0};
+    it.last.rollouts.clear();
 }
 
 void report_aggregator::add_pending(
@@ -93,6 +96,7 @@
         for (auto const& [target, counts] : entry.last.targets)
             if (counts.has_observations())
                 it.pending[target].add_observations(counts);
+        add_evidence(it.pending_rollouts, entry.last.rollouts);
     }
 }
 
@@ -127,6 +131,8 @@
         for (auto const& [target, counts] : entry->second.pending)
             sum.targets[target].add_observations(counts);
         entry->second.pending.clear();
+        add_evidence(
+            sum.rollouts, std::exchange(entry->second.pending_rollouts, {}));
     }
     absl::erase_if(
         sum.targets, [](auto const& it) { return it.second.empty(); });
--- a/servers/exchange/fleet_reports.hpp
+++ b/servers/exchange/fleet_reports.hpp
@@ -5,6 +5,7 @@
 #include "core/text_map.hpp"
 #include "servers/exchange/decaying_count.hpp"
 #include "servers/poison/poison_guard.hpp"
+#include "servers/rollouts/rollout_evidence.hpp"
 
 #include <cstdint>
 #include <string>
@@ -66,6 +67,8 @@
     text_map<target_report> targets;
     text_map<organisation_report> organisations;
     std::vector<poison_suspect> suspects;
+    /// Outcomes since the last report at services that are rolled out.
+    rollout_evidence rollouts;
     /// Requests per second from callers.
     double load = 0;
     /// VMs that take requests from callers: 1 or 0 for a single VM.
@@ -117,6 +120,8 @@
         text_map<decaying_count> granted;
         /// Observations of others not yet delivered to this source.
         text_map<target_report> pending;
+        /// Evidence of others on rollouts, not yet delivered to this source.
+        rollout_evidence pending_rollouts;
         time_point reported_at{};
         /// When the grants by age in `last` were last shifted.
         time_point aged_at{};
--- a/servers/exchange/sync.hpp
+++ b/servers/exchange/sync.hpp
@@ -3,6 +3,7 @@
 
 #include "servers/exchange/fleet_reports.hpp"
 #include "servers/membership/vm_record.hpp"
+#include "servers/rollouts/rollout_decision.hpp"
 #include "servers/targets/target_mirror.hpp"
 
 #include <memory>
@@ -55,6 +56,7 @@
     std::uint64_t configuration_version = 0;
     target_position targets;
     std::uint64_t closures_revision = 0;
+    rollout_position rollouts;
     /// Member list that the sender holds: the incarnation of the hub that sent
     /// it and its sequence number there.
     std::uint64_t members_source = 0;
@@ -88,6 +90,7 @@
     bool store_reached = true;
     std::optional<target_changes> targets;
     std::optional<data_centre_closures> closures;
+    std::optional<rollout_decisions> rollouts;
     /// Sum of the reports of all VMs but the sender.
     traffic_report others;
 };
--- a/servers/targets/target_catalogue.hpp
+++ b/servers/targets/target_catalogue.hpp
@@ -35,6 +35,8 @@
     /// Distinguishes restarts under the same id; increases with each start.
     std::uint64_t incarnation = 0;
     service_id service;
+    /// Version of the service that it runs; empty if it does not say.
+    std::string version;
     data_centre_id data_centre;
     /// `IP:PORT`.
     std::string address;
--- a/tests/drivers/codec_test.cpp
+++ b/tests/drivers/codec_test.cpp
@@ -39,9 +39,26 @@
         it.organisations["o-1"].demand = 2.5;
         it.suspects.push_back({17, 2, std::chrono::milliseconds(30)});
         it.load = 12;
+        it.rollouts[{"s1", "r1", "i-1"}] = {5, 2, 1, {}};
+        auto& old_answers = it.rollouts[{"s1", "r1", ""}];
+        old_answers.good = 1;
+        old_answers.latencies.add(std::chrono::milliseconds(40));
         return it;
     }
 
+    static rollout_decisions decisions(time_point now)
+    {
+        rollout_decision item;
+        item.service = service_id("s1");
+        item.version = "v2";
+        item.state = rollout_state::canary;
+        item.share = 0.05;
+        item.canaries = {target_id("i-1")};
+        item.slow_limits["r1"] = std::chrono::milliseconds(250);
+        item.started_at = now - std::chrono::seconds(9);
+        return {{7, 8, 9}, now - std::chrono::milliseconds(300), {item}};
+    }
+
     static sync_question question()
     {
         sync_question it;
@@ -49,6 +66,7 @@
         it.configuration_version = 7;
         it.long_poll_timeout = std::chrono::milliseconds(900);
         it.liveness_timeout = std::chrono::milliseconds(2500);
+        it.rollouts = {7, 8, 9};
         it.report = report();
         return it;
     }
@@ -68,10 +86,12 @@
         target_record target;
         target.id = target_id("i-1");
         target.service = service_id("s1");
+        target.version = "v2";
         target.cold_until = now_ + std::chrono::seconds(1);
         it.targets->put.push_back(target);
         it.targets->removed.emplace_back("i-2");
         it.closures = data_centre_closures{3, {data_centre_id("east")}};
+        it.rollouts = decisions(now_);
         it.others = report();
         return it;
     }
@@ -187,6 +207,12 @@
         fleet_state state;
         if (it.closures)
             state.apply_closures(*it.closures);
+        if (it.rollouts) {
+            for (auto const& rollout : it.rollouts->items)
+                EXPECT_TRUE(rollout.share >= 0 && rollout.share <= 1);
+            state.apply_rollouts(*it.rollouts, now_);
+            rollout_admission().make_table({}, state.rollouts(), now_);
+        }
         if (it.read_age != duration::max())
             state.confirm(it.configuration.version, now_ - it.read_age);
         if (it.targets) {
@@ -211,6 +237,21 @@
     EXPECT_EQ(it.report.suspects.front().age, std::chrono::milliseconds(30));
 }
 
+/// A VM on another clock gets ages, so the times differ by no more than that.
+TEST_F(codec_test, decisions_and_evidence_of_rollouts_are_read_back)
+{
+    auto const asked = from_wire(to_wire(question()));
+    EXPECT_EQ(asked.rollouts, question().rollouts);
+    EXPECT_EQ(asked.report.rollouts, report().rollouts);
+    auto const later = now_ + std::chrono::hours(1);
+    auto const it = from_wire(to_wire(reply(), now_), later);
+    ASSERT_TRUE(it.rollouts);
+    EXPECT_EQ(it.rollouts->position, decisions(later).position);
+    EXPECT_EQ(it.rollouts->decided_at, decisions(later).decided_at);
+    EXPECT_EQ(it.rollouts->items, decisions(later).items);
+    EXPECT_EQ(it.targets->put.front().version, "v2");
+}
+
 TEST_F(codec_test, question_of_mutated_bytes_stays_in_bounds)
 {
     auto const sound = to_wire(question()).SerializeAsString();
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -39,10 +39,60 @@
             "status": {"state": "ready", "seq": 4, "warmupLeftS": 1.5}})");
     }
 
+    static nlohmann::json rollout()
+    {
+        return nlohmann::json::parse(R"({
+            "metadata": {"name": "shop", "rev": 42},
+            "spec": {"service": "s1", "toVersion": "v2", "finishByS": 30.5},
+            "status": null})");
+    }
+
     findings found_{"document"};
     manual_clock clock_;
 };
 
+TEST_F(documents_test, target_has_its_version)
+{
+    auto entry = target();
+    EXPECT_EQ(decode_target(entry, clock_.now(), found_)->version, "v1");
+    entry["spec"]["info"].erase("version");
+    EXPECT_EQ(decode_target(entry, clock_.now(), found_)->version, "");
+}
+
+TEST_F(documents_test, rollout_is_decoded)
+{
+    auto const it = decode_rollout(rollout(), found_);
+    ASSERT_TRUE(it) << found_.to_text();
+    EXPECT_EQ(it->name, "shop");
+    EXPECT_EQ(it->revision, 42u);
+    EXPECT_EQ(it->service, service_id("s1"));
+    EXPECT_EQ(it->version, "v2");
+    EXPECT_EQ(it->finish_by, std::chrono::milliseconds(30'500));
+    EXPECT_EQ(it->status, rollout_status::none);
+}
+
+/// The status of an earlier rollout was taken for that of the next.
+TEST_F(documents_test, status_of_another_version_counts_as_none)
+{
+    auto entry = rollout();
+    entry["status"] = {{"state", "succeeded"}, {"toVersion", "v1"}};
+    EXPECT_EQ(decode_rollout(entry, found_)->status, rollout_status::none);
+    entry["status"]["toVersion"] = "v2";
+    EXPECT_EQ(decode_rollout(entry, found_)->status, rollout_status::succeeded);
+}
+
+TEST_F(documents_test, rollout_without_a_time_or_with_an_odd_one_is_refused)
+{
+    for (auto const* text : {"null", "-1", "0", "1e9", "\"30\""}) {
+        auto entry = rollout();
+        entry["spec"]["finishByS"] = nlohmann::json::parse(text);
+        EXPECT_FALSE(decode_rollout(entry, found_)) << text;
+    }
+    auto entry = rollout();
+    entry["status"] = {{"state", "odd"}, {"toVersion", "v2"}};
+    EXPECT_FALSE(decode_rollout(entry, found_));
+}
+
 TEST_F(documents_test, downloads_may_be_repeated)
 {
     std::string document = text;
--- a/tests/platform/fixed_store.hpp
+++ b/tests/platform/fixed_store.hpp
@@ -3,12 +3,14 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
 #include <atomic>
 #include <functional>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 
 namespace pomelohinge::platform {
@@ -54,6 +56,13 @@
         return head_;
     }
 
+    /// The body of the last call that had one.
+    std::string body() const
+    {
+        std::lock_guard const lock(mutex_);
+        return body_;
+    }
+
     /// Answers each call with a new body.
     void set_answers(std::function<std::string()> make_body)
     {
@@ -69,6 +78,15 @@
             "\r\nConnection: close\r\n\r\n" + body;
     }
 
+    static std::size_t content_length(std::string const& head)
+    {
+        constexpr std::string_view name = "Content-Length:";
+        auto const at = head.find(name);
+        return at == std::string::npos
+            ? 0
+            : std::stoul(head.substr(at + name.size()));
+    }
+
     void serve()
     {
         while (true) {
@@ -77,10 +95,18 @@
             if (stopped_)
                 return;
             std::string head;
-            asio::read_until(
+            auto const head_size = asio::read_until(
                 socket, asio::dynamic_buffer(head), "\r\n\r\n", ec);
+            auto body = head.substr(head_size);
+            auto const wanted = content_length(head.substr(0, head_size));
+            if (body.size() < wanted)
+                asio::read(socket, asio::dynamic_buffer(body),
+                    asio::transfer_exactly(wanted - body.size()), ec);
+            head.resize(head_size);
             std::lock_guard const lock(mutex_);
             head_ = std::move(head);
+            if (!body.empty())
+                body_ = std::move(body);
             if (make_body_)
                 answer_ = encode(200, make_body_());
             asio::write(socket, asio::buffer(answer_), ec);
@@ -91,6 +117,7 @@
     tcp::acceptor acceptor_;
     mutable std::mutex mutex_;
     std::string head_;
+    std::string body_;
     std::string answer_;
     std::function<std::string()> make_body_;
     std::atomic<bool> stopped_ = false;
--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -179,6 +179,73 @@
     EXPECT_TRUE(vms.vms.empty());
 }
 
+/// What the operator has written must stay, and only the revision that was read
+/// may be replaced.
+TEST_F(store_test, status_of_a_rollout_is_written_on_the_revision_that_was_read)
+{
+    server_.set_answer(200,
+        list(R"({"metadata": {"name": "shop", "rev": 42, "finalizers": ["f"]},
+            "spec": {"service": "s1", "toVersion": "v2", "finishByS": 30,
+                "note": "n"}, "status": null})"));
+    rollouts_result read;
+    store_.list_rollouts([&](rollouts_result it) { read = std::move(it); });
+    run();
+    ASSERT_EQ(read.rollouts.orders.size(), 1u);
+    server_.set_answer(200, R"({"metadata": {"name": "shop", "rev": 51}})");
+    rollout_write_result written;
+    store_.write_rollout(read.rollouts.orders.front(), rollout_status::running,
+        [&](rollout_write_result it) { written = it; });
+    run();
+    EXPECT_EQ(written.status, store_status::done);
+    EXPECT_EQ(written.revision, 51u);
+    EXPECT_TRUE(server_.head().starts_with("PUT /objects/rollouts/shop "));
+    auto const body = nlohmann::json::parse(server_.body());
+    EXPECT_EQ(body.at("metadata").at("rev"), 42);
+    EXPECT_EQ(body.at("metadata").at("finalizers").size(), 1u);
+    EXPECT_EQ(body.at("spec").at("note"), "n");
+    EXPECT_EQ(body.at("status"),
+        (nlohmann::json{{"state", "running"}, {"toVersion", "v2"}}));
+}
+
+/// Two VMs that decide at the same time.
+TEST_F(store_test, status_of_a_rollout_that_changed_meanwhile_is_a_conflict)
+{
+    server_.set_answer(200, list(R"({"metadata": {"name": "shop", "rev": 42},
+            "spec": {"service": "s1", "toVersion": "v2", "finishByS": 30}})"));
+    rollouts_result read;
+    store_.list_rollouts([&](rollouts_result it) { read = std::move(it); });
+    run();
+    ASSERT_EQ(read.rollouts.orders.size(), 1u);
+    server_.set_answer(409, R"({"metadata": {"name": "shop", "rev": 43}})");
+    rollout_write_result written;
+    auto const write = [&](rollout_order const& order) {
+        store_.write_rollout(order, rollout_status::succeeded,
+            [&](rollout_write_result it) { written = it; });
+        run();
+    };
+    write(read.rollouts.orders.front());
+    EXPECT_EQ(written.status, store_status::conflict);
+    // The entry has been listed again since.
+    auto outdated = read.rollouts.orders.front();
+    outdated.revision = 41;
+    written = {};
+    write(outdated);
+    EXPECT_EQ(written.status, store_status::conflict);
+}
+
+TEST_F(store_test, rollout_that_cannot_be_read_costs_only_itself)
+{
+    server_.set_answer(200, list(R"({"metadata": {"name": "a", "rev": 42},
+            "spec": {"service": "s1", "toVersion": 7, "finishByS": 30}},
+            {"metadata": {"name": "b", "rev": 43},
+            "spec": {"service": "s2", "toVersion": "v2", "finishByS": 30}})"));
+    rollouts_result read;
+    store_.list_rollouts([&](rollouts_result it) { read = std::move(it); });
+    run();
+    ASSERT_EQ(read.rollouts.orders.size(), 1u);
+    EXPECT_EQ(read.rollouts.orders.front().service, service_id("s2"));
+}
+
 /// A record that exists was taken for none, and its request for not run.
 TEST_F(store_test, deeply_nested_record_is_unknown)
 {
