Select targets by the rollout of their version

Cause: a version on trial gets a share of the requests, others nothing. Change: each dispatcher counts its requests and sends the share to the targets on trial; the policy says which targets get nothing; attempts at a service with an open rollout are counted by route and target for the reports.

--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -116,12 +116,35 @@
 
 void dispatcher::rebuild_services()
 {
-    for (auto& [name, it] : services_)
+    for (auto& [name, it] : services_) {
         it.targets.clear();
-    for (auto& [id, it] : targets_)
-        state_of(it->record().service).targets.push_back(it.get());
-    for (auto& [name, it] : services_)
+        it.canaries.clear();
+    }
+    for (auto& [id, it] : targets_) {
+        auto& service = state_of(it->record().service);
+        bool const is_canary =
+            policy_->role_of(it->record()) == rollout_role::canary;
+        (is_canary ? service.canaries : service.targets).push_back(it.get());
+    }
+    for (auto& [name, it] : services_) {
+        set_canary_share(name, it);
         update_below_floor(it);
+    }
+}
+
+/// The first of a share's requests is due at a random time, so that the share
+/// is exact over many threads with few requests each.
+void dispatcher::set_canary_share(
+    std::string const& name, service_state& service)
+{
+    auto const* const rollout = policy_->rollouts == nullptr
+        ? nullptr
+        : policy_->rollouts->find(service_id(name));
+    auto const share = rollout == nullptr ? 0.0 : rollout->share;
+    if (service.canary_share == 0 && share > 0)
+        service.canaries_due =
+            std::uniform_real_distribution<double>(0, 1)(random_);
+    service.canary_share = share;
 }
 
 /// Divides the rate of requests that a cold target can take equally among the
@@ -389,6 +412,8 @@
     placement_reason const reason{chosen.cause, target.health().state(),
         target.in_flight(), target.in_flight_elsewhere(),
         service.targets.size(), target.record().data_centre == data_centre_};
+    if (chosen.cause == placement_cause::canary)
+        service.canaries_due -= 1;
     target.request_started(now);
     service.queue.add_start(request.priority, now);
     return {target.record(), reason};
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -72,6 +72,8 @@
     retry,
     /// Too few targets are not ejected, so ejected ones are used as well.
     below_floor,
+    /// The request shows how a version that is rolled out works.
+    canary,
 };
 
 template <>
@@ -82,6 +84,7 @@
         {placement_cause::floor, "floor"},
         {placement_cause::retry, "retry"},
         {placement_cause::below_floor, "below_floor"},
+        {placement_cause::canary, "canary"},
     });
 static_assert(is_ordered<placement_cause>());
 
@@ -212,6 +215,12 @@
     struct service_state
     {
         std::vector<traffic_target*> targets;
+        /// Targets of a version on trial; none of them is in `targets`.
+        std::vector<traffic_target*> canaries;
+        /// Share of the requests that `canaries` get, and how many of them are
+        /// due.
+        double canary_share = 0;
+        double canaries_due = 0;
         wait_queue queue;
         rate_meter completions;
         /// The share of targets that are not ejected is below the floor, so
@@ -256,6 +265,7 @@
     }
     traffic_target* find_current(target_record const& target);
     void rebuild_services();
+    void set_canary_share(std::string const& name, service_state& service);
     void set_cold_rates(time_point now);
     void record_observation(
         traffic_target& target, target_event event, time_point now);
@@ -275,6 +285,8 @@
 
     choice choose(service_state& service, placement_request const& request,
         time_point now);
+    traffic_target* choose_canary(service_state& service,
+        placement_request const& request, time_point now);
     traffic_target* choose_target_to_probe(service_state& service,
         placement_request const& request, time_point now);
     traffic_target* choose_for_floor(service_state& service,
--- a/servers/dispatch/request_queueing.cpp
+++ b/servers/dispatch/request_queueing.cpp
@@ -17,6 +17,10 @@
 /// Retry delay for a service without any eligible target.
 constexpr duration no_target_retry_after = std::chrono::seconds(1);
 
+/// Requests for targets on trial that have found no free slot there are made up
+/// for later, up to this number, so that they do not come in bursts.
+constexpr double max_canaries_due = 2;
+
 } // namespace
 
 duration dispatcher::expected_wait(service_state const& service,
@@ -57,6 +61,9 @@
     service.queue.add_arrival(request.priority, now);
     if (request.retryable)
         service.last_retryable_at = now;
+    if (request.tried.empty())
+        service.canaries_due = std::min(
+            service.canaries_due + service.canary_share, max_canaries_due);
     if (!has_eligible_target(service, request))
         return placement_decision(reject_without_target(service, request, now));
     auto const ahead = service.queue.count_ahead_of(request.priority);
--- a/servers/dispatch/target_selection.cpp
+++ b/servers/dispatch/target_selection.cpp
@@ -1,6 +1,7 @@
 #include "servers/dispatch/dispatcher.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 /// Selection of the target for a request.
 namespace pomelohinge {
@@ -118,6 +119,32 @@
     return local_entries_ == 0 ? found : nullptr;
 }
 
+/// Returns a target of a version on trial if a request for it is due: a sound
+/// one with the lowest load, of this data centre if there is any. One that has
+/// failed gets single requests, and none for as long as it is ejected.
+traffic_target* dispatcher::choose_canary(
+    service_state& service, placement_request const& request, time_point now)
+{
+    if (service.canaries_due < 1 || !request.tried.empty())
+        return nullptr;
+    auto const cost = [&](traffic_target const& it) {
+        return std::tuple(it.health().state(),
+            it.record().data_centre != data_centre_,
+            it.load_with_one_more(now));
+    };
+    traffic_target* found = nullptr;
+    for (auto* it : service.canaries) {
+        bool const is_eligible =
+            (it->health().state() == target_state::trusted ||
+                (it->health().state() == target_state::suspect &&
+                    it->in_flight() == 0)) &&
+            can_take(*it, request, now);
+        if (is_eligible && (found == nullptr || cost(*it) < cost(*found)))
+            found = it;
+    }
+    return found;
+}
+
 /// Whether the trusted local targets are fewer than the floor requires of those
 /// that work, as far as the estimated share of failing targets tells.
 bool dispatcher::has_too_few_trusted(service_state const& service) const
@@ -253,6 +280,8 @@
 dispatcher::choice dispatcher::choose(
     service_state& service, placement_request const& request, time_point now)
 {
+    if (auto* const it = choose_canary(service, request, now))
+        return {it, placement_cause::canary};
     if (request.tried.empty()) {
         if (auto* const it = choose_suspect_to_probe(service, request, now))
             return {it, placement_cause::probe};
--- a/servers/requests/attempt.hpp
+++ b/servers/requests/attempt.hpp
@@ -6,6 +6,7 @@
 #include "servers/requests/connection_history.hpp"
 #include "servers/requests/refusal.hpp"
 #include "servers/requests/request.hpp"
+#include "servers/rollouts/evidence_log.hpp"
 #include "servers/targets/target_catalogue.hpp"
 #include "servers/targets/target_notice.hpp"
 
@@ -86,6 +87,25 @@
         it == attempt_result::cancelled;
 }
 
+/// How the attempt counts for or against the version of its target. A target
+/// that is full, stops or cannot be reached shows nothing of its version.
+constexpr evidence_kind evidence_of(attempt_result it)
+{
+    switch (it) {
+    case attempt_result::answered:
+        return evidence_kind::answered;
+    case attempt_result::server_error:
+    case attempt_result::connection_lost:
+    case attempt_result::timed_out:
+    case attempt_result::wrong_answer:
+        return evidence_kind::failed;
+    case attempt_result::cancelled:
+        return evidence_kind::cancelled;
+    default:
+        return evidence_kind::none;
+    }
+}
+
 /// An answer of an upstream.
 struct upstream_answer
 {
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -476,12 +476,13 @@
         progress_.in_progress = false;
         if (std::exchange(progress_.is_late, false))
             state().targets.late_attempt_ended(target_);
-        statistics_.upstream_time += now - progress_.sent_at;
+        auto const took = now - progress_.sent_at;
+        statistics_.upstream_time += took;
+        auto& it = state();
         if (shows_latency(result))
-            state().latencies.add(admitted_.route, admitted_.service,
-                now - progress_.sent_at, now);
-        state().targets.attempt_ended(
-            target_, result, now - progress_.sent_at, now, notice);
+            it.latencies.add(admitted_.route, admitted_.service, took, now);
+        it.evidence.record(target_, admitted_.route, evidence_of(result), took);
+        it.targets.attempt_ended(target_, result, took, now, notice);
     }
 
     void attempt_ended(attempt_end it)
--- a/servers/requests/entry_state.cpp
+++ b/servers/requests/entry_state.cpp
@@ -23,6 +23,7 @@
     auto const n = entries > 0 ? entries : members.size();
     limits.set_listed_vms(n, members.size());
     retries.set_vms(members.size(), now);
+    evidence.adopt(next->rollouts);
     targets.adopt(next, now);
 }
 
@@ -40,6 +41,7 @@
     report.targets = targets.take_reports();
     report.organisations = limits.make_report(now);
     report.suspects = poison.suspects(now);
+    report.rollouts = evidence.take();
     report.load = load.per_second(now);
     report.entries = report.load > min_entry_load ? 1 : 0;
     return report;
--- a/servers/requests/entry_state.hpp
+++ b/servers/requests/entry_state.hpp
@@ -7,6 +7,7 @@
 #include "servers/poison/poison_guard.hpp"
 #include "servers/requests/request_times.hpp"
 #include "servers/retries/retry_budget.hpp"
+#include "servers/rollouts/evidence_log.hpp"
 #include "servers/selection/route_latencies.hpp"
 
 #include <random>
@@ -71,6 +72,8 @@
     organisation_limits limits;
     retry_budget retries;
     poison_guard poison;
+    /// Outcomes at services that are rolled out.
+    evidence_log evidence;
     planned_stop stop;
     /// Latencies of routes, which tell whether a request ends before a stop.
     route_latencies latencies;
--- a/servers/requests/policy.hpp
+++ b/servers/requests/policy.hpp
@@ -3,6 +3,7 @@
 
 #include "config/configuration.hpp"
 #include "servers/membership/vm_record.hpp"
+#include "servers/rollouts/rollout_table.hpp"
 #include "servers/routing/router.hpp"
 #include "servers/targets/target_catalogue.hpp"
 
@@ -35,6 +36,9 @@
     std::shared_ptr<fleet_members const> members;
     /// Closed data centres, whose targets get no new requests.
     std::set<data_centre_id> closed;
+    /// What targets may get while versions are rolled out; null if rollouts are
+    /// not enabled.
+    std::shared_ptr<rollout_table const> rollouts;
     /// A configuration and a list of targets have been received.
     bool ready = false;
     /// The VM is shutting down.
@@ -42,11 +46,18 @@
     /// Increases with each snapshot.
     std::uint64_t sequence = 0;
 
+    rollout_role role_of(target_record const& target) const
+    {
+        return rollouts == nullptr ? rollout_role::open
+                                   : rollouts->role_of(target.id);
+    }
+
     /// Whether the target may get new requests.
     bool accepts_requests(target_record const& target) const
     {
         return target.standing == target_standing::serving &&
-            !closed.contains(target.data_centre);
+            !closed.contains(target.data_centre) &&
+            role_of(target) != rollout_role::withheld;
     }
 };
 
--- a/tests/servers/dispatch_fixture.hpp
+++ b/tests/servers/dispatch_fixture.hpp
@@ -54,6 +54,7 @@
             true, true, 0});
         next->members = members;
         next->closed = closed_;
+        next->rollouts = rollouts_;
         next->ready = true;
         dispatcher_.adopt(next, clock_.now());
     }
@@ -123,6 +124,7 @@
     manual_clock clock_;
     std::vector<target_record> records_;
     std::set<data_centre_id> closed_;
+    std::shared_ptr<rollout_table const> rollouts_;
     double cold_rate_ = 0;
     dispatcher dispatcher_;
     target_record last_;
