Roll out versions from the order to its end

Cause: the parts need a VM that decides and a way to all others. Change: rollout_control decides on the hub that reads the store for the fleet, writes the status and renews its decisions, which pass with the syncs; status page, metric and pages for operators.

--- a/main/control_thread.hpp
+++ b/main/control_thread.hpp
@@ -16,15 +16,16 @@
 class control_thread
 {
 public:
-    control_thread(
-        settings const& configured, traffic_threads<Platform> const& traffic)
+    control_thread(settings const& configured, chart_list const& charts,
+        traffic_threads<Platform> const& traffic)
         : settings_(configured), traffic_(traffic),
           random_(std::random_device{}()), wakeup_timer_(context_),
           http_client_(context_),
           store_(http_client_, configured.platform_address),
           peer_client_(context_),
           control_plane_(make_vm_record(configured, random_()),
-              configured.seeds, *this, timers_)
+              configured.seeds, *this, timers_,
+              make_rollout_setup(configured, charts))
     {
     }
 
@@ -89,6 +90,15 @@
     {
         store_.list_closures(std::move(done));
     }
+    void list_rollouts(std::function<void(rollouts_result)> done)
+    {
+        store_.list_rollouts(std::move(done));
+    }
+    void write_rollout(rollout_order const& order, rollout_status status,
+        std::function<void(rollout_write_result)> done)
+    {
+        store_.write_rollout(order, status, std::move(done));
+    }
     void list_vms(std::function<void(vms_result)> done)
     {
         store_.list_vms(std::move(done));
@@ -170,6 +180,14 @@
             configured.cores, configured.link_mbps};
     }
 
+    static std::optional<rollout_setup> make_rollout_setup(
+        settings const& configured, chart_list const& charts)
+    {
+        if (!configured.rollouts)
+            return std::nullopt;
+        return rollout_setup{*configured.rollouts, charts.rollout};
+    }
+
     void run_timers()
     {
         timers_.run_due(now());
--- a/main/daemon.hpp
+++ b/main/daemon.hpp
@@ -23,7 +23,7 @@
 public:
     daemon(settings configured, settings_file file, chart_list charts)
         : settings_(std::move(configured)), charts_(std::move(charts)),
-          control_(settings_, traffic_),
+          control_(settings_, charts_, traffic_),
           lifecycle_(charts_.process, *this, settings_.stop_timeout),
           peer_server_(make_sync_handler()),
           operators_server_(control_.context(), make_page_handler()),
--- a/main/status_page.cpp
+++ b/main/status_page.cpp
@@ -22,6 +22,29 @@
     return data_centres;
 }
 
+nlohmann::ordered_json rollouts_json(
+    std::vector<rollout_decision> const& rollouts)
+{
+    auto list = nlohmann::ordered_json::array();
+    for (auto const& it : rollouts)
+        list.push_back({{"service", it.service.text()}, {"version", it.version},
+            {"state", to_name(it.state)}, {"share", it.share},
+            {"canaries", it.canaries.size()}});
+    return list;
+}
+
+void append_rollouts(
+    std::string& text, std::vector<rollout_decision> const& rollouts)
+{
+    if (rollouts.empty())
+        return;
+    text += "# TYPE pomelohinge_rollout gauge\n";
+    for (auto const& it : rollouts)
+        text += fmt::format("pomelohinge_rollout{{service=\"{}\","
+                            "version=\"{}\",state=\"{}\"}} {}\n",
+            it.service.text(), it.version, to_name(it.state), it.share);
+}
+
 void append_gauge(std::string& text, std::string_view name, double value)
 {
     text += fmt::format(
@@ -42,6 +65,8 @@
         {"reads_store", status.reads_store}};
     if (status.read_age != duration::max())
         body["read_age_ms"] = to_milliseconds(status.read_age);
+    if (!status.rollouts.empty())
+        body["rollouts"] = rollouts_json(status.rollouts);
     body["data_centres"] = members_json(status.members);
     body["invariant_violations"] = invariant_violations();
     return body.dump();
@@ -66,6 +91,7 @@
     append_gauge(text, "reads_store", status.reads_store ? 1 : 0);
     if (status.read_age != duration::max())
         append_gauge(text, "read_age_seconds", to_seconds(status.read_age));
+    append_rollouts(text, status.rollouts);
     text += "# TYPE pomelohinge_log_lines_dropped_total counter\n";
     for (auto const& it : name_table<log_event>)
         if (auto const n = dropped_lines(it.value); n > 0)
--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -9,6 +9,7 @@
 #include "servers/control/reading_decision.hpp"
 #include "servers/control/registration.hpp"
 #include "servers/control/returned_hub.hpp"
+#include "servers/control/rollout_control.hpp"
 #include "servers/control/store_reader.hpp"
 #include "servers/control/sync_server.hpp"
 
@@ -26,14 +27,19 @@
 {
 public:
     control_plane(vm_record self, std::vector<std::string> seeds,
-        Environment& environment, timer_service& timers)
+        Environment& environment, timer_service& timers,
+        std::optional<rollout_setup> rollouts = {})
         : environment_(environment), timers_(timers), self_(std::move(self)),
           members_(self_), sync_server_(self_, fleet_state_, members_),
           reader_(
               environment, timers, fleet_state_, [this] { state_changed(); }),
           registration_(environment, timers, self_, members_, std::move(seeds)),
-          returned_hub_(environment, hub_selector_)
+          returned_hub_(environment, hub_selector_),
+          rollouts_(
+              environment, fleet_state_, self_, std::move(rollouts),
+              [this] { state_changed(); }, [this] { reader_.list_rollouts(); })
     {
+        reader_.follow_rollouts(rollouts_.order_handler());
         // The environment may hold this object and is complete only here.
         static_assert(ControlEnvironment<Environment>);
     }
@@ -59,8 +65,7 @@
     {
         self_.standing = vm_standing::leaving;
         members_.set_self(self_, load_);
-        publish();
-        answer_long_polls();
+        members_changed();
         sync_now();
     }
 
@@ -75,9 +80,7 @@
         next_urgent_report_ = now + urgent_report_period;
         environment_.collect_report([this](traffic_report report) {
             if (is_hub())
-                return environment_.distribute_report(
-                    sync_server_.exchange_own_report(
-                        std::move(report), environment_.now()));
+                return exchange_report(report);
             auto const* const hub = members_.find(hub_);
             if (hub == nullptr)
                 return;
@@ -121,6 +124,7 @@
         it.hub = hub_.text();
         it.reads_store = reader_.active();
         it.members = members_.members();
+        it.rollouts = fleet_state_.rollouts().items;
         return it;
     }
 
@@ -168,6 +172,12 @@
         return hub_.empty() && registration_.members_known();
     }
 
+    bool reads_for_fleet() const
+    {
+        return is_hub() &&
+            is_first_data_centre(members_.members(), self_.data_centre);
+    }
+
     bool is_busy() const
     {
         auto const* const own = members_.find(self_.vm);
@@ -195,6 +205,7 @@
             hub_chosen_ = true;
         }
         reader_.set_active(must_read_store(now));
+        rollouts_.set_deciding(reads_for_fleet());
         sync_server_.set_store_reached(!reader_.active() || reader_.reached());
         if (!sync_in_flight_ && !sync_scheduled_)
             sync_now();
@@ -210,23 +221,13 @@
     {
         reading_conditions it;
         it.ready = fleet_state_.ready();
-        it.reads_for_fleet = is_hub() && is_first_hub();
+        it.reads_for_fleet = reads_for_fleet();
         it.serves_members =
             is_hub() || sync_server_.was_asked_within(max_question_age, now);
         it.read_age = fleet_state_.read_age(now);
         return reading_decision_.must_read(it, now);
     }
 
-    /// Whether this is the first data centre by name that has a live VM.
-    bool is_first_hub() const
-    {
-        auto const members = members_.members();
-        return std::none_of(
-            members.begin(), members.end(), [&](auto const& it) {
-                return it.alive && it.record.data_centre < self_.data_centre;
-            });
-    }
-
     /// Records the age of this VM's own reads of the store, so that it is
     /// rated as a hub like any other candidate.
     void record_own_read_age(time_point now)
@@ -258,8 +259,11 @@
         sync_in_flight_ = true;
         environment_.collect_report([this](traffic_report report) {
             set_load(report.load);
-            if (is_hub() || !registration_.members_known())
-                return exchange_own_report(std::move(report));
+            if (is_hub() || !registration_.members_known()) {
+                sync_in_flight_ = false;
+                exchange_report(report);
+                return schedule_sync(busy_period);
+            }
             sync_with_hub(std::move(report));
         });
     }
@@ -270,12 +274,12 @@
         members_.set_self(self_, load);
     }
 
-    void exchange_own_report(traffic_report report)
+    void exchange_report(traffic_report const& report)
     {
-        sync_in_flight_ = false;
-        environment_.distribute_report(sync_server_.exchange_own_report(
-            std::move(report), environment_.now()));
-        schedule_sync(busy_period);
+        auto const others =
+            sync_server_.exchange_own_report(report, environment_.now());
+        rollouts_.add_reports(report, others);
+        environment_.distribute_report(others);
     }
 
     sync_question make_question(sync_relation relation)
@@ -286,6 +290,7 @@
         question.configuration_version = fleet_state_.document().version;
         question.targets = fleet_state_.targets().position();
         question.closures_revision = fleet_state_.closures().revision;
+        question.rollouts = fleet_state_.rollouts().position;
         return question;
     }
 
@@ -371,6 +376,8 @@
         if (reply.closures)
             any_changed |=
                 fleet_state_.apply_closures(std::move(*reply.closures));
+        if (reply.rollouts)
+            any_changed |= rollouts_.apply(std::move(*reply.rollouts));
         if (any_changed)
             return state_changed();
         environment_.set_read_at(fleet_state_.read_at());
@@ -485,11 +492,13 @@
     void publish()
     {
         auto const sequence = members_.sequence();
+        auto const rollouts = rollouts_.make_table();
         bool const same = policy_ != nullptr &&
             policy_->index == fleet_state_.index() &&
             policy_->targets == fleet_state_.catalogue() &&
             published_members_ == sequence &&
             published_closures_ == fleet_state_.closures().closed &&
+            policy_->rollouts == rollouts &&
             policy_->leaving == (self_.standing == vm_standing::leaving);
         if (!same) {
             auto next = std::make_shared<policy>();
@@ -498,6 +507,7 @@
             next->members = std::make_shared<fleet_members>(members_.members());
             auto const& closed = fleet_state_.closures().closed;
             next->closed = {closed.begin(), closed.end()};
+            next->rollouts = rollouts;
             next->ready = fleet_state_.ready();
             next->leaving = self_.standing == vm_standing::leaving;
             next->sequence = policy_ == nullptr ? 1 : policy_->sequence + 1;
@@ -522,6 +532,7 @@
         if (sync_server_.next_due() <= now)
             answer_long_polls();
         update_hub();
+        rollouts_.tick();
     }
 
     void choose_entries()
@@ -559,6 +570,7 @@
     registration<Environment> registration_;
     hub_selector hub_selector_;
     returned_hub<Environment> returned_hub_;
+    rollout_control<Environment> rollouts_;
     reading_decision reading_decision_;
 
     /// The hub that this VM sends its questions to; empty if it is the hub.
--- a/servers/control/control_status.hpp
+++ b/servers/control/control_status.hpp
@@ -3,6 +3,7 @@
 
 #include "core/clock.hpp"
 #include "servers/membership/vm_record.hpp"
+#include "servers/rollouts/rollout_decision.hpp"
 
 #include <cstdint>
 #include <string>
@@ -23,6 +24,7 @@
     std::string hub;
     bool reads_store = false;
     fleet_members members;
+    std::vector<rollout_decision> rollouts;
 };
 
 } // namespace pomelohinge
--- a/servers/control/store_reader.hpp
+++ b/servers/control/store_reader.hpp
@@ -27,6 +27,28 @@
     {
     }
 
+    /// From now on the orders of rollouts are read as well. `on_rollouts` gets
+    /// each list and the time at which it was requested.
+    void follow_rollouts(
+        std::function<void(rollout_list const&, time_point)> on_rollouts)
+    {
+        on_rollouts_ = std::move(on_rollouts);
+    }
+
+    /// Reads the orders of rollouts now, if this VM reads the store.
+    void list_rollouts()
+    {
+        if (on_rollouts_ == nullptr || !begin(rollouts_))
+            return;
+        environment_.list_rollouts([this, requested_at = environment_.now()](
+                                       rollouts_result const& result) {
+            if (!end(rollouts_, result.status))
+                return;
+            schedule(rollouts_, rollouts_period, [this] { list_rollouts(); });
+            on_rollouts_(result.rollouts, requested_at);
+        });
+    }
+
     /// Starts or stops reading. Calls in flight are completed.
     void set_active(bool active)
     {
@@ -39,6 +61,7 @@
         read_configuration();
         list_targets();
         list_closures();
+        list_rollouts();
     }
 
     bool active() const { return active_; }
@@ -52,6 +75,7 @@
     static constexpr duration configuration_period =
         std::chrono::milliseconds(800);
     static constexpr duration closures_period = std::chrono::milliseconds(2000);
+    static constexpr duration rollouts_period = std::chrono::milliseconds(1000);
     /// Upper bound of the long poll of a watch, which also ends when the next
     /// list of targets is due. A dead connection is detected after this time.
     static constexpr duration max_watch_timeout =
@@ -130,6 +154,7 @@
         log(log_event::store_reached);
         list_targets();
         list_closures();
+        list_rollouts();
     }
 
     // The configuration.
@@ -276,6 +301,8 @@
     call_state configuration_;
     call_state targets_;
     call_state closures_;
+    call_state rollouts_;
+    std::function<void(rollout_list const&, time_point)> on_rollouts_;
     /// When the next list of targets is due.
     time_point next_list_{};
 };
--- a/servers/control/sync_server.cpp
+++ b/servers/control/sync_server.cpp
@@ -42,17 +42,20 @@
         std::move(question.report), now);
     question.report = {};
     answer_long_polls(now);
-    if (question.long_poll_timeout <= duration::zero() || has_updates(question))
+    if (question.long_poll_timeout <= duration::zero() ||
+        has_updates(question, now))
         return reply(make_reply(question, now));
     auto const due = now + question.long_poll_timeout;
     long_polls_.push_back({std::move(question), due, std::move(reply)});
 }
 
-bool sync_server::has_updates(sync_question const& question) const
+bool sync_server::has_updates(
+    sync_question const& question, time_point now) const
 {
     return question.configuration_version < fleet_state_.document().version ||
         fleet_state_.targets().has_changes_after(question.targets) ||
         question.closures_revision < fleet_state_.closures().revision ||
+        has_newer(fleet_state_.rollouts(), question.rollouts, now) ||
         question.members_source != self_.incarnation ||
         question.members_sequence < members_.sequence() ||
         (question.is_idle ? has_newer_read(question)
@@ -86,8 +89,13 @@
     reply.targets = fleet_state_.targets().changes_after(question.targets);
     if (question.closures_revision < fleet_state_.closures().revision)
         reply.closures = fleet_state_.closures();
+    if (has_newer(fleet_state_.rollouts(), question.rollouts, now))
+        reply.rollouts = fleet_state_.rollouts();
     reply.others =
         reports_.report_for(source_of(question), is_remote(question.relation));
+    // Only hubs judge versions.
+    if (!is_remote(question.relation))
+        reply.others.rollouts.clear();
     // A VM without traffic does not use observations of targets.
     if (question.is_idle)
         reply.others.targets.clear();
@@ -99,7 +107,7 @@
     std::list<long_poll> ready;
     for (auto it = long_polls_.begin(); it != long_polls_.end();) {
         auto const next = std::next(it);
-        if (it->due <= now || has_updates(it->question))
+        if (it->due <= now || has_updates(it->question, now))
             ready.splice(ready.end(), long_polls_, it);
         it = next;
     }
--- a/servers/control/sync_server.hpp
+++ b/servers/control/sync_server.hpp
@@ -84,7 +84,7 @@
     };
 
     /// Whether there is anything that the sender of `question` lacks.
-    bool has_updates(sync_question const& question) const;
+    bool has_updates(sync_question const& question, time_point now) const;
     /// Whether this VM has read the store since its last reply to the sender.
     bool has_newer_read(sync_question const& question) const;
     sync_reply make_reply(sync_question const& question, time_point now);
--- a/servers/membership/hub_order.cpp
+++ b/servers/membership/hub_order.cpp
@@ -32,4 +32,12 @@
     return order;
 }
 
+bool is_first_data_centre(
+    fleet_members const& members, data_centre_id const& data_centre)
+{
+    return std::none_of(members.begin(), members.end(), [&](auto const& it) {
+        return it.alive && it.record.data_centre < data_centre;
+    });
+}
+
 } // namespace pomelohinge
--- a/servers/membership/hub_order.hpp
+++ b/servers/membership/hub_order.hpp
@@ -15,6 +15,10 @@
 std::vector<fleet_member const*> hub_order(
     fleet_members const& members, data_centre_id const& data_centre);
 
+/// Whether no data centre before this one by name has a live VM.
+bool is_first_data_centre(
+    fleet_members const& members, data_centre_id const& data_centre);
+
 } // namespace pomelohinge
 
 #endif
--- a/tests/servers/store_reader_test.cpp
+++ b/tests/servers/store_reader_test.cpp
@@ -70,6 +70,11 @@
         answer([this, done] { done({status_, {revision_, closed_}}); });
     }
 
+    void list_rollouts(std::function<void(rollouts_result)> done)
+    {
+        answer([this, done] { done({status_, {revision_, orders_}}); });
+    }
+
     /// Advances the clock to `end` and runs what becomes due.
     void run_until(time_point end, timer_service& timers)
     {
@@ -97,6 +102,7 @@
     std::string text_ = "text";
     std::vector<target_record> targets_;
     std::vector<data_centre_id> closed_;
+    std::vector<rollout_order> orders_;
     int calls_ = 0;
     int decodes_ = 0;
 
--- a/tests/simulation/fake_store.hpp
+++ b/tests/simulation/fake_store.hpp
@@ -66,6 +66,18 @@
             closed_.erase(data_centre_id(data_centre));
     }
 
+    void order_rollout(rollout_order order)
+    {
+        order.revision = ++revision_;
+        auto const name = order.name;
+        rollouts_[name] = std::move(order);
+    }
+
+    std::map<std::string, rollout_order> const& rollouts() const
+    {
+        return rollouts_;
+    }
+
     // Injected faults.
 
     void set_unavailable_for(std::set<std::string> vms)
@@ -139,6 +151,34 @@
         });
     }
 
+    void list_rollouts(
+        std::string const& vm, std::function<void(rollouts_result)> done)
+    {
+        answer(vm, [this, done](bool reached) {
+            if (!reached)
+                return done({});
+            rollouts_result result{store_status::done, {revision_, {}}};
+            for (auto const& [name, it] : rollouts_)
+                result.rollouts.orders.push_back(it);
+            done(std::move(result));
+        });
+    }
+
+    void write_rollout(std::string const& vm, rollout_order const& order,
+        rollout_status status, std::function<void(rollout_write_result)> done)
+    {
+        answer(vm, [this, order, status, done](bool reached) {
+            if (!reached)
+                return done({});
+            auto const it = rollouts_.find(order.name);
+            if (it == rollouts_.end() || it->second.revision != order.revision)
+                return done({store_status::conflict, 0});
+            it->second.status = status;
+            it->second.revision = ++revision_;
+            done({store_status::done, revision_});
+        });
+    }
+
     void list_vms(std::string const& vm, std::function<void(vms_result)> done)
     {
         answer(vm, [this, done](bool reached) {
@@ -269,6 +309,7 @@
     /// The revision of the last change of each target, removed ones included.
     std::map<target_id, std::uint64_t> change_revisions_;
     std::set<data_centre_id> closed_;
+    std::map<std::string, rollout_order> rollouts_;
     std::map<vm_id, vm_record> vms_;
     /// By organisation and idempotency key.
     std::map<std::string, idempotency_record> records_;
--- a/tests/simulation/fake_target.hpp
+++ b/tests/simulation/fake_target.hpp
@@ -74,6 +74,9 @@
     void set_error_probability(double it) { error_probability_ = it; }
     target_mode mode() const { return mode_; }
     time_point last_received_at() const { return last_received_at_; }
+    /// The requests received so far, and those that are running now.
+    std::uint64_t received() const { return received_; }
+    std::int64_t running() const { return running_; }
 
     /// Stops the target: it refuses connections, and requests in execution end
     /// with a lost connection even if the target has started again by then.
@@ -93,6 +96,7 @@
         if (mode_ == target_mode::down)
             return done(make_end(attempt_result::connect_failed));
         last_received_at_ = simulator_.now();
+        ++received_;
         checker_.on_request_received(vm, record_, request, simulator_.now());
         if (simulator_.now() < record_.cold_until)
             checker_.on_cold_target_reached(vm, record_.id,
@@ -178,6 +182,7 @@
     std::int64_t running_ = 0;
     std::deque<queued_request> queue_;
     time_point last_received_at_{};
+    std::uint64_t received_ = 0;
     /// Increases with each stop, so that requests from before it fail.
     std::uint64_t generation_ = 0;
 };
--- a/tests/simulation/fake_vm.hpp
+++ b/tests/simulation/fake_vm.hpp
@@ -27,6 +27,8 @@
     std::map<std::string, fake_vm*> vms;
     /// Targets by address.
     std::map<std::string, fake_target*> targets;
+    /// Set if the VMs roll out versions.
+    std::optional<rollout_setup> rollouts = {};
 };
 
 /// A VM in virtual time: the production decision code with simulated time and
@@ -41,7 +43,7 @@
               fleet.charts.target, record_.vm, record_.data_centre,
               fleet.simulator.random()(),
               [](std::string const&) { return true; }, fleet.bounds),
-          control_plane_(record_, {}, *this, timers_)
+          control_plane_(record_, {}, *this, timers_, fleet.rollouts)
     {
         fleet_.vms[record_.peers_address] = this;
     }
@@ -135,6 +137,16 @@
     {
         fleet_.store.list_closures(name_, wrap_callback(std::move(done)));
     }
+    void list_rollouts(std::function<void(rollouts_result)> done)
+    {
+        fleet_.store.list_rollouts(name_, wrap_callback(std::move(done)));
+    }
+    void write_rollout(rollout_order const& order, rollout_status status,
+        std::function<void(rollout_write_result)> done)
+    {
+        fleet_.store.write_rollout(
+            name_, order, status, wrap_callback(std::move(done)));
+    }
     void list_vms(std::function<void(vms_result)> done)
     {
         fleet_.store.list_vms(name_, wrap_callback(std::move(done)));
