Give a quiet service enough evidence, and leave cold targets out

Cause: a tenth of few requests decides nothing, and a cold target is slow whatever its version. Change: half of the extra requests are added to the share, spread over those expected; cold targets of the new version are neither tried nor counted as capacity. A lower threshold of suspicion (2 in place of 3) failed more good versions in rollout_run_test and was taken back.

--- a/servers/control/rollout_control.hpp
+++ b/servers/control/rollout_control.hpp
@@ -304,12 +304,16 @@
             auto const& it = catalogue.records()[at];
             bool const is_closed = std::find(closed.begin(), closed.end(),
                                        it.data_centre) != closed.end();
-            if (it.standing != target_standing::serving || is_closed)
+            // A cold target is slow, which says nothing of its version, and
+            // does not bear its part of the load yet.
+            bool const is_new = it.version == order.version;
+            bool const is_cold = it.cold_until > environment_.now();
+            if (it.standing != target_standing::serving || is_closed ||
+                (is_new && is_cold))
                 continue;
             auto const in_flight = in_flight_.find(it.id.text());
             found.push_back({it.id, it.slots,
-                in_flight == in_flight_.end() ? 0 : in_flight->second,
-                it.version == order.version});
+                in_flight == in_flight_.end() ? 0 : in_flight->second, is_new});
         }
         return found;
     }
--- a/servers/rollouts/rollout_process.cpp
+++ b/servers/rollouts/rollout_process.cpp
@@ -244,8 +244,8 @@
         bool const is_settled = passed >= settling_time() + min_switch_time ||
             (passed >= proof_time && old_in_flight_ == 0);
         // Doubts that the whole load has not confirmed by now are unfounded.
-        bool const is_trusted =
-            !judge_.is_suspicious() || now_ >= last_write_at();
+        bool const is_trusted = !judge_.is_suspicious() ||
+            now_ >= last_write_at() + write_margin / 2;
         return is_settled && is_trusted
             ? std::optional(rollout_status::succeeded)
             : std::nullopt;
