--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -38,7 +38,7 @@
     r"X-Api-Key|X-Deadline-Ms|X-Tenant|X-Target-Instance|X-Not-Executed"
     r"|X-Response-Signature|X-Instance-Id|X-Warmup-Ms|pathPrefix|trafficSplit"
     r"|warmupPerS|warmupLeftS|ratePerS|apiKeys|timeoutS|aimS|ttlS|allowStale"
-    r"|evacuations|non_idempotent_kind|/resolve")
+    r"|evacuations|toVersion|finishByS|non_idempotent_kind|/resolve")
 
 #: Paths where names of the platform are permitted, as prefixes.
 PLATFORM_PATHS = ("platform/", "deploy/", "docs/", "tests/platform/",
