--- a/config/settings.cpp
+++ b/config/settings.cpp
@@ -33,6 +33,13 @@
 constexpr double min_link_mbps = 0.1;
 constexpr double max_link_mbps = 1e6;
 constexpr double min_memory_mb = 32;
+/// Limits on the budget for reports to other data centres. With less than the
+/// minimum nothing but the headers would be sent.
+constexpr double min_remote_bytes = 1000;
+constexpr double max_price_per_mb = 1e6;
+constexpr std::int64_t min_transfer_period_ms = 50;
+constexpr std::int64_t max_transfer_period_ms = 10'000;
+constexpr double max_remote_bytes = 1e9;
 constexpr double max_memory_mb = 1e6;
 
 template <class Tag>
@@ -198,6 +205,36 @@
     reader.finish();
 }
 
+void read_exchange(
+    json_document const& document, findings& found, settings& out)
+{
+    object_reader reader(document, "/exchange", found);
+    auto& budget = out.remote_bytes_per_second;
+    read_number(
+        reader, "remote_bytes_per_s", budget, {0, max_remote_bytes}, out);
+    if (budget > 0 && budget < min_remote_bytes) {
+        out.adjustments.push_back(fmt::format(
+            "/remote_bytes_per_s: {} is read as {}", budget, min_remote_bytes));
+        budget = min_remote_bytes;
+    }
+    reader.finish();
+}
+
+void read_transfer(
+    json_document const& document, findings& found, settings& out)
+{
+    object_reader reader(document, "/transfer", found);
+    transfer_settings it;
+    read_number(
+        reader, "price_per_mb", it.price_per_mb, {0, max_price_per_mb}, out);
+    std::int64_t period_ms = to_milliseconds(it.period);
+    reader.integer("period_ms", period_ms, min_transfer_period_ms,
+        max_transfer_period_ms, presence::optional);
+    it.period = std::chrono::milliseconds(period_ms);
+    reader.finish();
+    out.transfers = it;
+}
+
 void read_limits(json_document const& document, findings& found, settings& out)
 {
     object_reader reader(document, "/limits", found);
@@ -216,6 +253,14 @@
     reader.finish();
 }
 
+void read_placement(
+    json_document const& document, findings& found, settings& out)
+{
+    object_reader reader(document, "/placement", found);
+    reader.name("mode", out.placement.mode, presence::optional);
+    reader.finish();
+}
+
 } // namespace
 
 std::optional<settings> parse_settings(std::string_view text, findings& found)
@@ -240,7 +285,8 @@
     leave_out_taken_addresses(out);
     reader.integer("traffic_threads", out.traffic_threads, 1,
         max_traffic_threads, presence::optional);
-    for (auto const* it : {"log", "limits", "machine", "bounds", "rollouts"})
+    for (auto const* it : {"log", "limits", "machine", "bounds", "exchange",
+             "placement", "transfer", "rollouts"})
         reader.allow(it);
     reader.finish();
     if (reader.has("log"))
@@ -253,6 +299,12 @@
         read_bounds(*document, found, out);
     if (reader.has("rollouts"))
         read_rollouts(*document, found, out);
+    if (reader.has("exchange"))
+        read_exchange(*document, found, out);
+    if (reader.has("placement"))
+        read_placement(*document, found, out);
+    if (reader.has("transfer"))
+        read_transfer(*document, found, out);
     if (found.items().size() != before)
         return std::nullopt;
     return out;
--- a/main/control_thread.hpp
+++ b/main/control_thread.hpp
@@ -27,6 +27,7 @@
               configured.seeds, *this, timers_,
               make_rollout_setup(configured, charts))
     {
+        control_plane_.set_remote_budget(configured.remote_bytes_per_second);
     }
 
     asio::io_context& context() { return context_; }
--- a/main/status_page.cpp
+++ b/main/status_page.cpp
@@ -2,6 +2,7 @@
 
 #include "core/invariant.hpp"
 #include "core/log.hpp"
+#include "servers/exchange/remote_bytes.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -53,8 +54,8 @@
 
 } // namespace
 
-std::string to_json(
-    control_status const& status, vm_id const& vm, bool stopping)
+std::string to_json(control_status const& status, vm_id const& vm,
+    bool stopping, std::map<load_key, double> const& transfers)
 {
     nlohmann::ordered_json body{{"vm", vm.text()},
         {"standing", to_name(status.standing)}, {"stopping", stopping},
@@ -67,6 +68,10 @@
         body["read_age_ms"] = to_milliseconds(status.read_age);
     if (!status.rollouts.empty())
         body["rollouts"] = rollouts_json(status.rollouts);
+    auto shares = nlohmann::ordered_json::object();
+    for (auto const& [key, share] : transfers)
+        shares[key.service][key.data_centre] = share;
+    body["transfers"] = std::move(shares);
     body["data_centres"] = members_json(status.members);
     body["invariant_violations"] = invariant_violations();
     return body.dump();
@@ -92,6 +97,11 @@
     if (status.read_age != duration::max())
         append_gauge(text, "read_age_seconds", to_seconds(status.read_age));
     append_rollouts(text, status.rollouts);
+    text += "# TYPE pomelohinge_remote_bytes_total counter\n";
+    for (auto const& it : name_table<exchange_part>)
+        text +=
+            fmt::format("pomelohinge_remote_bytes_total{{part=\"{}\"}} {}\n",
+                it.name, remote_bytes(it.value));
     text += "# TYPE pomelohinge_log_lines_dropped_total counter\n";
     for (auto const& it : name_table<log_event>)
         if (auto const n = dropped_lines(it.value); n > 0)
--- a/servers/exchange/fleet_reports.hpp
+++ b/servers/exchange/fleet_reports.hpp
@@ -6,6 +6,7 @@
 #include "servers/exchange/decaying_count.hpp"
 #include "servers/poison/poison_guard.hpp"
 #include "servers/rollouts/rollout_evidence.hpp"
+#include "servers/transfer/service_load.hpp"
 
 #include <cstdint>
 #include <string>
@@ -69,6 +70,8 @@
     std::vector<poison_suspect> suspects;
     /// Outcomes since the last report at services that are rolled out.
     rollout_evidence rollouts;
+    /// Loads by service and data centre; empty without settings `transfer`.
+    service_loads loads;
     /// Requests per second from callers.
     double load = 0;
     /// VMs that take requests from callers: 1 or 0 for a single VM.
@@ -100,6 +103,9 @@
     /// delivered to it once.
     traffic_report report_for(std::string const& receiver, bool remote);
 
+    /// Grants to the organisation within the sliding window, of all sources.
+    double granted(std::string const& organisation) const;
+
     /// Whether failures observed by others are not yet delivered to `receiver`.
     bool has_failures_for(std::string const& receiver) const;
 
@@ -125,6 +131,8 @@
         time_point reported_at{};
         /// When the grants by age in `last` were last shifted.
         time_point aged_at{};
+        /// The same for the loads in it.
+        time_point loads_aged_at{};
         /// Its latest report is so old that it may have granted more since.
         bool is_stale = false;
     };
@@ -134,6 +142,7 @@
     static void count_grants(source_entry& it, time_point now);
     static void decay_grants(source_entry& it, time_point now);
     static void age_grants(source_entry& it, time_point now);
+    static void age_loads(source_entry& it, time_point now);
 
     text_map<source_entry> sources_;
     std::size_t expected_remotes_ = 0;
--- a/servers/exchange/sync.hpp
+++ b/servers/exchange/sync.hpp
@@ -1,7 +1,7 @@
 #ifndef POMELOHINGE_SERVERS_EXCHANGE_SYNC_HPP
 #define POMELOHINGE_SERVERS_EXCHANGE_SYNC_HPP
 
-#include "servers/exchange/fleet_reports.hpp"
+#include "servers/exchange/report_changes.hpp"
 #include "servers/membership/vm_record.hpp"
 #include "servers/rollouts/rollout_decision.hpp"
 #include "servers/targets/target_mirror.hpp"
@@ -26,6 +26,12 @@
 {
     std::uint64_t revision = 0;
     std::vector<data_centre_id> closed;
+    store_era era;
+
+    bool is_before(data_centre_closures const& other) const
+    {
+        return std::tie(era, revision) < std::tie(other.era, other.revision);
+    }
 
     friend bool operator==(
         data_centre_closures const&, data_centre_closures const&) = default;
@@ -37,6 +43,12 @@
     member,
     /// A hub to the hub of another data centre.
     hub,
+    /// A VM that reads or tries to read the store, since no hub has recent
+    /// data, to the others of its data centre. Only says what it has.
+    read_notice,
+    /// A VM that lacks what a `read_notice` offers to its sender. The reply has
+    /// the store's data only.
+    read_request,
 };
 
 template <>
@@ -44,6 +56,8 @@
     name_table<sync_relation> = make_name_table<sync_relation>({
         {sync_relation::member, "member"},
         {sync_relation::hub, "hub"},
+        {sync_relation::read_notice, "read_notice"},
+        {sync_relation::read_request, "read_request"},
     });
 static_assert(is_ordered<sync_relation>());
 
@@ -55,8 +69,12 @@
     sync_relation relation = sync_relation::member;
     std::uint64_t configuration_version = 0;
     target_position targets;
-    std::uint64_t closures_revision = 0;
     rollout_position rollouts;
+    /// Position of its copy of the closed data centres, which are not sent.
+    data_centre_closures closures;
+    /// Time since the read of the store that returned this configuration;
+    /// `duration::max()` if there was none.
+    duration read_age = duration::max();
     /// Member list that the sender holds: the incarnation of the hub that sent
     /// it and its sequence number there.
     std::uint64_t members_source = 0;
@@ -70,6 +88,9 @@
     /// arrive within this time.
     duration liveness_timeout{};
     traffic_report report;
+    /// In place of `report`, from a hub that has a budget for what it sends to
+    /// other data centres.
+    std::optional<report_changes> changes;
 };
 
 /// A hub's answer: everything that the sender of the question lacks.
@@ -81,6 +102,8 @@
     std::uint64_t members_source = 0;
     std::uint64_t members_sequence = 0;
     std::optional<fleet_members> members;
+    /// `members` lacks those that the sender of the question holds already.
+    bool members_are_changes = false;
     /// The text is null if the sender already holds this version.
     configuration_document configuration;
     /// Time since the last read of the store that returned this configuration;
@@ -93,6 +116,11 @@
     std::optional<rollout_decisions> rollouts;
     /// Sum of the reports of all VMs but the sender.
     traffic_report others;
+    /// `others` is left out, because this hub sends it with its own questions.
+    bool report_omitted = false;
+    /// The state of the sender's report that this hub holds, if the question
+    /// had changes of it. A hub of an earlier version sets none.
+    std::optional<report_position> confirmed;
 };
 
 } // namespace pomelohinge
--- a/servers/limits/rate_meter.cpp
+++ b/servers/limits/rate_meter.cpp
@@ -5,9 +5,6 @@
 namespace pomelohinge {
 namespace {
 
-/// Time constant of the exponential average, in seconds.
-constexpr double averaging_seconds = 1.0;
-
 /// Resolution of a window's counts.
 constexpr int slices_per_window = 20;
 
@@ -15,7 +12,7 @@
 
 void rate_meter::add(time_point now, double events)
 {
-    value_ = per_second(now) + events / averaging_seconds;
+    value_ = per_second(now) + events / averaging_seconds_;
     at_ = now;
 }
 
@@ -23,7 +20,7 @@
 {
     if (value_ == 0)
         return 0;
-    return value_ * std::exp(-to_seconds(now - at_) / averaging_seconds);
+    return value_ * std::exp(-to_seconds(now - at_) / averaging_seconds_);
 }
 
 void window_counter::add(time_point now, double events)
@@ -35,6 +32,19 @@
     sum_ += events;
 }
 
+void window_counter::take_back(time_point added_at)
+{
+    for (auto it = slices_.rbegin(); it != slices_.rend(); ++it) {
+        if (it->begin > added_at)
+            continue;
+        if (added_at - it->begin >= window_ / slices_per_window)
+            return;
+        --it->events;
+        --sum_;
+        return;
+    }
+}
+
 double window_counter::count(time_point now)
 {
     // A slice is counted until its latest possible event has left the window.
--- a/servers/membership/hub_order.hpp
+++ b/servers/membership/hub_order.hpp
@@ -19,6 +19,10 @@
 bool is_first_data_centre(
     fleet_members const& members, data_centre_id const& data_centre);
 
+/// Whether `vm` may become the hub of `data_centre`.
+bool is_hub_candidate(fleet_members const& members,
+    data_centre_id const& data_centre, vm_id const& vm);
+
 } // namespace pomelohinge
 
 #endif
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -158,14 +158,6 @@
     /// caller.
     static constexpr duration answer_reserve = std::chrono::milliseconds(15);
 
-    /// Maximum wait for a token of the organisation's rate. The wait evens out
-    /// short-term differences between VMs, which count grants separately.
-    static constexpr duration max_charge_wait = std::chrono::milliseconds(150);
-
-    /// Delay until a reroute that was not possible is considered again.
-    static constexpr duration reroute_retry_delay =
-        std::chrono::milliseconds(100);
-
     entry_state& state() { return environment_.state(); }
 
     /// Wraps a callback so that it does nothing once the request is destroyed.
@@ -197,18 +189,17 @@
                 !(progress_.may_have_run || progress_.in_progress),
             message_.head.request_id);
         log_request_ended(message_.head.request_id, result,
-            {admitted_.organisation, admitted_.service, target_.id,
-                statistics_.attempts, elapsed(), admitted_.time_limit,
-                admitted_.goal});
+            {admitted_.organisation, admitted_.route, admitted_.service,
+                target_.id, statistics_.attempts, elapsed(),
+                admitted_.time_limit, admitted_.goal});
         auto const* const answer = std::get_if<upstream_answer>(&result);
         bool const was_placed = placement_requested_at_ != time_point{};
+        bool const succeeded =
+            answer != nullptr && answer->status < first_server_error;
+        bool const was_sent = statistics_.attempts > 0;
         if (was_placed)
-            state().targets.request_ended(admitted_.service,
-                answer != nullptr &&
-                        answer
-                            ->status<first_server_error, statistics_.attempts> 0
-                    ? std::optional(reason_.state)
-                    : std::nullopt);
+            state().targets.request_ended(admitted_.service, succeeded,
+                was_sent ? std::optional(reason_.state) : std::nullopt);
         if (auto const callback = std::exchange(on_end_, nullptr))
             callback(std::move(result));
     }
@@ -295,7 +286,7 @@
         auto const verdict =
             state().limits.charge(admitted_.organisation.text(), *rate, now);
         if (verdict.granted) {
-            is_charged_ = true;
+            charged_at_ = now;
             return fire(request_event::charged);
         }
         bool const waits = !std::exchange(has_waited_for_charge_, true) &&
@@ -314,10 +305,10 @@
 
     void refund_charge()
     {
-        if (std::exchange(is_charged_, false) && !progress_.may_have_run &&
-            !progress_.in_progress)
+        auto const charged_at = std::exchange(charged_at_, std::nullopt);
+        if (charged_at && !progress_.may_have_run && !progress_.in_progress)
             state().limits.refund(
-                admitted_.organisation.text(), environment_.now());
+                admitted_.organisation.text(), *charged_at, environment_.now());
     }
 
     // Placement.
@@ -335,11 +326,15 @@
         return {admitted_.service, admitted_.priority, is_retryable(),
             progress_.tried,
             times_.start_deadline(
-                state().targets.median_latency(admitted_.service))};
+                state().targets.median_latency(admitted_.service)),
+            admitted_.route, times_.received_at + times_.goal, times_.deadline,
+            state().spillover.expected_bytes(admitted_.route.text())};
     }
 
     void request_placement()
     {
+        if (placement_requested_at_ == time_point{})
+            state().record_arrival(admitted_, environment_.now());
         placement_requested_at_ = environment_.now();
         auto decided = state().targets.submit(make_placement_request(),
             if_alive([this](placement_decision decision) {
@@ -367,6 +362,7 @@
             target_ = std::move(it->target);
             return fire(request_event::placed);
         }
+        state().record_rejection(admitted_, environment_.now());
         auto const& rejection = std::get<placement_rejection>(decision);
         bool const full = rejection.reason == rejection_reason::overloaded;
         if (has_answer(progress_.last_result))
@@ -481,6 +477,9 @@
         auto& it = state();
         if (shows_latency(result))
             it.latencies.add(admitted_.route, admitted_.service, took, now);
+        if (result == attempt_result::answered)
+            it.targets.add_holding_time(
+                admitted_.service, admitted_.route, took);
         it.evidence.record(target_, admitted_.route, evidence_of(result), took);
         it.targets.attempt_ended(target_, result, took, now, notice);
     }
@@ -496,6 +495,9 @@
         if (it.result == attempt_result::connection_lost)
             state().poison.record_crash(fingerprint_, target_.id.text(), now);
         answer_ = std::move(it.answer);
+        if (it.result == attempt_result::answered)
+            state().record_answer(admitted_, now - progress_.sent_at,
+                message_.body.size() + answer_.body.size(), now);
         finish_attempt(it.result, it.notice);
         if (progress_.last_result == attempt_result::answered)
             return fire(request_event::answer);
@@ -579,7 +581,8 @@
     idempotency_guard<Environment> idempotency_;
     request_statistics statistics_;
 
-    bool is_charged_ = false;
+    /// When the rate granted the request; empty if it was not charged.
+    std::optional<time_point> charged_at_;
     bool has_waited_for_charge_ = false;
 
     ticket ticket_ = 0;
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -23,6 +23,8 @@
         "log": {"format": "json"},
         "machine": {"cores": 2, "core_share": 0.2, "memory_mb": 260},
         "bounds": {"strict_revocation": false, "retry_ratio": 0.5},
+        "exchange": {"remote_bytes_per_s": 8000},
+        "transfer": {"price_per_mb": 40, "period_ms": 250},
         "limits": {"request_body_bytes": 4096, "stop_s": 1.5}})",
         found_);
     ASSERT_TRUE(it) << found_.to_text();
@@ -67,6 +69,27 @@
     EXPECT_FALSE(parse_settings(text(R"({"share": 1})"), found_));
 }
 
+EXPECT_EQ(it->remote_bytes_per_second, 8000);
+EXPECT_EQ(
+    it->transfers, (transfer_settings{40, std::chrono::milliseconds(250)}));
+}
+
+TEST_F(settings_test, parse_of_placement_mode_returns_it_and_earliest_if_absent)
+{
+    std::string const machine = R"("vm": "vm-1", "data_centre": "derby",
+        "callers_address": "127.0.0.1:8080",
+        "peers_address": "127.0.0.1:8081",
+        "platform_address": "127.0.0.1:9000")";
+    auto const absent = parse_settings("{" + machine + "}", found_);
+    auto const present = parse_settings(
+        "{" + machine + R"(, "placement": {"mode": "by_deadline"}})", found_);
+    ASSERT_TRUE(absent && present) << found_.to_text();
+    EXPECT_EQ(absent->placement.mode, placement_mode::earliest);
+    EXPECT_EQ(present->placement.mode, placement_mode::by_deadline);
+    EXPECT_FALSE(parse_settings(
+        "{" + machine + R"(, "placement": {"mode": "other"}})", found_));
+}
+
 TEST_F(
     settings_test, parse_with_several_errors_reports_all_with_their_positions)
 {
@@ -89,5 +112,34 @@
         << text;
 }
 
+/// A budget below what the headers take would keep hubs from sending anything
+/// that can wait.
+TEST_F(settings_test, budget_and_price_out_of_range_are_adjusted)
+{
+    auto const it = parse_settings(R"({"vm": "vm-1", "data_centre": "derby",
+        "callers_address": "127.0.0.1:8080",
+        "peers_address": "127.0.0.1:8081",
+        "platform_address": "127.0.0.1:9000",
+        "exchange": {"remote_bytes_per_s": 10},
+        "transfer": {"price_per_mb": -3}})",
+        found_);
+    ASSERT_TRUE(it) << found_.to_text();
+    EXPECT_EQ(it->remote_bytes_per_second, 1000);
+    EXPECT_EQ(it->transfers->price_per_mb, 0);
+    EXPECT_EQ(it->adjustments.size(), 2u);
+}
+
+TEST_F(settings_test, absent_exchange_and_transfer_change_nothing)
+{
+    auto const it = parse_settings(R"({"vm": "vm-1", "data_centre": "derby",
+        "callers_address": "127.0.0.1:8080",
+        "peers_address": "127.0.0.1:8081",
+        "platform_address": "127.0.0.1:9000"})",
+        found_);
+    ASSERT_TRUE(it) << found_.to_text();
+    EXPECT_EQ(it->remote_bytes_per_second, 0);
+    EXPECT_FALSE(it->transfers);
+}
+
 } // namespace
 } // namespace pomelohinge
