--- a/config/settings.hpp
+++ b/config/settings.hpp
@@ -3,6 +3,7 @@
 
 #include "config/fleet_bounds.hpp"
 #include "config/placement_settings.hpp"
+#include "config/rollout_bounds.hpp"
 #include "config/transfer_settings.hpp"
 #include "core/clock.hpp"
 #include "core/findings.hpp"
@@ -55,6 +56,8 @@
     /// Maximum time for which a planned stop waits for running requests.
     std::chrono::milliseconds stop_timeout{30'000};
     fleet_bounds bounds;
+    /// Set if versions are rolled out by orders in the store.
+    std::optional<rollout_bounds> rollouts;
     /// Budget for reports to hubs of other data centres, in bytes per second;
     /// 0 for none.
     double remote_bytes_per_second = 0;
--- a/main/status_page.cpp
+++ b/main/status_page.cpp
@@ -23,6 +23,29 @@
     return data_centres;
 }
 
+nlohmann::ordered_json rollouts_json(
+    std::vector<rollout_decision> const& rollouts)
+{
+    auto list = nlohmann::ordered_json::array();
+    for (auto const& it : rollouts)
+        list.push_back({{"service", it.service.text()}, {"version", it.version},
+            {"state", to_name(it.state)}, {"share", it.share},
+            {"canaries", it.canaries.size()}});
+    return list;
+}
+
+void append_rollouts(
+    std::string& text, std::vector<rollout_decision> const& rollouts)
+{
+    if (rollouts.empty())
+        return;
+    text += "# TYPE pomelohinge_rollout gauge\n";
+    for (auto const& it : rollouts)
+        text += fmt::format("pomelohinge_rollout{{service=\"{}\","
+                            "version=\"{}\",state=\"{}\"}} {}\n",
+            it.service.text(), it.version, to_name(it.state), it.share);
+}
+
 void append_gauge(std::string& text, std::string_view name, double value)
 {
     text += fmt::format(
@@ -43,6 +66,8 @@
         {"reads_store", status.reads_store}};
     if (status.read_age != duration::max())
         body["read_age_ms"] = to_milliseconds(status.read_age);
+    if (!status.rollouts.empty())
+        body["rollouts"] = rollouts_json(status.rollouts);
     auto shares = nlohmann::ordered_json::object();
     for (auto const& [key, share] : transfers)
         shares[key.service][key.data_centre] = share;
@@ -71,6 +96,7 @@
     append_gauge(text, "reads_store", status.reads_store ? 1 : 0);
     if (status.read_age != duration::max())
         append_gauge(text, "read_age_seconds", to_seconds(status.read_age));
+    append_rollouts(text, status.rollouts);
     text += "# TYPE pomelohinge_remote_bytes_total counter\n";
     for (auto const& it : name_table<exchange_part>)
         text +=
--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -8,6 +8,7 @@
 #include "servers/control/member_list_position.hpp"
 #include "servers/control/registration.hpp"
 #include "servers/control/returned_hub.hpp"
+#include "servers/control/rollout_control.hpp"
 #include "servers/control/store_access.hpp"
 #include "servers/control/sync_server.hpp"
 
@@ -25,7 +26,8 @@
 {
 public:
     control_plane(vm_record self, std::vector<std::string> seeds,
-        Environment& environment, timer_service& timers)
+        Environment& environment, timer_service& timers,
+        std::optional<rollout_setup> rollouts = {})
         : environment_(environment), timers_(timers), self_(std::move(self)),
           members_(self_), sync_server_(self_, fleet_state_, members_),
           store_access_(environment, timers, fleet_state_, members_,
@@ -36,8 +38,13 @@
                       answer_long_polls();
                   }}),
           registration_(environment, timers, self_, members_, std::move(seeds)),
-          returned_hub_(environment, hub_selector_)
+          returned_hub_(environment, hub_selector_),
+          rollouts_(
+              environment, fleet_state_, self_, std::move(rollouts),
+              [this] { state_changed(); },
+              [this] { store_access_.list_rollouts(); })
     {
+        store_access_.follow_rollouts(rollouts_.order_handler());
         // The environment may hold this object and is complete only here.
         static_assert(ControlEnvironment<Environment>);
     }
@@ -70,8 +77,7 @@
     {
         self_.standing = vm_standing::leaving;
         members_.set_self(self_, load_);
-        publish();
-        answer_long_polls();
+        members_changed();
         sync_now();
     }
 
@@ -86,9 +92,7 @@
         next_urgent_report_ = now + urgent_report_period;
         environment_.collect_report([this](traffic_report report) {
             if (is_hub())
-                return environment_.distribute_report(
-                    sync_server_.exchange_own_report(
-                        std::move(report), environment_.now()));
+                return exchange_report(report);
             auto const* const hub = members_.find(hub_);
             if (hub == nullptr)
                 return;
@@ -137,6 +141,7 @@
         it.hub = hub_.text();
         it.reads_store = store_access_.active();
         it.members = members_.members();
+        it.rollouts = fleet_state_.rollouts().items;
         return it;
     }
 
@@ -184,6 +189,12 @@
         return hub_.empty() && registration_.members_known();
     }
 
+    bool reads_for_fleet() const
+    {
+        return is_hub() &&
+            is_first_data_centre(members_.members(), self_.data_centre);
+    }
+
     bool is_busy() const
     {
         auto const* const own = members_.find(self_.vm);
@@ -210,7 +221,9 @@
             hub_ = hub;
             hub_chosen_ = true;
         }
-        store_access_.update(self_, find_reading_conditions(now));
+        auto const conditions = find_reading_conditions(now);
+        rollouts_.set_deciding(conditions.reads_for_fleet);
+        store_access_.update(self_, conditions);
         sync_server_.set_store_reached(
             !store_access_.active() || store_access_.reached());
         if (!sync_in_flight_ && !sync_scheduled_)
@@ -230,22 +243,12 @@
         // members.
         it.is_hub = is_hub() &&
             is_hub_candidate(members_.members(), self_.data_centre, self_.vm);
-        it.reads_for_fleet = it.is_hub && is_first_hub();
+        it.reads_for_fleet = it.is_hub && reads_for_fleet();
         it.serves_members =
             it.is_hub || sync_server_.was_asked_within(max_question_age, now);
         return it;
     }
 
-    /// Whether this is the first data centre by name that has a live VM.
-    bool is_first_hub() const
-    {
-        auto const members = members_.members();
-        return std::none_of(
-            members.begin(), members.end(), [&](auto const& it) {
-                return it.alive && it.record.data_centre < self_.data_centre;
-            });
-    }
-
     /// Records the age of this VM's own reads of the store, so that it is
     /// rated as a hub like any other candidate.
     void record_own_read_age(time_point now)
@@ -277,8 +280,11 @@
         sync_in_flight_ = true;
         environment_.collect_report([this](traffic_report report) {
             set_load(report.load);
-            if (is_hub() || !registration_.members_known())
-                return exchange_own_report(std::move(report));
+            if (is_hub() || !registration_.members_known()) {
+                sync_in_flight_ = false;
+                exchange_report(report);
+                return schedule_sync(busy_period);
+            }
             sync_with_hub(std::move(report));
         });
     }
@@ -289,12 +295,12 @@
         members_.set_self(self_, load);
     }
 
-    void exchange_own_report(traffic_report report)
+    void exchange_report(traffic_report const& report)
     {
-        sync_in_flight_ = false;
-        environment_.distribute_report(sync_server_.exchange_own_report(
-            std::move(report), environment_.now()));
-        schedule_sync(busy_period);
+        auto const others =
+            sync_server_.exchange_own_report(report, environment_.now());
+        rollouts_.add_reports(report, others);
+        environment_.distribute_report(others);
     }
 
     sync_question make_question(sync_relation relation)
@@ -307,6 +313,7 @@
         question.closures = {
             fleet_state_.closures().revision, {}, fleet_state_.closures().era};
         question.read_age = fleet_state_.read_age(environment_.now());
+        question.rollouts = fleet_state_.rollouts().position;
         return question;
     }
 
@@ -387,6 +394,8 @@
         if (reply.closures)
             any_changed |=
                 fleet_state_.apply_closures(std::move(*reply.closures));
+        if (reply.rollouts)
+            any_changed |= rollouts_.apply(std::move(*reply.rollouts));
         if (any_changed)
             return state_changed();
         environment_.set_read_at(fleet_state_.read_at());
@@ -506,11 +515,13 @@
     void publish()
     {
         auto const sequence = members_.sequence();
+        auto const rollouts = rollouts_.make_table();
         bool const same = policy_ != nullptr &&
             policy_->index == fleet_state_.index() &&
             policy_->targets == fleet_state_.catalogue() &&
             published_members_ == sequence &&
             published_closures_ == fleet_state_.closures().closed &&
+            policy_->rollouts == rollouts &&
             policy_->leaving == (self_.standing == vm_standing::leaving);
         if (!same) {
             auto next = std::make_shared<policy>();
@@ -519,6 +530,7 @@
             next->members = std::make_shared<fleet_members>(members_.members());
             auto const& closed = fleet_state_.closures().closed;
             next->closed = {closed.begin(), closed.end()};
+            next->rollouts = rollouts;
             next->ready = fleet_state_.ready();
             next->store = fleet_state_.era();
             next->leaving = self_.standing == vm_standing::leaving;
@@ -544,6 +556,7 @@
         if (sync_server_.next_due() <= now)
             answer_long_polls();
         update_hub();
+        rollouts_.tick();
     }
 
     void choose_entries()
@@ -582,6 +595,7 @@
     registration<Environment> registration_;
     hub_selector hub_selector_;
     returned_hub<Environment> returned_hub_;
+    rollout_control<Environment> rollouts_;
 
     /// The hub that this VM sends its questions to; empty if it is the hub.
     vm_id hub_;
--- a/servers/control/store_access.hpp
+++ b/servers/control/store_access.hpp
@@ -50,6 +50,14 @@
     bool active() const { return reader_.active(); }
     bool reached() const { return reader_.reached(); }
 
+    /// See `store_reader`.
+    void follow_rollouts(
+        std::function<void(rollout_list const&, time_point)> on_rollouts)
+    {
+        reader_.follow_rollouts(std::move(on_rollouts));
+    }
+    void list_rollouts() { reader_.list_rollouts(); }
+
     /// Records that this VM's hub has replied.
     void note_hub_contact(time_point now) { decision_.note_hub_contact(now); }
     /// Records that another VM has been heard of.
--- a/servers/control/sync_server.cpp
+++ b/servers/control/sync_server.cpp
@@ -43,7 +43,8 @@
         question.from, question.report.load, question.liveness_timeout, now);
     add_report(question, now);
     answer_long_polls(now);
-    if (question.long_poll_timeout <= duration::zero() || has_updates(question))
+    if (question.long_poll_timeout <= duration::zero() ||
+        has_updates(question, now))
         return reply(make_reply(question, now));
     auto const due = now + question.long_poll_timeout;
     long_polls_.push_back({std::move(question), due, std::move(reply)});
@@ -59,11 +60,13 @@
     question.report = {};
 }
 
-bool sync_server::has_updates(sync_question const& question) const
+bool sync_server::has_updates(
+    sync_question const& question, time_point now) const
 {
     return question.configuration_version < fleet_state_.document().version ||
         fleet_state_.targets().has_changes_after(question.targets) ||
         question.closures.is_before(fleet_state_.closures()) ||
+        has_newer(fleet_state_.rollouts(), question.rollouts, now) ||
         question.members_source != self_.incarnation ||
         question.members_sequence < members_.sequence() ||
         (question.is_idle ? has_newer_read(question)
@@ -91,6 +94,8 @@
     reply.targets = fleet_state_.targets().changes_after(question.targets);
     if (question.closures.is_before(fleet_state_.closures()))
         reply.closures = fleet_state_.closures();
+    if (has_newer(fleet_state_.rollouts(), question.rollouts, now))
+        reply.rollouts = fleet_state_.rollouts();
     return reply;
 }
 
@@ -131,6 +136,9 @@
     if (!reply.report_omitted)
         reply.others = reports_.report_for(
             source_of(question), is_remote(question.relation));
+    // Only hubs judge versions.
+    if (!is_remote(question.relation))
+        reply.others.rollouts.clear();
     // A VM without traffic does not use observations of targets.
     if (question.is_idle)
         reply.others.targets.clear();
@@ -141,7 +149,7 @@
     std::list<long_poll> ready;
     for (auto it = long_polls_.begin(); it != long_polls_.end();) {
         auto const next = std::next(it);
-        if (it->due <= now || has_updates(it->question))
+        if (it->due <= now || has_updates(it->question, now))
             ready.splice(ready.end(), long_polls_, it);
         it = next;
     }
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -83,6 +83,8 @@
     retry,
     /// Too few targets are not ejected, so ejected ones are used as well.
     below_floor,
+    /// The request shows how a version that is rolled out works.
+    canary,
     /// The target may fail, but waiting for a trusted one is less likely to
     /// succeed.
     better_than_waiting,
@@ -96,6 +98,7 @@
         {placement_cause::floor, "floor"},
         {placement_cause::retry, "retry"},
         {placement_cause::below_floor, "below_floor"},
+        {placement_cause::canary, "canary"},
         {placement_cause::better_than_waiting, "better_than_waiting"},
     });
 static_assert(is_ordered<placement_cause>());
@@ -241,6 +244,12 @@
     struct service_state
     {
         std::vector<traffic_target*> targets;
+        /// Targets of a version on trial; none of them is in `targets`.
+        std::vector<traffic_target*> canaries;
+        /// Share of the requests that `canaries` get, and how many of them are
+        /// due.
+        double canary_share = 0;
+        double canaries_due = 0;
         wait_queue queue;
         rate_meter completions;
         /// The share of targets that are not ejected is below the floor, so
@@ -286,6 +295,7 @@
     }
     traffic_target* find_current(target_record const& target);
     void rebuild_services();
+    void set_canary_share(std::string const& name, service_state& service);
     void count_ends_elsewhere(traffic_report const& others, time_point now);
     void set_cold_rates(time_point now);
     void set_circle_position();
@@ -379,6 +389,8 @@
 
     choice choose(service_state& service, placement_request const& request,
         time_point now);
+    traffic_target* choose_canary(service_state& service,
+        placement_request const& request, time_point now);
     traffic_target* choose_target_to_probe(service_state& service,
         placement_request const& request, time_point now);
     traffic_target* choose_for_floor(service_state& service,
--- a/servers/exchange/fleet_reports.cpp
+++ b/servers/exchange/fleet_reports.cpp
@@ -61,6 +61,7 @@
     }
     for (auto const& it : other.suspects)
         add_suspect(suspects, it);
+    add_evidence(rollouts, other.rollouts);
     for (auto const& [key, it] : other.loads)
         loads[key].add(it);
     load += other.load;
@@ -85,6 +86,7 @@
     // of requests in flight remain here.
     for (auto& [target, counts] : it.last.targets)
         counts = target_report{counts.in_flight, 0, 0, 0};
+    it.last.rollouts.clear();
 }
 
 void report_aggregator::add_pending(
@@ -96,6 +98,7 @@
         for (auto const& [target, counts] : entry.last.targets)
             if (counts.has_observations())
                 it.pending[target].add_observations(counts);
+        add_evidence(it.pending_rollouts, entry.last.rollouts);
     }
 }
 
@@ -130,6 +133,8 @@
         for (auto const& [target, counts] : entry->second.pending)
             sum.targets[target].add_observations(counts);
         entry->second.pending.clear();
+        add_evidence(
+            sum.rollouts, std::exchange(entry->second.pending_rollouts, {}));
     }
     absl::erase_if(
         sum.targets, [](auto const& it) { return it.second.empty(); });
--- a/servers/exchange/sync.hpp
+++ b/servers/exchange/sync.hpp
@@ -3,6 +3,7 @@
 
 #include "servers/exchange/report_changes.hpp"
 #include "servers/membership/vm_record.hpp"
+#include "servers/rollouts/rollout_decision.hpp"
 #include "servers/targets/target_mirror.hpp"
 
 #include <memory>
@@ -68,6 +69,7 @@
     sync_relation relation = sync_relation::member;
     std::uint64_t configuration_version = 0;
     target_position targets;
+    rollout_position rollouts;
     /// Position of its copy of the closed data centres, which are not sent.
     data_centre_closures closures;
     /// Time since the read of the store that returned this configuration;
@@ -111,6 +113,7 @@
     bool store_reached = true;
     std::optional<target_changes> targets;
     std::optional<data_centre_closures> closures;
+    std::optional<rollout_decisions> rollouts;
     /// Sum of the reports of all VMs but the sender.
     traffic_report others;
     /// `others` is left out, because this hub sends it with its own questions.
--- a/tests/simulation/fake_vm.hpp
+++ b/tests/simulation/fake_vm.hpp
@@ -28,6 +28,8 @@
     std::map<std::string, fake_vm*> vms;
     /// Targets by address.
     std::map<std::string, fake_target*> targets;
+    /// Set if the VMs roll out versions.
+    std::optional<rollout_setup> rollouts = {};
     /// Budget of each hub for reports to other data centres, in bytes per
     /// second; 0 for none.
     double remote_budget = 0;
@@ -48,7 +50,7 @@
               fleet.simulator.random()(),
               [](std::string const&) { return true; }, fleet.bounds,
               fleet.placement, fleet.transfers),
-          control_plane_(record_, {}, *this, timers_)
+          control_plane_(record_, {}, *this, timers_, fleet.rollouts)
     {
         control_plane_.set_remote_budget(fleet_.remote_budget);
         fleet_.vms[record_.peers_address] = this;
@@ -143,6 +145,16 @@
     {
         fleet_.store.list_closures(name_, wrap_callback(std::move(done)));
     }
+    void list_rollouts(std::function<void(rollouts_result)> done)
+    {
+        fleet_.store.list_rollouts(name_, wrap_callback(std::move(done)));
+    }
+    void write_rollout(rollout_order const& order, rollout_status status,
+        std::function<void(rollout_write_result)> done)
+    {
+        fleet_.store.write_rollout(
+            name_, order, status, wrap_callback(std::move(done)));
+    }
     void list_vms(std::function<void(vms_result)> done)
     {
         fleet_.store.list_vms(name_, wrap_callback(std::move(done)));
