--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -38,6 +38,9 @@
     EXPECT_DOUBLE_EQ(it->bounds.retry_ratio, 0.5);
     EXPECT_EQ(it->stop_timeout, std::chrono::milliseconds(1500));
     EXPECT_FALSE(it->rollouts);
+    EXPECT_EQ(it->remote_bytes_per_second, 8000);
+    EXPECT_EQ(
+        it->transfers, (transfer_settings{40, std::chrono::milliseconds(250)}));
 }
 
 TEST_F(settings_test, rollouts_are_read_with_their_bounds)
@@ -69,11 +72,6 @@
     EXPECT_FALSE(parse_settings(text(R"({"share": 1})"), found_));
 }
 
-EXPECT_EQ(it->remote_bytes_per_second, 8000);
-EXPECT_EQ(
-    it->transfers, (transfer_settings{40, std::chrono::milliseconds(250)}));
-}
-
 TEST_F(settings_test, parse_of_placement_mode_returns_it_and_earliest_if_absent)
 {
     std::string const machine = R"("vm": "vm-1", "data_centre": "derby",
--- a/tests/servers/deadline_choice_test.cpp
+++ b/tests/servers/deadline_choice_test.cpp
@@ -65,7 +65,7 @@
     {
         for (int it = 0; it < 3 * per_second; ++it)
             load_.add_arrival(route_id(route), priority, retryable,
-                now_ - 3s + it * 1s / per_second);
+                retryable ? 8s : 1s, now_ - 3s + it * 1s / per_second);
     }
 
     /// Records ends of attempts at trusted targets for three seconds.
