Repeat a list that fails at the pace of the configuration

Change: failed lists are repeated with the next read of the configuration. Evidence of rollouts is in the changes between hubs as well.

--- a/drivers/peers/codec.cpp
+++ b/drivers/peers/codec.cpp
@@ -1,5 +1,8 @@
 #include "drivers/peers/codec.hpp"
 
+#include "drivers/peers/rollout_codec.hpp"
+#include "drivers/peers/wire_values.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -8,54 +11,9 @@
 namespace pomelohinge {
 namespace {
 
-std::int64_t to_microseconds(duration value)
-{
-    return std::chrono::duration_cast<std::chrono::microseconds>(value).count();
-}
-
-/// Longer times of another VM are cut, so that sums with a time point cannot
-/// overflow.
-constexpr std::int64_t max_microseconds =
-    std::chrono::microseconds(std::chrono::hours(24 * 365)).count();
-
-duration from_microseconds(std::int64_t value)
-{
-    return std::chrono::microseconds(
-        std::clamp<std::int64_t>(value, 0, max_microseconds));
-}
-
-/// Decodes a quantity, which is finite and not negative. Sums and sorts depend
-/// on that.
-double quantity_from_wire(double value)
-{
-    return std::isfinite(value) ? std::max(value, 0.0) : 0.0;
-}
-
-/// Encodes an age in microseconds; -1 stands for `duration::max()`, the age of
-/// something that has never happened.
-std::int64_t age_to_wire(duration age)
-{
-    return age == duration::max() ? -1 : to_microseconds(age);
-}
-
-duration age_from_wire(std::int64_t value)
-{
-    return value < 0 ? duration::max() : from_microseconds(value);
-}
-
-/// Encodes an enumerator as its index in its name table.
-template <NamedEnum Enum>
-std::uint32_t enum_to_wire(Enum value)
-{
-    return static_cast<std::uint32_t>(index_of(value));
-}
-
-/// Decodes an enumerator; `fallback` if the table has no such index.
-template <NamedEnum Enum>
-Enum enum_from_wire(std::uint32_t index, Enum fallback)
-{
-    return index < enum_count<Enum> ? static_cast<Enum>(index) : fallback;
-}
+// The overloads below would hide those of rollout_codec.hpp.
+using pomelohinge::fill;
+using pomelohinge::from_wire;
 
 void fill(wire::Vm& to, vm_record const& from)
 {
@@ -100,94 +58,6 @@
     return counts;
 }
 
-void fill(
-    wire::Evidence& to, evidence_key const& key, evidence_counts const& from)
-{
-    to.set_service(key.service);
-    to.set_route(key.route);
-    to.set_target(key.target);
-    to.set_good(from.good);
-    to.set_failed(from.failed);
-    to.set_slow(from.slow);
-    auto const& counts = from.latencies.counts();
-    auto used = counts.size();
-    while (used > 0 && counts[used - 1] == 0)
-        --used;
-    for (std::size_t n = 0; n < used; ++n)
-        to.add_latencies(counts[n]);
-}
-
-evidence_counts from_wire(wire::Evidence const& from)
-{
-    // Sums of three counts must not overflow.
-    constexpr std::uint32_t max_count = 1 << 24;
-    evidence_counts counts{std::min(from.good(), max_count),
-        std::min(from.failed(), max_count), std::min(from.slow(), max_count),
-        {}};
-    auto const used =
-        std::min<std::size_t>(static_cast<std::size_t>(from.latencies_size()),
-            latency_classes::count);
-    for (std::size_t n = 0; n < used; ++n)
-        counts.latencies.set_count(
-            n, std::min(from.latencies(static_cast<int>(n)), max_count));
-    return counts;
-}
-
-void fill(wire::RolloutPosition& to, rollout_position const& from)
-{
-    to.set_revision(from.revision);
-    to.set_decider(from.decider);
-    to.set_sequence(from.sequence);
-}
-
-rollout_position from_wire(wire::RolloutPosition const& from)
-{
-    return {from.revision(), from.decider(), from.sequence()};
-}
-
-void fill(wire::Rollouts& to, rollout_decisions const& from, time_point now)
-{
-    fill(*to.mutable_position(), from.position);
-    to.set_age_us(to_microseconds(now - from.decided_at));
-    for (auto const& it : from.items) {
-        auto& row = *to.add_items();
-        row.set_service(it.service.text());
-        row.set_version(it.version);
-        row.set_state(enum_to_wire(it.state));
-        row.set_share(it.share);
-        for (auto const& target : it.canaries)
-            row.add_canaries(target.text());
-        for (auto const& [route, limit] : it.slow_limits) {
-            auto& slow = *row.add_slow_limits();
-            slow.set_route(route);
-            slow.set_limit_us(to_microseconds(limit));
-        }
-        row.set_age_us(to_microseconds(now - it.started_at));
-    }
-}
-
-rollout_decisions from_wire(wire::Rollouts const& from, time_point now)
-{
-    rollout_decisions decisions;
-    decisions.position = from_wire(from.position());
-    decisions.decided_at = now - from_microseconds(from.age_us());
-    for (auto const& it : from.items()) {
-        rollout_decision item;
-        item.service = service_id(it.service());
-        item.version = it.version();
-        item.state = enum_from_wire(it.state(), rollout_state::ordered);
-        item.share = std::min(quantity_from_wire(it.share()), 1.0);
-        for (auto const& target : it.canaries())
-            item.canaries.emplace_back(target);
-        for (auto const& limit : it.slow_limits())
-            item.slow_limits[limit.route()] =
-                from_microseconds(limit.limit_us());
-        item.started_at = now - from_microseconds(it.age_us());
-        decisions.items.push_back(std::move(item));
-    }
-    return decisions;
-}
-
 std::uint32_t rounded(double value)
 {
     constexpr double largest = std::numeric_limits<std::uint32_t>::max();
@@ -289,6 +159,8 @@
     }
     for (auto const& it : from.suspects)
         fill(*to.add_suspects(), it);
+    for (auto const& [key, it] : from.rollouts)
+        fill(*to.add_rollouts(), key, it);
     to.set_has_loads(from.loads.has_value());
     if (from.loads)
         fill_loads(*to.mutable_loads(), *from.loads);
@@ -336,6 +208,9 @@
     for (auto const& it : from.suspects())
         changes.suspects.push_back(
             {it.fingerprint(), it.crashes(), from_microseconds(it.age_us())});
+    for (auto const& it : from.rollouts())
+        changes.rollouts[{it.service(), it.route(), it.target()}].add(
+            from_wire(it));
     if (from.has_loads())
         changes.loads = loads_from_wire(from.loads());
     changes.load = quantity_from_wire(from.load());
--- a/servers/control/store_reader.hpp
+++ b/servers/control/store_reader.hpp
@@ -121,9 +121,16 @@
         it.in_flight = false;
         bool const done = status == store_status::done;
         set_reached(done, status);
-        if (done)
-            it.retry_delay = min_retry_delay;
-        return done;
+        if (!done)
+            return false;
+        it.retry_delay = min_retry_delay;
+        // A list that fails while other calls succeed is repeated at the pace
+        // of the configuration, not by each of their answers.
+        bool const may_list =
+            &it == &configuration_ || std::exchange(is_new_era_, false);
+        if (may_list && std::exchange(lists_due_, false))
+            list_all();
+        return true;
     }
 
     /// Reads the configuration again after a delay with random jitter, so that
@@ -156,10 +163,12 @@
                 log(log_event::store_unreachable,
                     {{"status", to_name(status)}});
         }
-        lists_due_ |= !reached;
         // A call to a store that does not answer is not made three times over.
-        if (!reached || !std::exchange(lists_due_, false))
-            return;
+        lists_due_ |= !reached;
+    }
+
+    void list_all()
+    {
         list_targets();
         list_closures();
         list_rollouts();
@@ -175,7 +184,7 @@
         log(log_event::store_era_changed, {{"era", number}});
         // A watch in flight ends with a list.
         next_list_ = environment_.now();
-        lists_due_ = true;
+        lists_due_ = is_new_era_ = true;
         return true;
     }
 
@@ -345,6 +354,7 @@
     read_outcome outcome_ = read_outcome::pending;
     /// Targets and closed data centres are listed when a call succeeds.
     bool lists_due_ = false;
+    bool is_new_era_ = false;
     /// The last configuration that could not be decoded.
     configuration_document refused_;
     call_state configuration_;
--- a/servers/exchange/report_changes.hpp
+++ b/servers/exchange/report_changes.hpp
@@ -67,6 +67,8 @@
     std::vector<organisation_change> organisations;
     /// Always complete.
     std::vector<poison_suspect> suspects;
+    /// Observations since the last report at services that are rolled out.
+    rollout_evidence rollouts;
     /// Complete if there are any.
     std::optional<service_loads> loads;
     double load = 0;
--- a/servers/exchange/report_receiver.cpp
+++ b/servers/exchange/report_receiver.cpp
@@ -96,6 +96,7 @@
         report.targets[target_names_.at(it.target)].add_observations(it.report);
     report.organisations = organisations_;
     report.suspects = changes.suspects;
+    report.rollouts = changes.rollouts;
     report.loads = loads_;
     report.load = changes.load;
     report.entries = changes.entries;
--- a/servers/exchange/report_sender.cpp
+++ b/servers/exchange/report_sender.cpp
@@ -171,6 +171,7 @@
     changes.base = is_complete ? 0 : sequence_;
     changes.position = {stream_, ++sequence_};
     changes.suspects = current.suspects;
+    changes.rollouts = current.rollouts;
     changes.load = current.load;
     changes.entries = current.entries;
     changes.partial = current.partial;
--- a/servers/requests/entry_request.hpp
+++ b/servers/requests/entry_request.hpp
@@ -154,10 +154,6 @@
     static constexpr duration short_retry_after = std::chrono::seconds(1);
     static constexpr int first_server_error = 500;
 
-    /// Part of the time limit that is reserved for returning the answer to the
-    /// caller.
-    static constexpr duration answer_reserve = std::chrono::milliseconds(15);
-
     entry_state& state() { return environment_.state(); }
 
     /// Wraps a callback so that it does nothing once the request is destroyed.
--- a/servers/requests/request_times.hpp
+++ b/servers/requests/request_times.hpp
@@ -8,6 +8,10 @@
 
 namespace pomelohinge {
 
+/// Part of the time limit that is reserved for returning the answer to the
+/// caller.
+inline constexpr duration answer_reserve = std::chrono::milliseconds(15);
+
 /// Maximum wait for a token of the organisation's rate. The wait evens out
 /// short-term differences between VMs, which count grants separately.
 inline constexpr duration max_charge_wait = std::chrono::milliseconds(150);
--- a/tests/drivers/codec_test.cpp
+++ b/tests/drivers/codec_test.cpp
@@ -54,6 +54,7 @@
         it.targets["i-1"] = target_report{1, 2, 3, 4};
         it.organisations["o-1"].demand = 2.5;
         it.suspects.push_back({17, 2, std::chrono::milliseconds(30)});
+        it.rollouts[{"s1", "r1", "i-1"}] = {5, 2, 1, {}};
         it.loads = loads();
         it.load = 12;
         it.rollouts[{"s1", "r1", "i-1"}] = {5, 2, 1, {}};
@@ -327,6 +328,7 @@
     EXPECT_EQ(it.changes->targets, changes().targets);
     EXPECT_EQ(it.changes->organisations, changes().organisations);
     EXPECT_EQ(it.changes->suspects, changes().suspects);
+    EXPECT_EQ(it.changes->rollouts, changes().rollouts);
     EXPECT_EQ(it.changes->loads, changes().loads);
     EXPECT_EQ(it.changes->entries, 3u);
     EXPECT_TRUE(it.changes->partial);
--- a/tests/servers/store_reader_test.cpp
+++ b/tests/servers/store_reader_test.cpp
@@ -41,7 +41,7 @@
     void list_targets(std::function<void(targets_result)> done)
     {
         answer([this, done] {
-            done({status_, {revision_, true, targets_, {}}});
+            done({targets_status_, {revision_, true, targets_, {}}});
         });
     }
 
@@ -92,6 +92,8 @@
     }
 
     store_status status_ = store_status::done;
+    /// Of lists of the targets.
+    store_status targets_status_ = store_status::done;
     bool watch_misses_changes_ = false;
     std::uint64_t random_ = 0;
     /// Revisions that no watch returns.
@@ -196,6 +198,22 @@
     }
 }
 
+/// Each answer to another call repeated the list that had failed, without a
+/// pause.
+TEST_F(store_reader_test, list_that_fails_is_repeated_with_the_configuration)
+{
+    store_.targets_status_ = store_status::unavailable;
+    reader_.set_active(true);
+    advance(1s);
+    store_.calls_ = 0;
+    advance(8s);
+    EXPECT_LE(store_.calls_, 35);
+    store_.targets_status_ = store_status::done;
+    add_target("t");
+    advance(1s);
+    EXPECT_EQ(state_.targets().size(), 1u);
+}
+
 TEST_F(store_reader_test, history_gone_leads_to_a_list_at_once)
 {
     reader_.set_active(true);
