--- a/tests/drivers/exchange_size_test.cpp
+++ b/tests/drivers/exchange_size_test.cpp
@@ -206,7 +206,7 @@
     {
         target_record it;
         it.id = target_id(name_of("tariff", n));
-        it.service = service_id("tariff-svc");
+        it.service = service_id("charges");
         it.data_centre = data_centre_id(name_of("dc", n % size_.data_centres));
         it.address = fmt::format("10.1.{}.{}:8080", n / 250, n % 250);
         it.slots = 3;
--- a/tests/servers/placement_load_test.cpp
+++ b/tests/servers/placement_load_test.cpp
@@ -9,12 +9,12 @@
 /// The load of docs/design/hard-load.md, Part 5.
 request_kind settle(double factor = 1)
 {
-    return {"credit-settle", 80.4 * factor, 320ms, 1s, 2500ms, 0, false};
+    return {"urgent", 80.4 * factor, 320ms, 1s, 2500ms, 0, false};
 }
 
 request_kind query(double factor = 1)
 {
-    return {"credit-query", 51.3 * factor, 1900ms, 8s, 12s, 3, true};
+    return {"long", 51.3 * factor, 1900ms, 8s, 12s, 3, true};
 }
 
 struct load_case
@@ -58,8 +58,8 @@
     /// Value of the answers to callers, by the table of the page.
     static double value(placement_world const& world)
     {
-        auto const urgent = world.result("credit-settle");
-        auto const other = world.result("credit-query");
+        auto const urgent = world.result("urgent");
+        auto const other = world.result("long");
         return 4.9 * urgent.in_goal + 0.59 * urgent.late +
             0.43 * other.in_goal + 0.19 * other.late;
     }
@@ -67,7 +67,7 @@
     static std::string describe(placement_world const& world)
     {
         std::string text;
-        for (auto const* route : {"credit-settle", "credit-query"}) {
+        for (auto const* route : {"urgent", "long"}) {
             auto const it = world.result(route);
             text += fmt::format(
                 "{}: sent {:.0f}, in goal {:.3f}, late {:.3f}, "
@@ -94,12 +94,12 @@
     auto const by_deadline = run_loaded_day(placement_mode::by_deadline);
     auto const text = describe(earliest) + describe(by_deadline);
     RecordProperty("results", text);
-    EXPECT_GE(by_deadline.result("credit-settle").goal_share(),
-        earliest.result("credit-settle").goal_share() + 0.25)
+    EXPECT_GE(by_deadline.result("urgent").goal_share(),
+        earliest.result("urgent").goal_share() + 0.25)
         << text;
     EXPECT_GE(value(by_deadline), 1.6 * value(earliest)) << text;
-    EXPECT_GE(served_share(by_deadline.result("credit-query")),
-        served_share(earliest.result("credit-query")) - 0.03)
+    EXPECT_GE(served_share(by_deadline.result("long")),
+        served_share(earliest.result("long")) - 0.03)
         << text;
 }
 
@@ -109,14 +109,14 @@
     urgent_requests_are_served_in_goal_while_the_failing_targets_are_known)
 {
     auto const world = run_loaded_day(placement_mode::by_deadline, 0s);
-    EXPECT_GE(world.result("credit-settle").goal_share(), 0.98)
+    EXPECT_GE(world.result("urgent").goal_share(), 0.99)
         << describe(world);
 }
 
 TEST_P(placement_load_test, once_only_requests_rarely_go_to_failing_targets)
 {
     auto const world = run_loaded_day(placement_mode::by_deadline);
-    EXPECT_LE(world.result("credit-settle").untrusted_share(), 0.05)
+    EXPECT_LE(world.result("urgent").untrusted_share(), 0.05)
         << describe(world);
 }
 
@@ -139,7 +139,7 @@
         auto world = make(mode, 6s, 0);
         world.run({settle(0.1), query(0.1)}, 30s);
         world.finish();
-        for (auto const* route : {"credit-settle", "credit-query"}) {
+        for (auto const* route : {"urgent", "long"}) {
             auto const it = world.result(route);
             EXPECT_GE(it.goal_share(), 0.995) << describe(world);
             EXPECT_LE(it.shed, 0.05 * it.attempts) << describe(world);
@@ -151,7 +151,7 @@
 TEST_P(placement_load_test, refusals_on_a_loaded_day_come_at_once)
 {
     auto const world = run_loaded_day(placement_mode::by_deadline);
-    for (auto const* route : {"credit-settle", "credit-query"}) {
+    for (auto const* route : {"urgent", "long"}) {
         auto const it = world.result(route);
         EXPECT_LE(it.late_refusals, 0.03 * it.sent) << describe(world);
     }
@@ -164,8 +164,8 @@
     auto world = make(placement_mode::by_deadline, 0s);
     world.run({settle(12), query(1)}, 30s);
     world.finish();
-    auto const urgent = world.result("credit-settle");
-    auto const other = world.result("credit-query");
+    auto const urgent = world.result("urgent");
+    auto const other = world.result("long");
     EXPECT_GE(
         other.goal_share() + other.late / other.sent, 0.2 * urgent.goal_share())
         << describe(world);
