--- a/tests/servers/placement_load_test.cpp
+++ b/tests/servers/placement_load_test.cpp
@@ -109,8 +109,7 @@
     urgent_requests_are_served_in_goal_while_the_failing_targets_are_known)
 {
     auto const world = run_loaded_day(placement_mode::by_deadline, 0s);
-    EXPECT_GE(world.result("urgent").goal_share(), 0.99)
-        << describe(world);
+    EXPECT_GE(world.result("urgent").goal_share(), 0.99) << describe(world);
 }
 
 TEST_P(placement_load_test, once_only_requests_rarely_go_to_failing_targets)
