--- a/tests/simulation/configuration_delay_test.cpp
+++ b/tests/simulation/configuration_delay_test.cpp
@@ -1,4 +1,5 @@
 #include "servers/membership/hub_order.hpp"
+#include "tests/servers/test_charts.hpp"
 #include "tests/simulation/fake_vm.hpp"
 
 #include <gtest/gtest.h>
@@ -13,12 +14,6 @@
 /// Time within which a VM that reaches the store must have a new version.
 constexpr duration max_delay = 2s;
 
-chart_list load_embedded_charts()
-{
-    findings found("charts");
-    return std::move(*load_charts("", found));
-}
-
 /// A fleet without callers whose hubs fail just after a change in the store.
 /// The parameter is the time from a settled fleet to the change in units of
 /// 100 ms, so that the change falls at each moment between two reads.
@@ -29,7 +24,7 @@
 {
 protected:
     configuration_delay_test()
-        : charts_(load_embedded_charts()), store_(simulator_),
+        : charts_(load_all_charts()), store_(simulator_),
           checker_(invariant_bounds{}), context_{simulator_, store_, checker_,
                                             charts_, {}, {}, {}}
     {
--- a/tests/simulation/fleet_run.cpp
+++ b/tests/simulation/fleet_run.cpp
@@ -1,4 +1,5 @@
 #include "tests/simulation/fleet_run.hpp"
+#include "tests/servers/test_charts.hpp"
 
 #include "core/invariant.hpp"
 
@@ -32,12 +33,6 @@
     {"doors", {20, 20}, 0.1},
 }};
 
-chart_list load_embedded_charts()
-{
-    findings found("charts");
-    return std::move(*load_charts("", found));
-}
-
 key_hash key_of(std::string const& organisation)
 {
     key_hash hash{};
@@ -55,7 +50,7 @@
 
 fleet_run::fleet_run(std::uint64_t seed, double remote_budget,
     std::optional<transfer_settings> const& transfers)
-    : charts_(load_embedded_charts()), simulator_(seed), store_(simulator_),
+    : charts_(load_all_charts()), simulator_(seed), store_(simulator_),
       checker_(invariant_bounds{}), context_{simulator_, store_, checker_,
                                         charts_, {}, {}, {}}
 {
--- a/tests/simulation/gray_run.cpp
+++ b/tests/simulation/gray_run.cpp
@@ -1,4 +1,5 @@
 #include "tests/simulation/gray_run.hpp"
+#include "tests/servers/test_charts.hpp"
 
 namespace pomelohinge::simulation {
 namespace {
@@ -10,16 +11,10 @@
 constexpr duration entries_ttl = 1s;
 constexpr int first_server_error = 500;
 
-chart_list load_embedded_charts()
-{
-    findings found("charts");
-    return std::move(*load_charts("", found));
-}
-
 } // namespace
 
 gray_run::gray_run(std::uint64_t seed, gray_shape shape)
-    : shape_(shape), charts_(load_embedded_charts()), simulator_(seed),
+    : shape_(shape), charts_(load_all_charts()), simulator_(seed),
       store_(simulator_),
       checker_(invariant_bounds{}), context_{simulator_, store_, checker_,
                                         charts_, {}, {}, {}}
--- a/tests/simulation/returned_hub_test.cpp
+++ b/tests/simulation/returned_hub_test.cpp
@@ -1,4 +1,5 @@
 #include "servers/membership/hub_order.hpp"
+#include "tests/servers/test_charts.hpp"
 #include "tests/simulation/fake_vm.hpp"
 
 #include <gtest/gtest.h>
@@ -10,12 +11,6 @@
 
 constexpr std::size_t vms_per_data_centre = 6;
 
-chart_list load_embedded_charts()
-{
-    findings found("charts");
-    return std::move(*load_charts("", found));
-}
-
 /// A fleet without callers whose VMs are restarted as planned. The parameter
 /// is the number of its data centres.
 ///
@@ -25,7 +20,7 @@
 {
 protected:
     returned_hub_test()
-        : charts_(load_embedded_charts()), store_(simulator_),
+        : charts_(load_all_charts()), store_(simulator_),
           checker_(invariant_bounds{}), context_{simulator_, store_, checker_,
                                             charts_, {}, {}, {}}
     {
--- a/tests/simulation/rollout_run_test.cpp
+++ b/tests/simulation/rollout_run_test.cpp
@@ -1,4 +1,5 @@
 #include "servers/membership/hub_order.hpp"
+#include "tests/servers/test_charts.hpp"
 #include "tests/simulation/fake_vm.hpp"
 
 #include <algorithm>
@@ -19,19 +20,13 @@
 constexpr double failing_share = 0.3;
 constexpr double error_probability = 0.005;
 
-chart_list load_embedded_charts()
-{
-    findings found("charts");
-    return std::move(*load_charts("", found));
-}
-
 /// A whole fleet that rolls out a version, from the order in the store to the
 /// end of the targets that are no longer needed.
 class rollout_run_test : public testing::TestWithParam<std::uint64_t>
 {
 protected:
     rollout_run_test()
-        : charts_(load_embedded_charts()), simulator_(GetParam()),
+        : charts_(load_all_charts()), simulator_(GetParam()),
           store_(simulator_),
           checker_(invariant_bounds{}), context_{simulator_, store_, checker_,
                                             charts_, {}, {}, {}}
--- a/tests/simulation/store_load_test.cpp
+++ b/tests/simulation/store_load_test.cpp
@@ -1,4 +1,5 @@
 #include "servers/membership/hub_order.hpp"
+#include "tests/servers/test_charts.hpp"
 #include "tests/simulation/fake_vm.hpp"
 
 #include <gtest/gtest.h>
@@ -15,12 +16,6 @@
 /// each second and each size of the fleet. Measured: up to 35.
 constexpr std::uint64_t max_calls_per_second = 45;
 
-chart_list load_embedded_charts()
-{
-    findings found("charts");
-    return std::move(*load_charts("", found));
-}
-
 /// A fleet without callers in three data centres. The parameter is its number
 /// of VMs.
 ///
@@ -31,7 +26,7 @@
 {
 protected:
     store_load_test()
-        : charts_(load_embedded_charts()), store_(simulator_),
+        : charts_(load_all_charts()), store_(simulator_),
           checker_(invariant_bounds{}), context_{simulator_, store_, checker_,
                                             charts_, {}, {}, {}}
     {
--- a/tests/simulation/store_restore_test.cpp
+++ b/tests/simulation/store_restore_test.cpp
@@ -1,3 +1,4 @@
+#include "tests/servers/test_charts.hpp"
 #include "tests/simulation/fake_vm.hpp"
 
 #include <gtest/gtest.h>
@@ -7,12 +8,6 @@
 
 using namespace std::chrono_literals;
 
-chart_list load_embedded_charts()
-{
-    findings found("charts");
-    return std::move(*load_charts("", found));
-}
-
 /// A fleet without callers whose store is restored from a copy that is 3 s old.
 /// The parameter is the time from a settled fleet to the copy in units of
 /// 100 ms, so that the restore falls at each moment between two reads.
@@ -22,7 +17,7 @@
 {
 protected:
     store_restore_test()
-        : charts_(load_embedded_charts()), store_(simulator_),
+        : charts_(load_all_charts()), store_(simulator_),
           checker_(invariant_bounds{}), context_{simulator_, store_, checker_,
                                             charts_, {}, {}, {}}
     {
