Keep the flags of due lists together, and ask once for the first data centre

A new era that was listed by a read of the configuration left its flag set, so a later answer could repeat a list. reads_for_fleet() asked again whether this VM is the hub.

--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -152,12 +152,6 @@
         return hub_.empty() && registration_.members_known();
     }
 
-    bool reads_for_fleet() const
-    {
-        return is_hub() &&
-            is_first_data_centre(members_.members(), self_.data_centre);
-    }
-
     bool is_busy() const
     {
         auto const* const own = members_.find(self_.vm);
@@ -204,9 +198,11 @@
         reading_conditions it;
         // A VM that reaches no candidate is its own hub as well, but has no
         // members.
-        it.is_hub = is_hub() &&
-            is_hub_candidate(members_.members(), self_.data_centre, self_.vm);
-        it.reads_for_fleet = it.is_hub && reads_for_fleet();
+        auto const members = members_.members();
+        it.is_hub =
+            is_hub() && is_hub_candidate(members, self_.data_centre, self_.vm);
+        it.reads_for_fleet =
+            it.is_hub && is_first_data_centre(members, self_.data_centre);
         it.serves_members =
             it.is_hub || sync_server_.was_asked_within(max_question_age, now);
         return it;
--- a/servers/control/store_reader.hpp
+++ b/servers/control/store_reader.hpp
@@ -126,9 +126,8 @@
         it.retry_delay = min_retry_delay;
         // A list that fails while other calls succeed is repeated at the pace
         // of the configuration, not by each of their answers.
-        bool const may_list =
-            &it == &configuration_ || std::exchange(is_new_era_, false);
-        if (may_list && std::exchange(lists_due_, false))
+        bool const may_list = &it == &configuration_ || is_new_era_;
+        if (may_list && lists_due_)
             list_all();
         return true;
     }
@@ -169,6 +168,7 @@
 
     void list_all()
     {
+        lists_due_ = is_new_era_ = false;
         list_targets();
         list_closures();
         list_rollouts();
