Measure for placement by deadline only in that mode, with shared limits

Each end of an attempt, each report and each new policy updated holding times and counts that only placement by deadline reads. They are hooks of its rules now and nothing in the other mode. The limits that both modes use stand once, in placement_limits.hpp. shed() lost a parameter that nothing read.

--- a/servers/dispatch/deadline_placement.cpp
+++ b/servers/dispatch/deadline_placement.cpp
@@ -1,5 +1,7 @@
 #include "servers/dispatch/dispatcher.hpp"
 
+#include "servers/selection/placement_limits.hpp"
+
 #include <algorithm>
 
 /// Describes the targets and queued requests of a service to `deadline_choice`
@@ -7,24 +9,9 @@
 namespace pomelohinge {
 namespace {
 
-/// A target counts as in use for this long after a request reached it; the
-/// floor applies to those used within two seconds.
-constexpr duration use_window = std::chrono::milliseconds(1400);
-
-/// While more than this share of the requests to the service fail, more targets
-/// are probed and the floor applies.
-constexpr double failing_service_threshold = 0.1;
-
 /// A request that is less likely to be served in time is refused at once.
 constexpr double min_chance = 0.1;
 
-/// Bounds of the delay until a refused request may come again.
-constexpr duration min_retry_after = std::chrono::milliseconds(100);
-constexpr duration max_retry_after = std::chrono::seconds(5);
-
-/// Time between two reports of a VM. The VMs' probes of one target are spread
-/// so that about one is due in each period.
-constexpr duration report_period = std::chrono::milliseconds(200);
 constexpr duration max_spread = std::chrono::milliseconds(2000);
 
 /// A thread's part of the slots is rounded otherwise after this time.
@@ -112,14 +99,39 @@
         (has_times ? request.goal_at : request.start_deadline) - now, now);
 }
 
+void dispatcher::deadline_rules::reported(
+    dispatcher& owner, traffic_report const& others, time_point now)
+{
+    owner.share_.set_elsewhere(others.load, others.entries);
+    for (auto& [name, it] : owner.services_) {
+        double ends = 0;
+        for (auto const* target : it.targets) {
+            auto const reported =
+                others.targets.find(target->record().id.text());
+            if (reported != others.targets.end())
+                ends += reported->second.answers + reported->second.faults +
+                    reported->second.silences;
+        }
+        it.load.add_report(ends, now);
+    }
+}
+
+void dispatcher::deadline_rules::ended(service_state& service,
+    traffic_target& target, attempt_result result, time_point now)
+{
+    if (target.health().state() == target_state::trusted &&
+        result != attempt_result::shed)
+        service.load.add_trusted_end(now);
+    if (result == attempt_result::answered)
+        target.record_answer();
+}
+
 /// Returns whether the target has shed a request since its slots were taken,
 /// by requests from elsewhere that were not known here. It then counts as full
 /// until the next report. One that sheds with most slots free, or that has
 /// answered nobody for many sheds, has a fault.
-bool dispatcher::deadline_rules::shed(
-    service_state& service, traffic_target& target, time_point now)
+bool dispatcher::deadline_rules::shed(traffic_target& target, time_point now)
 {
-    static_cast<void>(service);
     target.record_shed();
     auto const slots = target.record().slots;
     bool const is_full = target.sheds_since_answer() <= max_sheds &&
--- a/servers/dispatch/dispatcher.cpp
+++ b/servers/dispatch/dispatcher.cpp
@@ -109,7 +109,7 @@
             return it.entry && it.alive &&
                 it.record.data_centre == data_centre_;
         }));
-    set_circle_position();
+    std::visit([&](auto& rules) { rules.adopted(*this); }, rules_);
     set_cold_rates(now);
     serve_queues(now);
     deliver_decisions();
@@ -190,7 +190,8 @@
 
 void dispatcher::apply_report(traffic_report const& others, time_point now)
 {
-    count_ends_elsewhere(others, now);
+    std::visit(
+        [&](auto& rules) { rules.reported(*this, others, now); }, rules_);
     for (auto& [id, it] : targets_) {
         auto const reported = others.targets.find(id.text());
         if (reported == others.targets.end()) {
@@ -221,21 +222,11 @@
     deliver_decisions();
 }
 
-void dispatcher::count_ends_elsewhere(
-    traffic_report const& others, time_point now)
+void dispatcher::add_holding_time(
+    service_id const& service, route_id const& route, duration held)
 {
-    share_.set_elsewhere(others.load, others.entries);
-    for (auto& [name, it] : services_) {
-        double ends = 0;
-        for (auto const* target : it.targets) {
-            auto const reported =
-                others.targets.find(target->record().id.text());
-            if (reported != others.targets.end())
-                ends += reported->second.answers + reported->second.faults +
-                    reported->second.silences;
-        }
-        it.load.add_report(ends, now);
-    }
+    std::visit([&](auto& rules) { rules.held(state_of(service), route, held); },
+        rules_);
 }
 
 void dispatcher::set_placement(placement_settings const& it)
@@ -396,11 +387,8 @@
     service.completions.add(now);
     if (auto* const it = find_current(target)) {
         it->request_ended();
-        if (it->health().state() == target_state::trusted &&
-            result != attempt_result::shed)
-            service.load.add_trusted_end(now);
-        if (result == attempt_result::answered)
-            it->record_answer();
+        std::visit([&](auto& rules) { rules.ended(service, *it, result, now); },
+            rules_);
         if (!notice.empty())
             record_notice(target, notice, now);
         if (has_answer(result))
@@ -408,8 +396,7 @@
         record_replacement(*it, result, now);
         bool const is_full = result == attempt_result::shed &&
             std::visit(
-                [&](auto& rules) { return rules.shed(service, *it, now); },
-                rules_);
+                [&](auto& rules) { return rules.shed(*it, now); }, rules_);
         if (is_observation(result) && !is_full)
             record_observation(*it, event_of(result), now);
         record_path(*it, result, now - latency, now);
--- a/servers/dispatch/dispatcher.hpp
+++ b/servers/dispatch/dispatcher.hpp
@@ -229,10 +229,7 @@
 
     /// Records the time for which an answered attempt of a route held its slot.
     void add_holding_time(
-        service_id const& service, route_id const& route, duration held)
-    {
-        state_of(service).load.add_holding_time(route, held);
-    }
+        service_id const& service, route_id const& route, duration held);
     /// Sets the decision which requests go to other data centres. Without it
     /// all may, at a constant cost.
     void set_transfer(transfer& decision) { transfer_ = &decision; }
@@ -296,7 +293,6 @@
     traffic_target* find_current(target_record const& target);
     void rebuild_services();
     void set_canary_share(std::string const& name, service_state& service);
-    void count_ends_elsewhere(traffic_report const& others, time_point now);
     void set_cold_rates(time_point now);
     void set_circle_position();
     void record_observation(
@@ -322,7 +318,13 @@
     struct earliest_rules
     {
         void arrived(service_state&, placement_request const&, time_point) {}
-        bool shed(service_state&, traffic_target&, time_point) { return false; }
+        void adopted(dispatcher&) {}
+        void reported(dispatcher&, traffic_report const&, time_point) {}
+        void ended(service_state&, traffic_target&, attempt_result, time_point)
+        {
+        }
+        void held(service_state&, route_id const&, duration) {}
+        bool shed(traffic_target&, time_point) { return false; }
         bool counts_as_served(traffic_target const&) const { return true; }
         bool is_first(service_state const& service,
             placement_request const& request, time_point now) const;
@@ -339,8 +341,17 @@
     {
         void arrived(service_state& service, placement_request const& request,
             time_point now);
-        bool shed(
-            service_state& service, traffic_target& target, time_point now);
+        void adopted(dispatcher& owner) { owner.set_circle_position(); }
+        /// Counts the attempts that others report as ended.
+        void reported(
+            dispatcher& owner, traffic_report const& others, time_point now);
+        void ended(service_state& service, traffic_target& target,
+            attempt_result result, time_point now);
+        void held(service_state& service, route_id const& route, duration held)
+        {
+            service.load.add_holding_time(route, held);
+        }
+        bool shed(traffic_target& target, time_point now);
         /// A priority of which only requests to targets that may fail are left
         /// is starved as well.
         bool counts_as_served(traffic_target const& target) const
--- a/servers/dispatch/request_queueing.cpp
+++ b/servers/dispatch/request_queueing.cpp
@@ -1,5 +1,7 @@
 #include "servers/dispatch/dispatcher.hpp"
 
+#include "servers/selection/placement_limits.hpp"
+
 #include <absl/cleanup/cleanup.h>
 #include <algorithm>
 
@@ -10,10 +12,6 @@
 /// Assumed latency of a service until its median latency is known.
 constexpr duration assumed_latency = std::chrono::milliseconds(250);
 
-/// Bounds of the retry delay that a rejection carries.
-constexpr duration min_retry_after = std::chrono::milliseconds(100);
-constexpr duration max_retry_after = std::chrono::seconds(5);
-
 /// Retry delay for a service without any eligible target.
 constexpr duration no_target_retry_after = std::chrono::seconds(1);
 
--- a/servers/dispatch/target_selection.cpp
+++ b/servers/dispatch/target_selection.cpp
@@ -1,5 +1,7 @@
 #include "servers/dispatch/dispatcher.hpp"
 
+#include "servers/selection/placement_limits.hpp"
+
 #include <algorithm>
 #include <tuple>
 
@@ -7,34 +9,9 @@
 namespace pomelohinge {
 namespace {
 
-/// Requests that may be repeated probe a target that is confirmed to fail after
-/// this part of its recovery delay, and others at once, since a failure costs
-/// only another attempt.
-constexpr int repeatable_probe_divisor = 3;
-
-/// While the share of failed requests to the service is above
-/// `failing_service_threshold`, every target that may have recovered is needed,
-/// so those that are not trusted are probed after this time at the latest.
-constexpr duration max_probe_delay = std::chrono::milliseconds(1300);
-constexpr double failing_service_threshold = 0.1;
-
-/// A service has requests that may be repeated, which serve as probes, if one
-/// was submitted within this time.
-constexpr duration retryable_expiry = std::chrono::seconds(2);
-
-/// A target counts as in use for this long after the last request reached it.
-/// The floor applies to the targets used within two seconds; the remaining time
-/// allows for the delay of reports and for the next request to be sent.
-constexpr duration use_window = std::chrono::milliseconds(1400);
+/// Others hear of the use of a target within this time.
 constexpr duration report_delay = std::chrono::milliseconds(600);
 
-/// Added to the floor, because the use of a target by other threads is reported
-/// with a delay.
-constexpr double floor_margin = 0.1;
-
-/// A priority without requests for this long does not count as recent.
-constexpr duration priority_expiry = std::chrono::seconds(5);
-
 /// Counts how many of a set of targets are in use, and finds the unused target
 /// with the lowest failure probability.
 struct target_use
--- a/servers/queueing/deadline_choice.cpp
+++ b/servers/queueing/deadline_choice.cpp
@@ -1,5 +1,7 @@
 #include "servers/queueing/deadline_choice.hpp"
 
+#include "servers/selection/placement_limits.hpp"
+
 #include <array>
 #include <cmath>
 #include <utility>
@@ -33,24 +35,10 @@
 /// Assumed holding time of a service until one is measured.
 constexpr duration assumed_holding = std::chrono::milliseconds(250);
 
-/// Requests that are repeated probe a target that is confirmed to fail after
-/// this part of its recovery delay, since a failure costs only an attempt.
-constexpr int repeatable_probe_divisor = 3;
-
-/// Delay of a probe at the latest while the service fails requests.
-constexpr duration max_probe_delay = std::chrono::milliseconds(1300);
-
 /// Highest chance of success at a target that failed last and has not had the
 /// time to recover: failing targets fail 75 to 85% of their requests.
 constexpr double recovering_chance = 0.2;
 
-/// Added to the floor, because the use of a target by others is reported with a
-/// delay.
-constexpr double floor_margin = 0.1;
-
-/// Time between two reports of a VM.
-constexpr duration report_period = std::chrono::milliseconds(200);
-
 /// Free slots are crowded if the others are expected to take more than this
 /// part of them before their next report.
 constexpr double crowded = 0.3;
--- a/servers/queueing/service_demand.cpp
+++ b/servers/queueing/service_demand.cpp
@@ -1,15 +1,10 @@
 #include "servers/queueing/service_demand.hpp"
 
+#include "servers/selection/placement_limits.hpp"
+
 namespace pomelohinge {
 namespace {
 
-/// Requests that may be repeated serve as probes for this long after the last
-/// one has arrived.
-constexpr duration retryable_expiry = std::chrono::seconds(2);
-
-/// A priority without requests for this long does not count as recent.
-constexpr duration priority_expiry = std::chrono::seconds(5);
-
 /// Weight of one attempt in the mean holding time.
 constexpr int mean_holding_divisor = 32;
 
