Choose a hub however many VMs before it are lost

Cause: only the first three VMs of an order by name could be the hub. Without them each survivor took itself for the hub, its member list ran out after 4 s, and it acted as if it were alone: no reports, no other entry, no other sender.

Change: the hub is the first VM in order that is not unreachable. VMs that may be lost are found by small probes in growing rounds, and unreachable ones are used again only when a probe is answered. The age of data does not count for the choice; while the store was away it changed the hub every second or two. A VM whose hub changes asks for a whole member list, since it kept that of another hub when the first one was stopped and continued. A list decides whether a VM is an entry although the VM sends questions itself. A pause of this process is no silence of others.

--- a/charts/chart_list.cpp
+++ b/charts/chart_list.cpp
@@ -56,12 +56,15 @@
     auto request = load_chart<request_chart>(folder, "request", found);
     auto process = load_chart<process_chart>(folder, "process", found);
     auto rollout = load_chart<rollout_chart>(folder, "rollout", found);
+    auto hub_candidate =
+        load_chart<hub_candidate_chart>(folder, "hub_candidate", found);
     if (!health || !path || !pause || !replacement || !request || !process ||
-        !rollout)
+        !rollout || !hub_candidate)
         return std::nullopt;
     return chart_list{{std::move(*health), std::move(*path), std::move(*pause),
                           std::move(*replacement)},
-        std::move(*request), std::move(*process), std::move(*rollout)};
+        std::move(*request), std::move(*process), std::move(*rollout),
+        std::move(*hub_candidate)};
 }
 
 } // namespace pomelohinge
--- a/charts/chart_list.hpp
+++ b/charts/chart_list.hpp
@@ -4,6 +4,7 @@
 #include "core/chart.hpp"
 #include "servers/health/target_charts.hpp"
 #include "servers/lifecycle/process_chart.hpp"
+#include "servers/membership/hub_candidate_chart.hpp"
 #include "servers/requests/request_chart.hpp"
 #include "servers/rollouts/rollout_chart.hpp"
 
@@ -32,6 +33,7 @@
     chart<request_chart> request;
     chart<process_chart> process;
     chart<rollout_chart> rollout;
+    chart<hub_candidate_chart> hub_candidate;
 };
 
 /// Loads all charts from `folder`, or from the binary if `folder` is empty.
--- a/drivers/peers/peer_client.cpp
+++ b/drivers/peers/peer_client.cpp
@@ -16,9 +16,6 @@
 namespace pomelohinge {
 namespace {
 
-/// Time that a reply may take beyond the long poll timeout of its question.
-constexpr duration sync_timeout_margin = std::chrono::milliseconds(500);
-
 /// Channels that were not used for this time are closed.
 constexpr duration idle_timeout = std::chrono::seconds(20);
 
@@ -190,7 +187,7 @@
         count_remote_bytes(bytes_by_part(it->question));
     it->context.set_deadline(std::chrono::system_clock::now() +
         std::chrono::duration_cast<std::chrono::system_clock::duration>(
-            question.long_poll_timeout + sync_timeout_margin));
+            question.long_poll_timeout + sync_reply_timeout));
     if (!calls_->add(std::move(owned)))
         return asio::post(context_, [done] { done(sync_reply{}); });
     stub(address).UnaryCall(&it->context, sync_method, {}, &it->question,
--- a/main/control_thread.hpp
+++ b/main/control_thread.hpp
@@ -24,7 +24,7 @@
           store_(http_client_, configured.platform_address),
           peer_client_(context_),
           control_plane_(make_vm_record(configured, random_()),
-              configured.seeds, *this, timers_,
+              configured.seeds, *this, timers_, charts.hub_candidate,
               make_rollout_setup(configured, charts))
     {
         control_plane_.set_remote_budget(configured.remote_bytes_per_second);
--- a/servers/control/control_periods.hpp
+++ b/servers/control/control_periods.hpp
@@ -10,6 +10,8 @@
 {
     /// Period of the expiry of members and reports.
     static constexpr duration tick_period = std::chrono::milliseconds(100);
+    /// A tick that comes later than this was delayed by a pause of the process.
+    static constexpr duration max_tick_delay = std::chrono::milliseconds(500);
     /// Period in which the hub selects the entries of its data centre.
     static constexpr duration entries_period = std::chrono::milliseconds(500);
     /// Period of syncs of a VM that carries traffic, acts as the hub, or still
@@ -27,10 +29,6 @@
         std::chrono::milliseconds(900);
     static constexpr duration idle_liveness_timeout =
         std::chrono::milliseconds(2500);
-    /// Period of syncs between the hubs of data centres.
-    static constexpr duration exchange_period = std::chrono::milliseconds(250);
-    static constexpr duration exchange_liveness_timeout =
-        std::chrono::milliseconds(1500);
     /// A VM that received a question of a member within this time acts as a hub
     /// and reads the store itself if its data is stale.
     static constexpr duration max_question_age =
--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -5,16 +5,14 @@
 #include "servers/control/control_environment.hpp"
 #include "servers/control/control_periods.hpp"
 #include "servers/control/control_status.hpp"
-#include "servers/control/hub_selector.hpp"
-#include "servers/control/member_list_position.hpp"
+#include "servers/control/hub_exchange.hpp"
+#include "servers/control/hub_probes.hpp"
 #include "servers/control/registration.hpp"
-#include "servers/control/returned_hub.hpp"
 #include "servers/control/rollout_control.hpp"
 #include "servers/control/store_access.hpp"
 #include "servers/control/sync_server.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace pomelohinge {
 
@@ -28,6 +26,7 @@
 public:
     control_plane(vm_record self, std::vector<std::string> seeds,
         Environment& environment, timer_service& timers,
+        chart<hub_candidate_chart> const& hub_candidates,
         std::optional<rollout_setup> rollouts = {})
         : environment_(environment), timers_(timers), self_(std::move(self)),
           members_(self_), sync_server_(self_, fleet_state_, members_),
@@ -39,7 +38,19 @@
                       answer_long_polls();
                   }}),
           registration_(environment, timers, self_, members_, std::move(seeds)),
-          returned_hub_(environment, hub_selector_),
+          hub_selector_(hub_candidates),
+          hub_probes_(environment, hub_selector_,
+              [this](vm_id const& vm, sync_reply const& it) {
+                  handle_probe_reply(vm, it);
+              }),
+          hub_exchange_(environment, self_, members_, hub_selector_,
+              sync_server_,
+              {[this] { return make_question(sync_relation::hub); },
+                  [this](sync_reply it, time_point requested_at) {
+                      store_access_.note_reply(it, requested_at);
+                      apply_reply(std::move(it), requested_at);
+                      answer_long_polls();
+                  }}),
           rollouts_(
               environment, fleet_state_, self_, std::move(rollouts),
               [this] { state_changed(); },
@@ -117,12 +128,14 @@
         sync_question question, std::function<void(sync_reply)> reply)
     {
         auto const now = environment_.now();
+        if (question.relation == sync_relation::probe)
+            return answer_probe(question, reply);
         if (question.relation == sync_relation::read_notice)
             return store_access_.answer_notice(std::move(question), reply);
         if (question.relation == sync_relation::read_request)
             return reply(sync_server_.make_store_reply(question, now));
         auto const sequence = members_.sequence();
-        store_access_.note_contact(now);
+        note_question(question);
         sync_server_.answer(std::move(question), now, std::move(reply));
         if (members_.sequence() != sequence)
             members_changed();
@@ -167,16 +180,20 @@
         if (!registration_.members_known())
             return;
         auto const now = environment_.now();
-        auto const members = members_.members();
-        record_own_read_age(now);
-        auto const chosen =
-            hub_selector_.choose(members, self_.data_centre, self_.vm, now);
+        auto const& members = members_.members();
+        auto const chosen = hub_selector_.choose(members, self_);
         auto const hub = chosen ? chosen->vm : vm_id();
         if (hub != hub_ || !hub_chosen_) {
             log(log_event::hub_chosen,
                 {{"hub", chosen ? hub.text() : self_.vm.text()}});
             hub_ = hub;
             hub_chosen_ = true;
+            // The lists that earlier hubs have sent do not describe the table
+            // any more.
+            hub_members_ = {};
+            hub_exchange_.forget_lists();
+            if (is_hub())
+                set_unreached_candidates(members, now);
         }
         auto const conditions = find_reading_conditions(now);
         rollouts_.set_deciding(conditions.reads_for_fleet);
@@ -185,22 +202,79 @@
             !store_access_.active() || store_access_.reached());
         if (!sync_in_flight_ && !sync_scheduled_)
             sync_now();
-        exchange_with_hubs();
         if (is_hub())
-            returned_hub_.ask(members, self_,
-                make_question(sync_relation::member), [this, now](auto reply) {
-                    apply_reply(std::move(reply), now);
-                });
+            hub_exchange_.update();
+    }
+
+    // Probes of VMs that may be a hub.
+
+    void send_probes()
+    {
+        if (!registration_.members_known())
+            return;
+        sync_question probe;
+        probe.from = self_;
+        probe.relation = sync_relation::probe;
+        probe.read_age = duration::zero();
+        probe.report.load = load_;
+        hub_probes_.update(members_.members(), is_hub(), std::move(probe));
+    }
+
+    void handle_probe_reply(vm_id const& vm, sync_reply const& reply)
+    {
+        if (reply.reached)
+            store_access_.note_contact(environment_.now());
+        if (reply.members)
+            members_.update_from_hub(*reply.members, environment_.now());
+        else if (is_hub() && !hub_selector_.is_reached(vm))
+            members_.set_unreachable(vm, environment_.now());
+        members_changed();
+        update_hub();
+        send_probes();
+    }
+
+    void answer_probe(sync_question const& probe,
+        std::function<void(sync_reply)> const& reply)
+    {
+        auto const now = environment_.now();
+        note_question(probe);
+        auto const sequence = members_.sequence();
+        members_.update_from_vm(
+            probe.from, probe.report.load, probe.liveness_timeout, now);
+        reply(sync_server_.make_probe_reply());
+        if (members_.sequence() != sequence)
+            members_changed();
+        update_hub();
+    }
+
+    void note_question(sync_question const& question)
+    {
+        auto const now = environment_.now();
+        store_access_.note_contact(now);
+        hub_selector_.note_question(
+            question.from.vm, question.relation == sync_relation::hub, now);
+    }
+
+    /// VMs that did not answer this one are gone for those that follow it.
+    void set_unreached_candidates(fleet_members const& members, time_point now)
+    {
+        for (auto const* it : hub_order(members, self_.data_centre)) {
+            if (it->record.vm == self_.vm)
+                break;
+            if (!hub_selector_.is_reached(it->record.vm))
+                members_.set_unreachable(it->record.vm, now);
+        }
     }
 
     reading_conditions find_reading_conditions(time_point now) const
     {
         reading_conditions it;
-        // A VM that reaches no candidate is its own hub as well, but has no
+        // A VM that reaches no other one is its own hub as well, but has no
         // members.
-        auto const members = members_.members();
-        it.is_hub =
-            is_hub() && is_hub_candidate(members, self_.data_centre, self_.vm);
+        auto const& members = members_.members();
+        it.is_hub = is_hub() &&
+            (is_hub_candidate(members, self_.data_centre, self_.vm) ||
+                sync_server_.was_asked_within(max_question_age, now));
         it.reads_for_fleet =
             it.is_hub && is_first_data_centre(members, self_.data_centre);
         it.serves_members =
@@ -208,19 +282,6 @@
         return it;
     }
 
-    /// Records the age of this VM's own reads of the store, so that it is
-    /// rated as a hub like any other candidate.
-    void record_own_read_age(time_point now)
-    {
-        bool const has_tried =
-            store_access_.active() && now - started_at_ > max_fresh_read_age;
-        if (has_tried)
-            hub_selector_.note_answer(self_.vm,
-                store_access_.reached() ? duration::zero()
-                                        : fleet_state_.read_age(now),
-                now);
-    }
-
     // Sync with the hub.
 
     void schedule_sync(duration delay)
@@ -299,28 +360,33 @@
         question.is_idle = !is_busy();
         question.report = std::move(report);
         environment_.send_sync(hub->record.peers_address, question,
-            [this, asked_hub = hub_, requested_at = environment_.now(),
-                due = environment_.now() + question.long_poll_timeout +
-                    tick_period](sync_reply reply) {
+            [this, asked_hub = hub->record, requested_at = environment_.now(),
+                timeout = question.long_poll_timeout](sync_reply reply) {
+                auto const now = environment_.now();
                 store_access_.note_reply(
-                    reply, std::min(due, environment_.now()));
+                    reply, std::min(requested_at + timeout + tick_period, now));
+                if (!reply.reached &&
+                    was_paused_meanwhile(timeout, requested_at, now)) {
+                    sync_in_flight_ = false;
+                    return schedule_sync(duration::zero());
+                }
                 handle_hub_reply(asked_hub, std::move(reply), requested_at);
             });
     }
 
     void handle_hub_reply(
-        vm_id const& asked_hub, sync_reply reply, time_point requested_at)
+        vm_record const& asked_hub, sync_reply reply, time_point requested_at)
     {
         sync_in_flight_ = false;
         auto const now = environment_.now();
         if (!reply.reached) {
-            log(log_event::hub_unreachable, {{"hub", asked_hub.text()}});
-            hub_selector_.note_failure(asked_hub, now);
+            hub_selector_.note_hub_failure(members_.members(), asked_hub, now);
             schedule_sync(sync_retry_delay);
-            return update_hub();
+            update_hub();
+            return send_probes();
         }
         store_access_.note_hub_contact(now);
-        hub_selector_.note_answer(asked_hub, reply.read_age, now);
+        hub_selector_.note_answer(asked_hub.vm, now);
         if (reply.members)
             hub_members_.advance(reply);
         else if (hub_members_.is_confirmed_by(reply))
@@ -375,71 +441,6 @@
         return true;
     }
 
-    // Hubs of other data centres.
-
-    void exchange_with_hubs()
-    {
-        auto const now = environment_.now();
-        if (!is_hub() || now < next_exchange_)
-            return;
-        next_exchange_ = now + exchange_period;
-        std::set<data_centre_id> others;
-        for (auto const& it : members_.members())
-            if (it.record.data_centre != self_.data_centre)
-                others.insert(it.record.data_centre);
-        sync_server_.expect_other_data_centres(others.size());
-        for (auto const& it : others)
-            exchange_with(it);
-    }
-
-    void exchange_with(data_centre_id const& data_centre)
-    {
-        auto const now = environment_.now();
-        auto const hub =
-            hub_selector_.choose(members_.members(), data_centre, vm_id(), now);
-        if (!hub || exchanges_in_flight_.contains(data_centre))
-            return;
-        exchanges_in_flight_.insert(data_centre);
-        auto question = make_question(sync_relation::hub);
-        remote_members_[data_centre].write_to(question);
-        question.liveness_timeout = exchange_liveness_timeout;
-        sync_server_.write_remote_report(question, data_centre, hub->vm, now);
-        environment_.send_sync(hub->peers_address, question,
-            [this, data_centre, hub = hub->vm, requested_at = now](
-                sync_reply reply) {
-                exchanges_in_flight_.erase(data_centre);
-                handle_remote_hub_reply(
-                    data_centre, hub, std::move(reply), requested_at);
-            });
-    }
-
-    void handle_remote_hub_reply(data_centre_id const& data_centre,
-        vm_id const& hub, sync_reply reply, time_point requested_at)
-    {
-        auto const now = environment_.now();
-        bool const asks_again =
-            sync_server_.record_remote_reply(data_centre, reply, now);
-        if (!reply.reached)
-            return hub_selector_.note_failure(hub, now);
-        hub_selector_.note_answer(hub, reply.read_age, now);
-        if (reply.members_are_changes)
-            members_.confirm_listed(data_centre, now);
-        if (reply.members) {
-            remote_members_[data_centre].advance(reply);
-            // The remote hub got its data on other data centres from their
-            // hubs, and on this one from here.
-            std::erase_if(*reply.members, [&](auto const& it) {
-                return it.record.data_centre != data_centre;
-            });
-        } else if (remote_members_[data_centre].is_confirmed_by(reply))
-            members_.confirm_listed(data_centre, now);
-        store_access_.note_reply(reply, requested_at);
-        apply_reply(std::move(reply), requested_at);
-        answer_long_polls();
-        if (asks_again)
-            exchange_with(data_centre);
-    }
-
     // Handling of changes.
 
     /// Handles a change or a confirmation of the fleet state or the members.
@@ -508,6 +509,11 @@
     {
         auto const now = environment_.now();
         auto const sequence = members_.sequence();
+        // While this process was paused, it could not hear of the others.
+        auto const pause = now - last_tick_at_ - tick_period;
+        if (last_tick_at_ != time_point{} && pause > max_tick_delay)
+            members_.postpone_expiry(pause);
+        last_tick_at_ = now;
         members_.expire(now);
         sync_server_.expire(now);
         if (members_.sequence() != sequence)
@@ -515,6 +521,7 @@
         if (sync_server_.next_due() <= now)
             answer_long_polls();
         update_hub();
+        send_probes();
         rollouts_.tick();
     }
 
@@ -553,7 +560,8 @@
     store_access<Environment> store_access_;
     registration<Environment> registration_;
     hub_selector hub_selector_;
-    returned_hub<Environment> returned_hub_;
+    hub_probes<Environment> hub_probes_;
+    hub_exchange<Environment> hub_exchange_;
     rollout_control<Environment> rollouts_;
 
     /// The hub that this VM sends its questions to; empty if it is the hub.
@@ -564,15 +572,12 @@
     /// Requests per second from callers.
     double load_ = 0;
     member_list_position hub_members_;
-    /// The same for the hub of each other data centre.
-    std::map<data_centre_id, member_list_position> remote_members_;
-    std::set<data_centre_id> exchanges_in_flight_;
-    time_point next_exchange_{};
     time_point next_urgent_report_{};
     policy_pointer policy_;
     std::uint64_t published_members_ = 0;
     std::vector<data_centre_id> published_closures_;
 
+    time_point last_tick_at_{};
     timer_service::subscription tick_timer_;
     timer_service::subscription entries_timer_;
     timer_service::subscription sync_timer_;
--- a/servers/control/hub_selector.hpp
+++ b/servers/control/hub_selector.hpp
@@ -1,7 +1,7 @@
 #ifndef POMELOHINGE_SERVERS_CONTROL_HUB_SELECTOR_HPP
 #define POMELOHINGE_SERVERS_CONTROL_HUB_SELECTOR_HPP
 
-#include "core/clock.hpp"
+#include "servers/membership/hub_candidate.hpp"
 #include "servers/membership/hub_order.hpp"
 
 #include <map>
@@ -9,56 +9,64 @@
 
 namespace pomelohinge {
 
-/// Selects the hub of a data centre: the first candidate in order that answers
-/// with recently read store data, else the first that answers at all.
+/// Selects the hub of a data centre: the first VM in order that is not
+/// unreachable, however many come before it. The age of its store data does not
+/// count: while the store turns a hub away, others read it (`store_turns`) and
+/// notify the hub.
 class hub_selector
 {
 public:
-    /// The hub to use, or nothing if that is this VM or there is no candidate.
-    /// `self` is empty for another data centre.
-    std::optional<vm_record> choose(fleet_members const& members,
-        data_centre_id const& data_centre, vm_id const& self,
-        time_point now) const;
-
-    /// A VM that has left and would come before `self` in the order if it had
-    /// not. It may have started again, as the hub of its own part of the data
-    /// centre, since VMs that follow another hub hear nothing of it.
-    std::optional<vm_record> find_returned(fleet_members const& members,
-        data_centre_id const& data_centre, vm_id const& self,
-        time_point now) const;
-
-    /// A VM that comes soon after `self` in the order and that this VM has not
-    /// heard of lately. It may be a second hub, which does not know `self`.
-    std::optional<vm_record> find_unheard(fleet_members const& members,
-        data_centre_id const& data_centre, vm_id const& self,
-        time_point now) const;
-
-    /// Whether a candidate answered the last time it was asked.
-    bool is_reached(vm_id const& vm) const { return state_of(vm).reached; }
-
-    /// Records that a candidate did not answer.
+    explicit hub_selector(chart<hub_candidate_chart> const& candidate)
+        : candidate_chart_(candidate)
+    {
+    }
+
+    /// The hub of the own data centre to use; nothing if that is this VM.
+    std::optional<vm_record> choose(
+        fleet_members const& members, vm_record const& self);
+
+    /// The hub of another data centre to use: one that has lately sent a
+    /// question as such, or else the first one; nothing if all are unreachable.
+    std::optional<vm_record> choose_remote(fleet_members const& members,
+        data_centre_id const& data_centre, time_point now);
+
+    /// Whether a VM answered the last time it was asked.
+    bool is_reached(vm_id const& vm)
+    {
+        return candidate(vm).state() == hub_candidate_state::reached;
+    }
+
+    /// Whether a VM did not answer the last time it was asked.
+    bool is_unreachable(vm_id const& vm)
+    {
+        return candidate(vm).state() == hub_candidate_state::unreachable;
+    }
+
+    /// Records that a VM did not answer.
     void note_failure(vm_id const& vm, time_point now);
 
-    /// Records an answer of a candidate whose store data is `read_age` old.
-    void note_answer(vm_id const& vm, duration read_age, time_point now);
+    /// Records that the hub of its data centre did not answer. Others may have
+    /// been lost with it, so earlier answers of theirs do not count any more.
+    void note_hub_failure(
+        fleet_members const& members, vm_record const& hub, time_point now);
 
-private:
-    struct candidate_state
+    /// Records an answer of a VM.
+    void note_answer(vm_id const& vm, time_point now);
+
+    /// Records a question of a VM, which it may have sent as a hub.
+    void note_question(vm_id const& vm, bool is_hub, time_point now)
     {
-        bool reached = false;
-        time_point unreachable_until{};
-        time_point stale_until{};
-    };
+        candidate(vm).record_question(is_hub, now);
+    }
 
-    candidate_state state_of(vm_id const& vm) const;
+    /// What is known of a VM as a hub.
+    hub_candidate& candidate(vm_id const& vm);
 
-    std::map<vm_id, candidate_state> candidates_;
+private:
+    chart<hub_candidate_chart> const& candidate_chart_;
+    std::map<vm_id, hub_candidate> candidates_;
 };
 
-/// Staleness bound of the store data of a hub. The configuration is read every
-/// 0.8 s and reaches another hub within half a second.
-inline constexpr duration max_fresh_read_age = std::chrono::milliseconds(1400);
-
 } // namespace pomelohinge
 
 #endif
--- a/servers/control/reading_decision.hpp
+++ b/servers/control/reading_decision.hpp
@@ -1,12 +1,15 @@
 #ifndef POMELOHINGE_SERVERS_CONTROL_READING_DECISION_HPP
 #define POMELOHINGE_SERVERS_CONTROL_READING_DECISION_HPP
 
-#include "servers/control/hub_selector.hpp"
 #include "servers/control/store_turns.hpp"
 #include "servers/exchange/sync.hpp"
 
 namespace pomelohinge {
 
+/// Staleness bound of the store data of a hub. The configuration is read every
+/// 0.8 s and reaches another hub within half a second.
+inline constexpr duration max_fresh_read_age = std::chrono::milliseconds(1400);
+
 /// The state of a VM that decides whether it reads the store.
 struct reading_conditions
 {
--- a/servers/control/store_access.hpp
+++ b/servers/control/store_access.hpp
@@ -103,7 +103,7 @@
 private:
     turn_place find_place(vm_record const& self, time_point now) const
     {
-        auto const members = members_.members();
+        auto const& members = members_.members();
         std::set<data_centre_id> data_centres;
         for (auto const& it : members)
             data_centres.insert(it.record.data_centre);
--- a/servers/control/sync_server.cpp
+++ b/servers/control/sync_server.cpp
@@ -99,6 +99,15 @@
     return reply;
 }
 
+sync_reply sync_server::make_probe_reply() const
+{
+    sync_reply reply;
+    reply.reached = true;
+    reply.read_age = duration::zero();
+    reply.members = fleet_members{*members_.find(self_.vm)};
+    return reply;
+}
+
 sync_reply sync_server::make_reply(
     sync_question const& question, time_point now)
 {
@@ -207,7 +216,7 @@
 
 void sync_server::choose_entries(time_point now)
 {
-    auto const members = members_.members();
+    auto const& members = members_.members();
     auto const chosen =
         entries_.choose(hub_order(members, self_.data_centre), now);
     if (!members_.set_entries(self_.data_centre, chosen))
--- a/servers/control/sync_server.hpp
+++ b/servers/control/sync_server.hpp
@@ -42,6 +42,9 @@
     sync_reply make_store_reply(
         sync_question const& question, time_point now) const;
 
+    /// The answer to a probe: this VM's own row of the member list.
+    sync_reply make_probe_reply() const;
+
     /// Stores this VM's own report and returns the sum of the others.
     traffic_report exchange_own_report(traffic_report report, time_point now);
 
--- a/servers/exchange/sync.hpp
+++ b/servers/exchange/sync.hpp
@@ -49,6 +49,9 @@
     /// A VM that lacks what a `read_notice` offers to its sender. The reply has
     /// the store's data only.
     read_request,
+    /// A VM that looks for its hub, or a hub to a VM that it does not hear of.
+    /// The reply has the receiver's own row of the member list only.
+    probe,
 };
 
 template <>
@@ -58,9 +61,23 @@
         {sync_relation::hub, "hub"},
         {sync_relation::read_notice, "read_notice"},
         {sync_relation::read_request, "read_request"},
+        {sync_relation::probe, "probe"},
     });
 static_assert(is_ordered<sync_relation>());
 
+/// Time that a reply may take beyond the long poll timeout of its question.
+inline constexpr duration sync_reply_timeout = std::chrono::milliseconds(500);
+
+/// Whether a reply is found missing so late that this process itself must have
+/// been paused, which says nothing of the other VM.
+inline bool was_paused_meanwhile(
+    duration long_poll_timeout, time_point asked_at, time_point now)
+{
+    constexpr duration max_own_delay = std::chrono::milliseconds(500);
+    return now - asked_at >
+        long_poll_timeout + sync_reply_timeout + max_own_delay;
+}
+
 /// A VM's report to a hub, with the versions of the state that it already
 /// holds, so that the hub can answer with what is missing.
 struct sync_question
--- a/servers/membership/member_table.cpp
+++ b/servers/membership/member_table.cpp
@@ -1,6 +1,7 @@
 #include "servers/membership/member_table.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pomelohinge {
 namespace {
@@ -21,6 +22,12 @@
     set_self(self, 0);
 }
 
+void member_table::mark_changed()
+{
+    ++sequence_;
+    is_list_current_ = false;
+}
+
 member_table::member_state& member_table::find_or_create(
     vm_record const& record)
 {
@@ -37,10 +44,11 @@
 {
     auto& it = find_or_create(self);
     if (!(it.member.record == self) || !it.member.alive)
-        ++sequence_;
+        mark_changed();
     it.member.record = self;
     it.member.alive = true;
     it.member.load = load;
+    is_list_current_ = false;
     it.expires_at = time_point::max();
 }
 
@@ -51,10 +59,11 @@
         return;
     auto& it = find_or_create(record);
     if (!(it.member.record == record) || !it.member.alive)
-        ++sequence_;
+        mark_changed();
     it.member.record = record;
     it.member.alive = true;
     it.member.load = load;
+    is_list_current_ = false;
     it.reported_at = now;
     it.expires_at = now + liveness_timeout;
 }
@@ -65,18 +74,24 @@
         if (it.record.vm == self_) {
             auto& own = members_[{data_centres_[self_], self_}].member;
             if (own.entry != it.entry)
-                ++sequence_;
+                mark_changed();
             own.entry = it.entry;
             continue;
         }
         auto& existing = find_or_create(it.record);
         existing.listed_alive = it.alive;
-        // A report received from the VM itself is newer than the hub's copy.
-        if (existing.reported_at != time_point{} && now < existing.expires_at)
+        existing.listed_at = now;
+        // A report received from the VM itself is newer than the hub's copy,
+        // but only its hub knows whether it is an entry.
+        if (existing.reported_at != time_point{} && now < existing.expires_at) {
+            if (std::exchange(existing.member.entry, it.entry) != it.entry)
+                mark_changed();
             continue;
+        }
         if (differs(existing.member, it))
-            ++sequence_;
+            mark_changed();
         existing.member = it;
+        is_list_current_ = false;
         existing.expires_at = it.alive ? now + hub_member_timeout : now;
     }
 }
@@ -88,11 +103,12 @@
         bool const is_covered = !data_centre || key.first == *data_centre;
         if (!is_covered || !it.listed_alive || key.second == self_)
             continue;
+        it.listed_at = now;
         // As in `update_from_hub`.
         if (it.reported_at != time_point{} && now < it.expires_at)
             continue;
         if (!it.member.alive)
-            ++sequence_;
+            mark_changed();
         it.member.alive = true;
         it.expires_at = now + hub_member_timeout;
     }
@@ -107,7 +123,7 @@
         auto& it = find_or_create(record);
         it.member.record = record;
         it.expires_at = now;
-        ++sequence_;
+        mark_changed();
     }
 }
 
@@ -123,24 +139,54 @@
         it.member.entry = is_entry;
     }
     if (changed)
-        ++sequence_;
+        mark_changed();
     return changed;
 }
 
+void member_table::postpone_expiry(duration pause)
+{
+    for (auto& [key, it] : members_) {
+        if (!it.member.alive || key.second == self_)
+            continue;
+        it.expires_at += pause;
+        it.listed_at += pause;
+    }
+}
+
 bool member_table::expire(time_point now)
 {
     bool changed = false;
     for (auto& [key, it] : members_) {
         if (!it.member.alive || key.second == self_ || now < it.expires_at)
             continue;
+        // A hub has heard of it since its last question to this VM.
+        if (it.listed_alive && it.listed_at > it.reported_at)
+            it.expires_at = it.listed_at + hub_member_timeout;
+        if (now < it.expires_at)
+            continue;
         it.member.alive = false;
         changed = true;
     }
     if (changed)
-        ++sequence_;
+        mark_changed();
     return changed;
 }
 
+void member_table::set_unreachable(vm_id const& vm, time_point now)
+{
+    auto const found = data_centres_.find(vm);
+    if (found == data_centres_.end() || vm == self_)
+        return;
+    auto& it = members_.at({found->second, vm});
+    bool const is_heard = it.reported_at != time_point{} &&
+        it.reported_at >= it.listed_at && now < it.expires_at;
+    if (!it.member.alive || is_heard)
+        return;
+    it.member.alive = it.listed_alive = false;
+    it.expires_at = now;
+    mark_changed();
+}
+
 void member_table::remove(vm_id const& vm)
 {
     auto const it = data_centres_.find(vm);
@@ -148,7 +194,7 @@
         return;
     members_.erase({it->second, vm});
     data_centres_.erase(it);
-    ++sequence_;
+    mark_changed();
 }
 
 std::vector<vm_record> member_table::unreachable_for(
@@ -162,13 +208,14 @@
     return unreachable;
 }
 
-fleet_members member_table::members() const
+fleet_members const& member_table::members() const
 {
-    fleet_members all;
-    all.reserve(members_.size());
+    if (std::exchange(is_list_current_, true))
+        return listed_;
+    listed_.clear();
     for (auto const& [key, it] : members_)
-        all.push_back(it.member);
-    return all;
+        listed_.push_back(it.member);
+    return listed_;
 }
 
 fleet_member const* member_table::find(vm_id const& vm) const
--- a/servers/membership/member_table.hpp
+++ b/servers/membership/member_table.hpp
@@ -45,17 +45,26 @@
     bool set_entries(
         data_centre_id const& data_centre, std::set<vm_id> const& entries);
 
+    /// Lets all VMs that are alive count as such for longer, after a pause of
+    /// this process in which it could not hear of them.
+    void postpone_expiry(duration pause);
+
     /// Marks VMs whose liveness timeout has passed as not alive. Returns
     /// whether that changed anything.
     bool expire(time_point now);
 
+    /// Records that a VM does not answer, unless it still counts as alive from
+    /// its own questions.
+    void set_unreachable(vm_id const& vm, time_point now);
+
     /// Removes a VM; has no effect on this VM itself.
     void remove(vm_id const& vm);
 
     /// VMs that have not been alive for longer than `time`.
     std::vector<vm_record> unreachable_for(duration time, time_point now) const;
 
-    fleet_members members() const;
+    /// The list is valid until the next change.
+    fleet_members const& members() const;
     fleet_member const* find(vm_id const& vm) const;
 
     /// Increases with each change that other VMs need to receive.
@@ -69,8 +78,9 @@
         time_point expires_at{};
         /// When the last question of the VM itself arrived.
         time_point reported_at{};
-        /// Alive in the last list of a hub.
+        /// Alive in the last list of a hub, and when that was last confirmed.
         bool listed_alive = false;
+        time_point listed_at{};
     };
 
     vm_id self_;
@@ -78,7 +88,11 @@
     /// Data centre of each VM in `members_`.
     std::map<vm_id, data_centre_id> data_centres_;
     std::uint64_t sequence_ = 1;
+    /// The list that `members` returns, made when it is needed.
+    mutable fleet_members listed_;
+    mutable bool is_list_current_ = false;
 
+    void mark_changed();
     /// The state of the VM; moves a VM that changed its data centre.
     member_state& find_or_create(vm_record const& record);
 };
--- a/tests/drivers/codec_test.cpp
+++ b/tests/drivers/codec_test.cpp
@@ -289,6 +289,33 @@
     std::minstd_rand random_{1};
 };
 
+/// The rate of probes is chosen for this size, so that a search costs a VM at
+/// most 9 KB/s.
+TEST_F(codec_test, probe_and_its_answer_are_small)
+{
+    constexpr std::size_t max_bytes = 230;
+    vm_record self;
+    self.vm = vm_id("front-sidi-maarouf-118");
+    self.data_centre = data_centre_id("sidi-maarouf");
+    self.peers_address = "10.211.103.118:8407";
+    self.callers_address = "10.211.103.118:8405";
+    self.incarnation = ~0ULL;
+    self.standing = vm_standing::serving;
+    self.cores = 0.2;
+    sync_question probe;
+    probe.from = self;
+    probe.relation = sync_relation::probe;
+    probe.read_age = duration::zero();
+    probe.liveness_timeout = std::chrono::seconds(1);
+    probe.report.load = 101.5;
+    fleet_state state;
+    member_table members(self);
+    auto const answer = sync_server(self, state, members).make_probe_reply();
+    EXPECT_LE(
+        to_wire(probe).ByteSizeLong() + to_wire(answer, now_).ByteSizeLong(),
+        max_bytes);
+}
+
 TEST_F(codec_test, question_is_read_back)
 {
     auto const it = from_wire(to_wire(question()));
--- a/tests/servers/member_table_test.cpp
+++ b/tests/servers/member_table_test.cpp
@@ -45,5 +45,67 @@
     EXPECT_EQ(table_.members().front().record, self_);
 }
 
+/// Guards against a VM that a list shows as alive but that counts as gone for a
+/// moment because it once sent a question to this VM.
+TEST_F(member_table_test, vm_that_a_hub_hears_of_outlives_its_own_question)
+{
+    using namespace std::chrono_literals;
+    auto const other = record("vm-2", "east");
+    table_.update_from_hub({{other, true, false, 0}}, now_);
+    table_.update_from_vm(other, 0, 1s, now_ + 100ms);
+    table_.confirm_listed(std::nullopt, now_ + 900ms);
+    table_.expire(now_ + 1200ms);
+    EXPECT_TRUE(table_.find(other.vm)->alive);
+    table_.expire(now_ + 5s);
+    EXPECT_FALSE(table_.find(other.vm)->alive);
+}
+
+TEST_F(member_table_test, hub_counts_a_silent_vm_as_gone_whatever_lists_said)
+{
+    using namespace std::chrono_literals;
+    auto const other = record("vm-2", "east");
+    table_.update_from_hub({{other, true, false, 0}}, now_);
+    table_.update_from_vm(other, 0, 1s, now_ + 100ms);
+    table_.expire(now_ + 1200ms);
+    EXPECT_FALSE(table_.find(other.vm)->alive);
+}
+
+/// Guards against a hub of another data centre whose questions hide that it is
+/// an entry.
+TEST_F(member_table_test, list_sets_whether_a_vm_that_asks_is_an_entry)
+{
+    using namespace std::chrono_literals;
+    auto const other = record("vm-2", "west");
+    table_.update_from_vm(other, 0, 1s, now_);
+    auto const sequence = table_.sequence();
+    table_.update_from_hub({{other, true, true, 0}}, now_ + 100ms);
+    EXPECT_TRUE(table_.find(other.vm)->entry);
+    EXPECT_GT(table_.sequence(), sequence);
+}
+
+TEST_F(member_table_test, pause_of_this_vm_is_no_silence_of_others)
+{
+    using namespace std::chrono_literals;
+    auto const other = record("vm-2", "east");
+    table_.update_from_vm(other, 0, 1s, now_);
+    table_.postpone_expiry(5s);
+    table_.expire(now_ + 5500ms);
+    EXPECT_TRUE(table_.find(other.vm)->alive);
+    table_.expire(now_ + 6s);
+    EXPECT_FALSE(table_.find(other.vm)->alive);
+}
+
+TEST_F(member_table_test, unreachable_vm_is_gone_unless_it_sends_questions)
+{
+    using namespace std::chrono_literals;
+    auto const other = record("vm-2", "east");
+    table_.update_from_hub({{other, true, false, 0}}, now_);
+    table_.set_unreachable(other.vm, now_ + 100ms);
+    EXPECT_FALSE(table_.find(other.vm)->alive);
+    table_.update_from_vm(other, 0, 1s, now_ + 200ms);
+    table_.set_unreachable(other.vm, now_ + 300ms);
+    EXPECT_TRUE(table_.find(other.vm)->alive);
+}
+
 } // namespace
 } // namespace pomelohinge
--- a/tests/simulation/fake_store.hpp
+++ b/tests/simulation/fake_store.hpp
@@ -139,6 +139,13 @@
     /// The number of calls so far, answered or not.
     std::uint64_t calls() const { return calls_; }
 
+    /// The number of calls of one VM so far.
+    std::uint64_t calls_by(std::string const& vm) const
+    {
+        auto const it = calls_by_vm_.find(vm);
+        return it == calls_by_vm_.end() ? 0 : it->second;
+    }
+
     // Calls by a VM.
 
     void read_configuration(
@@ -171,7 +178,7 @@
     void watch_targets(std::string const& vm, std::uint64_t revision,
         duration long_poll_timeout, std::function<void(targets_result)> done)
     {
-        ++calls_;
+        count_call(vm);
         poll_watch(vm, revision, simulator_.now() + long_poll_timeout,
             std::move(done));
     }
@@ -287,7 +294,7 @@
     /// unavailable for the VM, after `call_timeout` if it does not answer.
     void answer(std::string const& vm, std::function<void(bool)> run)
     {
-        ++calls_;
+        count_call(vm);
         if (unresponsive_ || simulator_.is_blocked(vm, "store"))
             return simulator_.schedule_after(
                 call_timeout, [run] { run(false); });
@@ -353,7 +360,14 @@
     duration answer_delay_{};
     /// Watches from an earlier revision fail.
     std::uint64_t history_start_ = 0;
+    void count_call(std::string const& vm)
+    {
+        ++calls_;
+        ++calls_by_vm_[vm];
+    }
+
     std::uint64_t calls_ = 0;
+    std::map<std::string, std::uint64_t> calls_by_vm_;
 };
 
 } // namespace pomelohinge::simulation
