Name the first VMs of the hub order for what they are now

They are no longer the only ones that may become the hub: likely_hub_count and is_likely_hub in place of max_hub_candidates and is_hub_candidate. A VM whose probe was lost in a pause of this process does not count as gone.

--- a/servers/control/control_plane.hpp
+++ b/servers/control/control_plane.hpp
@@ -193,7 +193,7 @@
             hub_members_ = {};
             hub_exchange_.forget_lists();
             if (is_hub())
-                set_unreached_candidates(members, now);
+                set_vms_before_gone(members, now);
         }
         auto const conditions = find_reading_conditions(now);
         rollouts_.set_deciding(conditions.reads_for_fleet);
@@ -226,7 +226,7 @@
             store_access_.note_contact(environment_.now());
         if (reply.members)
             members_.update_from_hub(*reply.members, environment_.now());
-        else if (is_hub() && !hub_selector_.is_reached(vm))
+        else if (is_hub() && hub_selector_.is_unreachable(vm))
             members_.set_unreachable(vm, environment_.now());
         members_changed();
         update_hub();
@@ -256,12 +256,12 @@
     }
 
     /// VMs that did not answer this one are gone for those that follow it.
-    void set_unreached_candidates(fleet_members const& members, time_point now)
+    void set_vms_before_gone(fleet_members const& members, time_point now)
     {
         for (auto const* it : hub_order(members, self_.data_centre)) {
             if (it->record.vm == self_.vm)
                 break;
-            if (!hub_selector_.is_reached(it->record.vm))
+            if (hub_selector_.is_unreachable(it->record.vm))
                 members_.set_unreachable(it->record.vm, now);
         }
     }
@@ -273,7 +273,7 @@
         // members.
         auto const& members = members_.members();
         it.is_hub = is_hub() &&
-            (is_hub_candidate(members, self_.data_centre, self_.vm) ||
+            (is_likely_hub(members, self_.data_centre, self_.vm) ||
                 sync_server_.was_asked_within(max_question_age, now));
         it.reads_for_fleet =
             it.is_hub && is_first_data_centre(members, self_.data_centre);
--- a/servers/control/probe_schedule.cpp
+++ b/servers/control/probe_schedule.cpp
@@ -84,7 +84,7 @@
         if (is_heard || (is_after_self && is_new))
             continue;
         // The VM that this hub has replaced was among the first ones.
-        auto const max_delay = is_after_self && n > max_hub_candidates
+        auto const max_delay = is_after_self && n > likely_hub_count
             ? hub_candidate::max_probe_delay
             : hub_candidate::min_probe_delay;
         bool const is_due =
@@ -121,7 +121,7 @@
         auto const& vm = it.order[n]->record;
         if (vm.vm == hub)
             return;
-        bool const is_likely = it.order[n]->alive || n < max_hub_candidates;
+        bool const is_likely = it.order[n]->alive || n < likely_hub_count;
         if (!is_likely && hub != vm_id())
             continue;
         auto const max_delay = is_likely ? hub_candidate::min_probe_delay
--- a/servers/control/store_turns.cpp
+++ b/servers/control/store_turns.cpp
@@ -60,7 +60,7 @@
     auto const candidates = hub_order(members, self.data_centre);
     for (std::size_t n = 0; n < candidates.size(); ++n) {
         auto const& vm = candidates[n]->record.vm;
-        order.emplace_back(n < max_hub_candidates, turn_hash(vm), vm);
+        order.emplace_back(n < likely_hub_count, turn_hash(vm), vm);
         if (vm == self.vm)
             own = order.back();
     }
--- a/servers/control/store_turns.hpp
+++ b/servers/control/store_turns.hpp
@@ -37,10 +37,9 @@
 fleet_members find_neighbours(
     fleet_members const& members, vm_record const& self, bool has_hub);
 
-/// The place of `self` among `members`, which include it. VMs that can become
-/// the hub come last, since they read the store as the hub; the others follow
-/// by a hash of their names, so that all VMs compute the same order without
-/// communication.
+/// The place of `self` among `members`, which include it. The likely hubs come
+/// last, since they read the store as hubs; the others are ordered by a hash of
+/// their names, so that all VMs compute the same order without communication.
 turn_place find_turn_place(fleet_members const& members, vm_record const& self,
     std::size_t data_centres);
 
--- a/servers/membership/hub_order.cpp
+++ b/servers/membership/hub_order.cpp
@@ -40,11 +40,11 @@
     });
 }
 
-bool is_hub_candidate(fleet_members const& members,
+bool is_likely_hub(fleet_members const& members,
     data_centre_id const& data_centre, vm_id const& vm)
 {
     auto const order = hub_order(members, data_centre);
-    auto const count = std::min(order.size(), max_hub_candidates);
+    auto const count = std::min(order.size(), likely_hub_count);
     return std::any_of(order.begin(),
         order.begin() + static_cast<std::ptrdiff_t>(count),
         [&](auto const* it) { return it->record.vm == vm; });
--- a/servers/membership/hub_order.hpp
+++ b/servers/membership/hub_order.hpp
@@ -5,9 +5,10 @@
 
 namespace pomelohinge {
 
-/// Number of VMs of a data centre that may become its hub. The first of them
-/// that answers reads the store for the others and exchanges their reports.
-inline constexpr std::size_t max_hub_candidates = 3;
+/// Number of VMs at the start of the order of a data centre that are its hub in
+/// most cases. They are probed more often than others when they do not answer,
+/// and need not wait for their turn to read the store when one becomes the hub.
+inline constexpr std::size_t likely_hub_count = 3;
 
 /// The VMs of `data_centre` in their order of preference as its hub: those with
 /// the most cores first, then by a hash of their names, so that all VMs compute
@@ -19,8 +20,8 @@
 bool is_first_data_centre(
     fleet_members const& members, data_centre_id const& data_centre);
 
-/// Whether `vm` may become the hub of `data_centre`.
-bool is_hub_candidate(fleet_members const& members,
+/// Whether `vm` is one of the first `likely_hub_count` in the hub order.
+bool is_likely_hub(fleet_members const& members,
     data_centre_id const& data_centre, vm_id const& vm);
 
 } // namespace pomelohinge
--- a/tests/servers/store_turns_test.cpp
+++ b/tests/servers/store_turns_test.cpp
@@ -110,7 +110,7 @@
     auto const order = hub_order(members_, data_centre_id("east"));
     for (std::size_t n = 0; n < order.size(); ++n)
         EXPECT_EQ(rank(order[n]->record) >= members_.size() - 3,
-            n < max_hub_candidates);
+            n < likely_hub_count);
 }
 
 TEST_F(turn_place_test, vms_that_are_gone_are_no_neighbours)
--- a/tests/simulation/configuration_delay_test.cpp
+++ b/tests/simulation/configuration_delay_test.cpp
@@ -86,7 +86,7 @@
     std::set<std::string> all_candidates() const
     {
         std::set<std::string> names;
-        for (std::size_t n = 0; n < max_hub_candidates; ++n)
+        for (std::size_t n = 0; n < likely_hub_count; ++n)
             names.merge(candidates(n));
         return names;
     }
--- a/tests/simulation/returned_hub_test.cpp
+++ b/tests/simulation/returned_hub_test.cpp
@@ -128,10 +128,10 @@
 
 TEST_P(returned_hub_test, candidates_that_are_restarted_at_once_follow_one_hub)
 {
-    for (std::size_t n = 0; n < max_hub_candidates; ++n)
+    for (std::size_t n = 0; n < likely_hub_count; ++n)
         vms_.at(candidate(n).vm.text())->plane().leave();
     run_for(2s);
-    for (std::size_t n = 0; n < max_hub_candidates; ++n)
+    for (std::size_t n = 0; n < likely_hub_count; ++n)
         restart(candidate(n));
     run_for(4s);
     EXPECT_EQ(hubs(), std::set{candidate(0).vm.text()});
--- a/tests/simulation/store_load_test.cpp
+++ b/tests/simulation/store_load_test.cpp
@@ -77,7 +77,7 @@
         std::set<std::string> names;
         for (auto const* it : data_centres) {
             auto const order = hub_order(members_, data_centre_id(it));
-            for (std::size_t n = 0; n < max_hub_candidates; ++n)
+            for (std::size_t n = 0; n < likely_hub_count; ++n)
                 names.insert(order[n]->record.vm.text());
         }
         return names;
