Lower the rate of probes to the size that they have

Change: 34 probes in any second, 260 bytes: 8.8 KB/s. The bound of 9 KB/s stays; the size in the test is what the rate is computed from. lost_vms_test: with the store away, its changes are checked after its return, in place of a skip.

--- a/servers/control/probe_schedule.cpp
+++ b/servers/control/probe_schedule.cpp
@@ -6,9 +6,9 @@
 namespace pomelohinge {
 namespace {
 
-/// Limit on the probes of one VM. A probe and its answer take at most 230
+/// Limit on the probes of one VM. A probe and its answer take at most 260
 /// bytes, so they cost at most 9 KB in any second.
-constexpr bucket_rate max_probe_rate{28, 10};
+constexpr bucket_rate max_probe_rate{25, 9};
 
 /// Size of the first round of a search, and the factor by which each round is
 /// larger than the one before.
--- a/tests/drivers/codec_test.cpp
+++ b/tests/drivers/codec_test.cpp
@@ -293,7 +293,7 @@
 /// most 9 KB/s.
 TEST_F(codec_test, probe_and_its_answer_are_small)
 {
-    constexpr std::size_t max_bytes = 230;
+    constexpr std::size_t max_bytes = 260;
     vm_record self;
     self.vm = vm_id("front-sidi-maarouf-118");
     self.data_centre = data_centre_id("sidi-maarouf");
--- a/tests/servers/probe_schedule_test.cpp
+++ b/tests/servers/probe_schedule_test.cpp
@@ -131,7 +131,7 @@
 TEST_F(probe_schedule_test, probes_are_bounded_whatever_the_size_of_the_fleet)
 {
     // What a probe and its answer cost is tested with their encoding.
-    constexpr std::size_t max_probes_per_second = 9000 / 230;
+    constexpr std::size_t max_probes_per_second = 9000 / 260;
     for (auto const* it : {"east", "north", "west"})
         add_vms(it, 400);
     auto self = vm_at(399);
--- a/tests/simulation/lost_vms_test.cpp
+++ b/tests/simulation/lost_vms_test.cpp
@@ -453,10 +453,10 @@
 
 TEST_P(lost_vms_test, survivors_have_changes_in_the_store)
 {
-    if (GetParam().without_store)
-        GTEST_SKIP() << "there are no changes without the store";
     lose(choose_lost(GetParam().part));
     run_for(max_recovery_time);
+    store_.set_unresponsive(false);
+    run_for(max_report_delay);
     expect_changes_in_the_store_to_arrive();
     run_for(long_after);
     expect_changes_in_the_store_to_arrive();
